Set the shape: schema, generated types, names and the authority decisions

Cause: first commit; nothing existed. The schema folder is the only place where messages, records and settings are declared; cowslip-gen writes the types.

Authority: terms folded from the log, lease, order book and send guard, without clock or socket. Ruled out: a claim that carries only the expected term. The claim therefore expects the offset of the newest counting record.

--- /dev/null
+++ b/crates/authority/tests/random.rs
@@ -0,0 +1,144 @@
+//! Long random runs of three processes, and the folds against naive versions.
+
+mod world;
+
+use cowslip_authority::{
+    Holder, LeaseTimes, OrderBook, ScopeRecord, Target, Term, TermFold, Verdict,
+};
+use cowslip_name::Name;
+use proptest::prelude::*;
+use world::{Fault, Move, World, scope};
+
+const TIMES: LeaseTimes =
+    LeaseTimes { lease_ms: 6, renew_every_ms: 2, drift_margin_ms: 1, silence_ms: 4 };
+const IDLE_MS: u64 = 3;
+const PROCESSES: usize = 3;
+const ENDLESS: u32 = 1_000;
+
+/// The newest term by going through the whole log again.
+fn naive_newest(log: &[ScopeRecord]) -> Option<(Term, Holder, u64, bool)> {
+    let mut newest: Option<(Term, Holder, u64, bool)> = None;
+    for (offset, record) in (0u64..).zip(log) {
+        let last = newest.as_ref().map(|(_, _, last_offset, _)| *last_offset);
+        match (record, &mut newest) {
+            (ScopeRecord::Claim { holder, expected_offset, .. }, _) if *expected_offset == last => {
+                newest = Some((offset, holder.clone(), offset, false));
+            }
+            (ScopeRecord::Renewal { term, .. }, Some((current, _, last_offset, false)))
+                if term == current =>
+            {
+                *last_offset = offset;
+            }
+            (ScopeRecord::Release { term }, Some((current, _, last_offset, released)))
+                if term == current && !*released =>
+            {
+                (*last_offset, *released) = (offset, true);
+            }
+            _ => {}
+        }
+    }
+    newest
+}
+
+fn any_record() -> impl Strategy<Value = ScopeRecord> {
+    let claim = (0u64..3, 0u64..9, prop::option::of(0u64..12)).prop_map(
+        |(incarnation, nonce, expected_offset)| {
+            let instance = Name::new("entry-1").expect("valid name");
+            let holder = Holder { instance, incarnation };
+            ScopeRecord::Claim { holder, nonce, expected_offset }
+        },
+    );
+    let renewal =
+        (0u64..12, 0u64..9).prop_map(|(term, nonce)| ScopeRecord::Renewal { term, nonce });
+    let release = (0u64..12).prop_map(|term| ScopeRecord::Release { term });
+    prop_oneof![3 => claim, 3 => renewal, 1 => release]
+}
+
+fn chosen(kind: u8, index: usize) -> Move {
+    let process = index % PROCESSES;
+    match kind {
+        0 | 1 => Move::Clock,
+        2 => Move::Land(index),
+        3 | 4 => Move::Read(process),
+        5 => Move::Tick(process),
+        6 => Move::Connect(process),
+        7 => Move::RoundTrip(process),
+        8 => Move::Check(process),
+        _ => Move::Write(process),
+    }
+}
+
+proptest! {
+    #[test]
+    fn one_process_in_charge(moves in prop::collection::vec((0u8..10, 0usize..6), 0..600)) {
+        let mut world = World::new(PROCESSES, TIMES, IDLE_MS, ENDLESS, Fault::None);
+        for (kind, index) in moves {
+            let chosen = chosen(kind, index);
+            // A check without a round trip is not a step that the sender can take.
+            let is_early = matches!(chosen, Move::Check(process)
+                if world.processes[process].connection.as_ref().is_some_and(|c| c.closes_at_ms.is_none()));
+            if !is_early {
+                world.step(chosen);
+            }
+            prop_assert_eq!(world.violation(), None);
+        }
+    }
+
+    #[test]
+    fn fold_equals_naive(log in prop::collection::vec(any_record(), 0..40)) {
+        let mut fold = TermFold::default();
+        for (offset, record) in (0u64..).zip(&log) {
+            fold.apply(&scope(), offset, record);
+            let newest = fold.newest(&scope()).map(|newest| {
+                (newest.term, newest.holder.clone(), newest.last_offset, newest.released)
+            });
+            prop_assert_eq!(newest, naive_newest(&log[..=offset as usize]));
+        }
+    }
+
+    #[test]
+    fn repeated_appends_change_nothing(log in prop::collection::vec(any_record(), 1..40), repeat in 0usize..40) {
+        let mut fold = TermFold::default();
+        for (offset, record) in (0u64..).zip(&log) {
+            fold.apply(&scope(), offset, record);
+        }
+        let before = fold.newest(&scope()).map(|newest| (newest.term, newest.released));
+        let repeated = &log[repeat % log.len()];
+        if matches!(repeated, ScopeRecord::Claim { expected_offset: Some(_), .. } | ScopeRecord::Release { .. }) {
+            let was_counted = fold.apply(&scope(), log.len() as u64, repeated) != Verdict::Ignored;
+            let first_time = fold.newest(&scope()).map(|newest| (newest.term, newest.released)) != before;
+            prop_assert_eq!(was_counted, first_time);
+        }
+    }
+
+    #[test]
+    fn orders_never_conflict(steps in prop::collection::vec((0u8..4, 0u64..4, 0u64..5, 0u8..3), 0..60)) {
+        let mut terms = TermFold::default();
+        let mut book = OrderBook::default();
+        let target = Target { scope: scope(), upstream: Name::new("engine-1").expect("valid name") };
+        let mut counted: Vec<(u64, u8)> = Vec::new();
+        for (offset, (kind, term, sequence, action)) in (0u64..).zip(steps) {
+            match kind {
+                0 => {
+                    let holder = Holder { instance: scope(), incarnation: term };
+                    let expected_offset = terms.newest(&scope()).map(|newest| newest.last_offset);
+                    terms.apply(&scope(), offset, &ScopeRecord::Claim { holder, nonce: 0, expected_offset });
+                }
+                1 => { book.apply_done(&terms, &target, current(&terms), sequence); }
+                _ => {
+                    let term = if kind == 2 { current(&terms) } else { term };
+                    if book.apply_intent(&terms, &target, term, sequence, &action) {
+                        prop_assert_eq!(term, current(&terms));
+                        counted.push((sequence, action));
+                    }
+                }
+            }
+        }
+        let expected: Vec<u64> = (1..=counted.len() as u64).collect();
+        prop_assert_eq!(counted.iter().map(|(sequence, _)| *sequence).collect::<Vec<_>>(), expected);
+    }
+}
+
+fn current(terms: &TermFold) -> Term {
+    terms.newest(&scope()).map_or(u64::MAX, |newest| newest.term)
+}
--- /dev/null
+++ b/crates/gen/src/cli.rs
@@ -0,0 +1,17 @@
+//! Command line of the generator.
+
+use std::path::PathBuf;
+
+use clap::Parser;
+
+/// Generates Rust types and docs/SETTINGS.md from the schema folder.
+#[derive(Debug, Parser)]
+pub(crate) struct Cli {
+    /// Compare with the committed files instead of writing them
+    #[arg(long)]
+    pub(crate) check: bool,
+
+    /// Root of the repository
+    #[arg(long, default_value = ".")]
+    pub(crate) root: PathBuf,
+}
