--- a/crates/authority/src/orders.rs
+++ b/crates/authority/src/orders.rs
@@ -24,6 +24,8 @@
     pub action: A,
     /// Whether the order may still have to be sent.
     pub open: bool,
+    /// Offset of the intent.
+    pub offset: u64,
 }
 
 /// Newest order of each target, as of a place in the log.
@@ -48,13 +50,14 @@
         Self { targets }
     }
 
-    /// Applies an intent; returns whether it counts.
+    /// Applies the intent found at `offset`; returns whether it counts.
     ///
     /// It counts in the current term only, with the next sequence number, and only while no order
     /// of the target is open: an open one is finished by whoever holds the term.
     pub fn apply_intent(
         &mut self,
         terms: &TermFold,
+        offset: u64,
         target: &Target,
         term: Term,
         sequence: u64,
@@ -65,7 +68,7 @@
         let is_closed = newest.is_none_or(|newest| !newest.open);
         let counts = terms.is_current(&target.scope, term) && is_next && is_closed;
         if counts {
-            let order = OrderState { sequence, action: action.clone(), open: true };
+            let order = OrderState { sequence, action: action.clone(), open: true, offset };
             self.targets.insert(target.clone(), order);
         }
         counts
--- a/crates/authority/tests/random.rs
+++ b/crates/authority/tests/random.rs
@@ -127,7 +127,7 @@
                 1 => { book.apply_done(&terms, &target, current(&terms), sequence); }
                 _ => {
                     let term = if kind == 2 { current(&terms) } else { term };
-                    if book.apply_intent(&terms, &target, term, sequence, &action) {
+                    if book.apply_intent(&terms, offset, &target, term, sequence, &action) {
                         prop_assert_eq!(term, current(&terms));
                         counted.push((sequence, action));
                     }
--- /dev/null
+++ b/crates/border/src/peer.rs
@@ -0,0 +1,47 @@
+//! Messages between instances and rows of the platform's list.
+
+use cowslip_member::{Listed, Report};
+use cowslip_proto as proto;
+
+use crate::error::{Error, FieldSnafu};
+
+/// A heartbeat as the membership takes it.
+#[must_use]
+pub fn report(heartbeat: &proto::Heartbeat) -> Report {
+    Report {
+        incarnation: heartbeat.from.incarnation,
+        failure_domain: heartbeat.failure_domain.clone(),
+        next_offset: heartbeat.next_offset,
+        in_flight: heartbeat.in_flight,
+        loads: heartbeat.loads.iter().map(|load| (load.upstream.clone(), load.in_flight)).collect(),
+        drained: heartbeat.draining.clone(),
+    }
+}
+
+/// A row of the platform's list.
+///
+/// # Errors
+/// Returns [`Error::Field`] when the address is not an IP address and port.
+pub fn listed(row: &proto::ListedInstance) -> Result<Listed, Error> {
+    let peer_address = row.peer_address.parse().map_err(|_| {
+        let reason = format!("{:?} is not an IP address and port", row.peer_address);
+        FieldSnafu { field: "peer_address", reason }.build()
+    })?;
+    Ok(Listed {
+        name: row.name.clone(),
+        peer_address,
+        failure_domain: row.failure_domain.clone(),
+        is_leaving: row.leaving,
+    })
+}
+
+/// An order as an engine takes it.
+#[must_use]
+pub fn order_to_proto(
+    term: u64,
+    sequence: u64,
+    action: cowslip_state::OrderAction,
+) -> proto::EngineOrder {
+    let action = crate::record::action_to_proto(action);
+    proto::EngineOrder { fence: term, sequence, action }
+}
--- /dev/null
+++ b/crates/border/src/record.rs
@@ -0,0 +1,204 @@
+//! Records of the log.
+
+use std::sync::Arc;
+
+use cowslip_authority::{Holder, ScopeRecord, Target};
+use cowslip_once::{Answer, CallId, Outcome, Start};
+use cowslip_proto as proto;
+use cowslip_state::{Chunk, OrderAction, StateRecord};
+
+use crate::error::Error;
+use crate::hex::{digest_hex, parse_digest};
+use crate::object::{role_from_proto, role_to_proto};
+use crate::ticket::ticket_from_proto;
+
+/// A record as it was found in the log.
+#[derive(Clone, Debug)]
+pub enum Logged {
+    /// It changes the state.
+    State(StateRecord),
+    /// It is part of a snapshot.
+    Snapshot(Chunk),
+}
+
+/// A record as the decision crates take it.
+///
+/// # Errors
+/// Returns [`Error::Field`] for a value that its type cannot take.
+pub fn record_from_proto(record: &proto::Record) -> Result<Logged, Error> {
+    let state = match record {
+        proto::Record::SnapshotChunk(chunk) => {
+            return chunk_from_proto(chunk).map(Logged::Snapshot);
+        }
+        proto::Record::Ticket(ticket) => StateRecord::Ticket(ticket_from_proto(ticket)?),
+        proto::Record::Claim(claim) => StateRecord::Scope(
+            claim.scope.clone(),
+            ScopeRecord::Claim {
+                holder: holder_from_proto(&claim.holder),
+                nonce: claim.nonce,
+                expected_offset: claim.expected_offset,
+            },
+        ),
+        proto::Record::Renewal(renewal) => StateRecord::Scope(
+            renewal.scope.clone(),
+            ScopeRecord::Renewal { term: renewal.term, nonce: renewal.nonce },
+        ),
+        proto::Record::Release(release) => {
+            StateRecord::Scope(release.scope.clone(), ScopeRecord::Release { term: release.term })
+        }
+        proto::Record::Intent(intent) => StateRecord::Intent {
+            target: target(&intent.scope, &intent.target),
+            term: intent.term,
+            sequence: intent.sequence,
+            action: action_from_proto(&intent.action),
+        },
+        proto::Record::Done(done) => StateRecord::Done {
+            target: target(&done.scope, &done.target),
+            term: done.term,
+            sequence: done.sequence,
+        },
+        proto::Record::CallStart(start) => StateRecord::CallStart(start_from_proto(start)?),
+        proto::Record::CallEnd(end) => StateRecord::CallEnd {
+            call: call_id(&end.workspace, &end.idempotency_key),
+            attempt: Arc::from(end.attempt.as_str()),
+            outcome: outcome_from_proto(&end.outcome),
+        },
+    };
+    Ok(Logged::State(state))
+}
+
+/// A record as the log carries it; a ticket is logged as its operator wrote it, so it has no way
+/// back from its folded form.
+#[must_use]
+pub fn record_to_proto(record: &StateRecord) -> Option<proto::Record> {
+    Some(match record {
+        StateRecord::Ticket(_) => return None,
+        StateRecord::Scope(scope, record) => scope_to_proto(scope, record),
+        StateRecord::Intent { target, term, sequence, action } => {
+            proto::Record::Intent(proto::Intent {
+                scope: target.scope.clone(),
+                target: target.upstream.clone(),
+                term: *term,
+                sequence: *sequence,
+                action: action_to_proto(*action),
+            })
+        }
+        StateRecord::Done { target, term, sequence } => proto::Record::Done(proto::Done {
+            scope: target.scope.clone(),
+            target: target.upstream.clone(),
+            term: *term,
+            sequence: *sequence,
+        }),
+        StateRecord::CallStart(start) => proto::Record::CallStart(start_to_proto(start)),
+        StateRecord::CallEnd { call, attempt, outcome } => proto::Record::CallEnd(proto::CallEnd {
+            workspace: call.workspace.clone(),
+            idempotency_key: call.idempotency_key.to_string(),
+            attempt: attempt.to_string(),
+            outcome: outcome_to_proto(outcome),
+        }),
+    })
+}
+
+fn scope_to_proto(scope: &cowslip_name::Name, record: &ScopeRecord) -> proto::Record {
+    let scope = scope.clone();
+    match record {
+        ScopeRecord::Claim { holder, nonce, expected_offset } => {
+            proto::Record::Claim(proto::Claim {
+                scope,
+                holder: holder_to_proto(holder),
+                nonce: *nonce,
+                expected_offset: *expected_offset,
+            })
+        }
+        ScopeRecord::Renewal { term, nonce } => {
+            proto::Record::Renewal(proto::Renewal { scope, term: *term, nonce: *nonce })
+        }
+        ScopeRecord::Release { term } => {
+            proto::Record::Release(proto::Release { scope, term: *term })
+        }
+    }
+}
+
+pub(crate) fn holder_from_proto(holder: &proto::Holder) -> Holder {
+    Holder { instance: holder.instance.clone(), incarnation: holder.incarnation }
+}
+
+pub(crate) fn holder_to_proto(holder: &Holder) -> proto::Holder {
+    proto::Holder { instance: holder.instance.clone(), incarnation: holder.incarnation }
+}
+
+pub(crate) fn target(scope: &cowslip_name::Name, upstream: &cowslip_name::Name) -> Target {
+    Target { scope: scope.clone(), upstream: upstream.clone() }
+}
+
+pub(crate) fn action_from_proto(action: &proto::OrderAction) -> OrderAction {
+    match action {
+        proto::OrderAction::Role(role) => OrderAction::Role(role_from_proto(*role)),
+        proto::OrderAction::Drain => OrderAction::Drain,
+        proto::OrderAction::Resume => OrderAction::Resume,
+    }
+}
+
+pub(crate) fn action_to_proto(action: OrderAction) -> proto::OrderAction {
+    match action {
+        OrderAction::Role(role) => proto::OrderAction::Role(role_to_proto(role)),
+        OrderAction::Drain => proto::OrderAction::Drain,
+        OrderAction::Resume => proto::OrderAction::Resume,
+    }
+}
+
+fn call_id(workspace: &cowslip_name::Name, idempotency_key: &str) -> CallId {
+    CallId { workspace: workspace.clone(), idempotency_key: Arc::from(idempotency_key) }
+}
+
+pub(crate) fn start_from_proto(start: &proto::CallStart) -> Result<Start, Error> {
+    Ok(Start {
+        call: call_id(&start.workspace, &start.idempotency_key),
+        attempt: Arc::from(start.attempt.as_str()),
+        digest: parse_digest("digest_hex", &start.digest_hex)?,
+    })
+}
+
+pub(crate) fn start_to_proto(start: &Start) -> proto::CallStart {
+    proto::CallStart {
+        workspace: start.call.workspace.clone(),
+        idempotency_key: start.call.idempotency_key.to_string(),
+        attempt: start.attempt.to_string(),
+        digest_hex: digest_hex(&start.digest),
+    }
+}
+
+pub(crate) fn outcome_from_proto(outcome: &proto::CallOutcome) -> Outcome {
+    match outcome {
+        proto::CallOutcome::Answered(answer) => Outcome::Answered(Answer {
+            status: answer.status,
+            content_type: Arc::from(answer.content_type.as_str()),
+            body: Arc::from(answer.body.as_str()),
+        }),
+        proto::CallOutcome::NotRun => Outcome::NotRun,
+        proto::CallOutcome::Unknown => Outcome::Unknown,
+    }
+}
+
+pub(crate) fn outcome_to_proto(outcome: &Outcome) -> proto::CallOutcome {
+    match outcome {
+        Outcome::Answered(answer) => proto::CallOutcome::Answered(proto::StoredAnswer {
+            status: answer.status,
+            content_type: answer.content_type.to_string(),
+            body: answer.body.to_string(),
+        }),
+        Outcome::NotRun => proto::CallOutcome::NotRun,
+        Outcome::Unknown => proto::CallOutcome::Unknown,
+    }
+}
+
+fn chunk_from_proto(chunk: &proto::SnapshotChunk) -> Result<Chunk, Error> {
+    Ok(Chunk {
+        covers_offset: chunk.covers_offset,
+        writer: holder_from_proto(&chunk.writer),
+        index: chunk.index,
+        count: chunk.count,
+        digest: parse_digest("digest_hex", &chunk.digest_hex)?,
+        part: Arc::from(chunk.part.as_str()),
+    })
+}
--- /dev/null
+++ b/crates/border/src/settings.rs
@@ -0,0 +1,168 @@
+//! Settings from an INI file.
+
+use std::fmt;
+
+use cowslip_proto::{EntrySettings, SETTING_TABLE, SettingKind, SettingRow};
+use ini::Ini;
+use serde_json::{Map, Value};
+
+/// Likeness from which a key counts as a misspelling of another.
+const MIN_LIKENESS: f64 = 0.75;
+
+/// Something wrong with a settings file.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct SettingError {
+    /// Line in the file, 0 where there is none.
+    pub line: usize,
+    /// Section and key.
+    pub at: String,
+    /// What is wrong.
+    pub reason: String,
+}
+
+impl fmt::Display for SettingError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.line {
+            0 => write!(f, "{}: {}", self.at, self.reason),
+            line => write!(f, "line {line}: {}: {}", self.at, self.reason),
+        }
+    }
+}
+
+/// Reads settings, with defaults for what is not given.
+///
+/// # Errors
+/// Returns every error at once.
+pub fn load_settings(text: &str) -> Result<EntrySettings, Vec<SettingError>> {
+    let ini = Ini::load_from_str(text).map_err(|error| {
+        let reason = error.msg.to_string();
+        vec![SettingError { line: error.line, at: "file".to_owned(), reason }]
+    })?;
+    let mut errors = unknown_keys(text, &ini);
+    errors.extend(repeated(text, &ini));
+    let mut sections = Map::new();
+    for row in SETTING_TABLE {
+        match value(text, &ini, row) {
+            Ok(value) => {
+                let section =
+                    sections.entry(row.section).or_insert_with(|| Value::Object(Map::new()));
+                section[row.key] = value;
+            }
+            Err(error) => errors.push(error),
+        }
+    }
+    if !errors.is_empty() {
+        return Err(errors);
+    }
+    let sections_json = Value::Object(sections);
+    // Each value is tried alone, so that every bad name or number is told at once.
+    serde_json::from_value(sections_json).map_err(|error| {
+        vec![SettingError { line: 0, at: "settings".to_owned(), reason: error.to_string() }]
+    })
+}
+
+fn value(text: &str, ini: &Ini, row: &SettingRow) -> Result<Value, SettingError> {
+    let given = ini.get_from(Some(row.section), row.key);
+    let error = |reason: String| SettingError {
+        line: given.map_or(0, |_| line_of(text, row.section, row.key)),
+        at: format!("[{}] {}", row.section, row.key),
+        reason,
+    };
+    let raw = given.or(row.default).ok_or_else(|| error("must be given".to_owned()))?;
+    match row.kind {
+        SettingKind::Integer => raw
+            .parse::<u64>()
+            .map(Value::from)
+            .map_err(|_| error(format!("{raw:?} is not a whole number"))),
+        SettingKind::Text if row.key.ends_with("_address") => {
+            check_address(raw, row).map_err(error)
+        }
+        SettingKind::Text if is_name(row) => cowslip_name::Name::new(raw)
+            .map(|name| Value::from(name.as_str()))
+            .map_err(|reason| error(reason.to_string())),
+        SettingKind::Text => Ok(Value::from(raw)),
+    }
+}
+
+fn is_name(row: &SettingRow) -> bool {
+    matches!(row.key, "name" | "failure_domain" | "region" | "scope")
+}
+
+fn check_address(raw: &str, row: &SettingRow) -> Result<Value, String> {
+    let is_empty_allowed = row.default == Some("");
+    match raw.parse::<std::net::SocketAddr>() {
+        Ok(_) => Ok(Value::from(raw)),
+        Err(_) if raw.is_empty() && is_empty_allowed => Ok(Value::from(raw)),
+        Err(_) => Err(format!("{raw:?} is not an IP address and port")),
+    }
+}
+
+fn unknown_keys(text: &str, ini: &Ini) -> Vec<SettingError> {
+    let mut errors = Vec::new();
+    for (section, properties) in ini {
+        let section = section.unwrap_or("");
+        for (key, _) in properties {
+            if SETTING_TABLE.iter().any(|row| row.section == section && row.key == key) {
+                continue;
+            }
+            let line = line_of(text, section, key);
+            errors.push(SettingError {
+                line,
+                at: format!("[{section}] {key}"),
+                reason: suggestion(section, key),
+            });
+        }
+    }
+    errors
+}
+
+/// Sections and keys that are given twice: it would not be plain which one counts.
+fn repeated(text: &str, ini: &Ini) -> Vec<SettingError> {
+    let mut errors = Vec::new();
+    for row in SETTING_TABLE {
+        let sections = ini.section_all(Some(row.section)).count();
+        let values = ini
+            .section_all(Some(row.section))
+            .flat_map(|properties| properties.get_all(row.key))
+            .count();
+        if values > 1 || (sections > 1 && values > 0) {
+            errors.push(SettingError {
+                line: line_of(text, row.section, row.key),
+                at: format!("[{}] {}", row.section, row.key),
+                reason: "the key or its section is given twice".to_owned(),
+            });
+        }
+    }
+    errors
+}
+
+fn suggestion(section: &str, key: &str) -> String {
+    let likeness = |row: &&SettingRow| {
+        let same_section = if row.section == section { 0.1 } else { 0.0 };
+        strsim::jaro_winkler(row.key, key) + same_section
+    };
+    SETTING_TABLE
+        .iter()
+        .max_by(|a, b| likeness(a).total_cmp(&likeness(b)))
+        .filter(|row| strsim::jaro_winkler(row.key, key) >= MIN_LIKENESS)
+        .map_or_else(
+            || "unknown key".to_owned(),
+            |row| format!("unknown key; did you mean [{}] {}?", row.section, row.key),
+        )
+}
+
+/// Line of a key, from 1; 0 if it is not found.
+fn line_of(text: &str, section: &str, key: &str) -> usize {
+    let mut current = "";
+    for (index, line) in text.lines().enumerate() {
+        let line = line.trim();
+        if let Some(name) = line.strip_prefix('[').and_then(|rest| rest.strip_suffix(']')) {
+            current = name.trim();
+        }
+        let found = line.split(['=', ':']).next().map(str::trim);
+        if current == section && found == Some(key) {
+            return index + 1;
+        }
+    }
+    0
+}
--- /dev/null
+++ b/crates/border/src/snapshot.rs
@@ -0,0 +1,177 @@
+//! Snapshots of the folded state, in chunks.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use cowslip_authority::{Holder, OrderBook, OrderState, ScopeTerm, TermFold};
+use cowslip_config::{ConfigFold, Held};
+use cowslip_once::Remembered;
+use cowslip_proto as proto;
+use cowslip_state::{Complete, State};
+
+use crate::codec::{from_json, to_json};
+use crate::error::{Error, SnapshotDigestSnafu};
+use crate::hex::{digest_hex, parse_digest};
+use crate::object::{change_from_proto, object_id_to_proto, object_to_proto};
+use crate::record::{
+    action_from_proto, action_to_proto, holder_from_proto, holder_to_proto, outcome_from_proto,
+    outcome_to_proto, start_from_proto, start_to_proto, target,
+};
+
+/// Size of one chunk, in bytes.
+pub const CHUNK_BYTES: usize = 65_536;
+
+/// Records that hold the whole state before `covers_offset`.
+#[must_use]
+pub fn snapshot_chunks(state: &State, covers_offset: u64, writer: &Holder) -> Vec<proto::Record> {
+    let whole = to_json(&snapshot(state));
+    let digest = digest_hex(blake3::hash(whole.as_bytes()).as_bytes());
+    let parts = split(&whole);
+    let count = u32::try_from(parts.len()).unwrap_or(u32::MAX);
+    (0..count)
+        .zip(parts)
+        .map(|(index, part)| {
+            proto::Record::SnapshotChunk(proto::SnapshotChunk {
+                covers_offset,
+                writer: holder_to_proto(writer),
+                index,
+                count,
+                digest_hex: digest.clone(),
+                part: part.to_owned(),
+            })
+        })
+        .collect()
+}
+
+/// Parts of at most [`CHUNK_BYTES`], cut between characters.
+fn split(whole: &str) -> Vec<&str> {
+    let mut parts = Vec::new();
+    let mut rest = whole;
+    while !rest.is_empty() {
+        let (part, after) = rest.split_at(rest.floor_char_boundary(CHUNK_BYTES));
+        parts.push(part);
+        rest = after;
+    }
+    parts
+}
+
+fn snapshot(state: &State) -> proto::Snapshot {
+    proto::Snapshot {
+        tickets: state
+            .config
+            .tickets()
+            .map(|(number, digest)| proto::SnapshotTicket {
+                number,
+                digest_hex: digest_hex(digest),
+            })
+            .collect(),
+        objects: state
+            .config
+            .objects()
+            .map(|(id, held)| proto::SnapshotObject {
+                number: held.number,
+                state: match &held.object {
+                    Some(object) => object_to_proto(object),
+                    None => proto::ObjectState::Removed(object_id_to_proto(id)),
+                },
+            })
+            .collect(),
+        scopes: state
+            .terms
+            .iter()
+            .map(|(scope, newest)| proto::SnapshotScope {
+                scope: scope.clone(),
+                term: newest.term,
+                holder: holder_to_proto(&newest.holder),
+                nonce: newest.nonce,
+                last_offset: newest.last_offset,
+                released: newest.released,
+            })
+            .collect(),
+        targets: state
+            .orders
+            .iter()
+            .map(|(target, order)| proto::SnapshotTarget {
+                scope: target.scope.clone(),
+                target: target.upstream.clone(),
+                sequence: order.sequence,
+                action: action_to_proto(order.action),
+                open: order.open,
+                offset: order.offset,
+            })
+            .collect(),
+        calls: state
+            .calls
+            .iter()
+            .map(|call| proto::SnapshotCall {
+                offset: call.offset,
+                start: start_to_proto(&call.start),
+                outcome: call.outcome.as_ref().map(outcome_to_proto),
+            })
+            .collect(),
+    }
+}
+
+/// The state that a complete snapshot holds.
+///
+/// # Errors
+/// Returns an error when the digest or the content is wrong; nothing is restored then.
+pub fn restore(complete: &Complete) -> Result<State, Error> {
+    if *blake3::hash(complete.whole.as_bytes()).as_bytes() != complete.digest {
+        return SnapshotDigestSnafu.fail();
+    }
+    let snapshot: proto::Snapshot = from_json(complete.whole.as_bytes())?;
+    let mut state = State {
+        config: restore_config(&snapshot)?,
+        terms: restore_terms(&snapshot),
+        orders: restore_orders(&snapshot),
+        ..State::default()
+    };
+    for call in &snapshot.calls {
+        let start = start_from_proto(&call.start)?;
+        let outcome = call.outcome.as_ref().map(outcome_from_proto);
+        state.calls.restore(Remembered { offset: call.offset, start, outcome });
+    }
+    Ok(state)
+}
+
+fn restore_config(snapshot: &proto::Snapshot) -> Result<ConfigFold, Error> {
+    let mut objects = BTreeMap::new();
+    for held in &snapshot.objects {
+        let (id, object) = change_from_proto(&held.state)?;
+        objects.insert(id, Held { number: held.number, object: object.map(Arc::new) });
+    }
+    let tickets = snapshot
+        .tickets
+        .iter()
+        .map(|ticket| Ok((ticket.number, parse_digest("digest_hex", &ticket.digest_hex)?)))
+        .collect::<Result<_, Error>>()?;
+    Ok(ConfigFold::from_parts(objects, tickets))
+}
+
+fn restore_terms(snapshot: &proto::Snapshot) -> TermFold {
+    let terms = snapshot.scopes.iter().map(|scope| {
+        let newest = ScopeTerm {
+            term: scope.term,
+            holder: holder_from_proto(&scope.holder),
+            nonce: scope.nonce,
+            last_offset: scope.last_offset,
+            released: scope.released,
+        };
+        (scope.scope.clone(), newest)
+    });
+    TermFold::from_terms(terms.collect())
+}
+
+fn restore_orders(snapshot: &proto::Snapshot) -> OrderBook<cowslip_state::OrderAction> {
+    let orders = snapshot.targets.iter().map(|row| {
+        let order = OrderState {
+            sequence: row.sequence,
+            action: action_from_proto(&row.action),
+            open: row.open,
+            offset: row.offset,
+        };
+        (target(&row.scope, &row.target), order)
+    });
+    OrderBook::from_orders(orders.collect())
+}
--- /dev/null
+++ b/crates/border/src/ticket.rs
@@ -0,0 +1,43 @@
+//! Change tickets.
+
+use cowslip_config as config;
+use cowslip_proto as proto;
+
+use crate::codec::{from_json, to_json};
+use crate::error::Error;
+use crate::object::{change_from_proto, object_id_to_proto};
+
+/// Reads a ticket file.
+///
+/// # Errors
+/// Returns an error with line and column when the text is not a ticket.
+pub fn parse_ticket(bytes: &[u8]) -> Result<proto::Ticket, Error> {
+    from_json(bytes)
+}
+
+/// A ticket as the decision crate takes it; its digest is taken of its JSON form.
+///
+/// # Errors
+/// Returns [`Error::Field`] for a value that its type cannot take.
+pub fn ticket_from_proto(ticket: &proto::Ticket) -> Result<config::Ticket, Error> {
+    let digest = *blake3::hash(to_json(ticket).as_bytes()).as_bytes();
+    let changes = ticket.objects.iter().map(change_from_proto).collect::<Result<_, _>>()?;
+    Ok(config::Ticket { number: ticket.number, digest, changes })
+}
+
+/// Outcomes as a message carries them.
+#[must_use]
+pub fn outcome_to_proto(
+    outcomes: &[(config::ObjectId, config::ObjectOutcome)],
+) -> Vec<proto::ObjectOutcome> {
+    outcomes
+        .iter()
+        .map(|(id, outcome)| proto::ObjectOutcome {
+            object: object_id_to_proto(id),
+            outcome: match outcome {
+                config::ObjectOutcome::Applied => proto::OutcomeKind::Applied,
+                config::ObjectOutcome::Superseded => proto::OutcomeKind::Superseded,
+            },
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/cli/src/check.rs
@@ -0,0 +1,40 @@
+//! Checks of files without an instance.
+
+use std::fs;
+use std::path::Path;
+
+use cowslip_border::{load_settings, parse_ticket, ticket_from_proto};
+use cowslip_proto as proto;
+use snafu::ResultExt;
+
+use crate::error::{Error, FileKindSnafu, ReadFileSnafu, TicketSnafu};
+
+/// Every problem of a file, empty if there is none.
+pub(crate) fn check_file(path: &Path) -> Result<Vec<String>, Error> {
+    match path.extension().and_then(|extension| extension.to_str()) {
+        Some("ini") => {
+            let text = fs::read_to_string(path).context(ReadFileSnafu { path })?;
+            let errors = load_settings(&text).err().unwrap_or_default();
+            Ok(errors.iter().map(ToString::to_string).collect())
+        }
+        Some("json") => check_ticket(path),
+        _ => FileKindSnafu { path }.fail(),
+    }
+}
+
+fn check_ticket(path: &Path) -> Result<Vec<String>, Error> {
+    let ticket = match read_ticket(path) {
+        Err(Error::Ticket { source, .. }) => return Ok(vec![source.to_string()]),
+        other => other?,
+    };
+    Ok(match ticket_from_proto(&ticket) {
+        Ok(ticket) => cowslip_config::check(&ticket).iter().map(ToString::to_string).collect(),
+        Err(error) => vec![error.to_string()],
+    })
+}
+
+/// Reads a ticket file.
+pub(crate) fn read_ticket(path: &Path) -> Result<proto::Ticket, Error> {
+    let bytes = fs::read(path).context(ReadFileSnafu { path })?;
+    parse_ticket(&bytes).context(TicketSnafu { path })
+}
--- /dev/null
+++ b/crates/cli/src/error.rs
@@ -0,0 +1,44 @@
+//! Errors of the command line.
+
+use std::path::PathBuf;
+
+use snafu::Snafu;
+
+use crate::exit_codes::ExitCode;
+
+/// Why a command failed.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
+pub(crate) enum Error {
+    #[snafu(display("{}: {source}", path.display()))]
+    ReadFile { path: PathBuf, source: std::io::Error },
+    #[snafu(display("{}: {source}", path.display()))]
+    Ticket { path: PathBuf, source: cowslip_border::Error },
+    #[snafu(display("{}: neither .ini nor .json", path.display()))]
+    FileKind { path: PathBuf },
+    #[snafu(display("cannot reach the instance: {source}"))]
+    Http { source: cyper::Error },
+    #[snafu(display("the instance answered {status}: {text}"))]
+    Answer { status: u16, text: String },
+    #[snafu(display("cannot read the answer: {source}"))]
+    Decode { source: cowslip_border::Error },
+    #[snafu(display("deployment {deployment} has no upstream {upstream}"))]
+    NoUpstream { deployment: cowslip_name::Name, upstream: cowslip_name::Name },
+    #[snafu(display("runtime: {source}"))]
+    Runtime { source: std::io::Error },
+}
+
+impl Error {
+    pub(crate) fn exit_code(&self) -> ExitCode {
+        match self {
+            Self::ReadFile { .. }
+            | Self::Ticket { .. }
+            | Self::FileKind { .. }
+            | Self::NoUpstream { .. } => ExitCode::Usage,
+            Self::Http { .. }
+            | Self::Answer { .. }
+            | Self::Decode { .. }
+            | Self::Runtime { .. } => ExitCode::Failure,
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/caller/forward.rs
@@ -0,0 +1,74 @@
+//! Sending a request to an upstream.
+
+use cowslip_net::{Body, Sent, full};
+use http::{Request, Response};
+use hyper::body::Incoming;
+
+use super::request::CallerRequest;
+use super::server::{CallerServer, Lease};
+use crate::events::Event;
+use crate::metrics::Count;
+
+/// Header that names the call towards the upstream and back.
+const CALL_ID: &str = "x-call-id";
+/// Header that asks an engine to go on after this token.
+const RESUME_AFTER: &str = "x-resume-after";
+
+/// Why no answer came.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum SendFailure {
+    /// No byte was sent.
+    NothingSent,
+    /// Bytes may have been sent.
+    Broken,
+}
+
+/// Sends the request once to the granted upstream.
+///
+/// Only these headers go on: the caller's key and everything else stay here. An answer that names
+/// another call is dropped.
+pub(crate) async fn send_once(
+    server: &CallerServer,
+    lease: &Lease,
+    request: &CallerRequest,
+    path: &str,
+    resume_after: Option<u64>,
+) -> Result<Response<Incoming>, SendFailure> {
+    let call_id = uuid::Uuid::new_v4().to_string();
+    let upstream_request = build(lease, request, path, resume_after, &call_id)
+        .map_err(|_| SendFailure::NothingSent)?;
+    let response = server.client.send(lease.grant().address, upstream_request).await.map_err(
+        |sent| match sent {
+            Sent::Nothing(_) => SendFailure::NothingSent,
+            Sent::MayBe(_) => SendFailure::Broken,
+        },
+    )?;
+    let answered = response.headers().get(CALL_ID).map(|value| value.as_bytes());
+    if answered.is_some_and(|answered| answered != call_id.as_bytes()) {
+        server.metrics.count(Count::Crossed);
+        Event::AnswerCrossed.emit(&server.me, format_args!("from {}", lease.grant().upstream));
+        return Err(SendFailure::Broken);
+    }
+    Ok(response)
+}
+
+fn build(
+    lease: &Lease,
+    request: &CallerRequest,
+    path: &str,
+    resume_after: Option<u64>,
+    call_id: &str,
+) -> Result<Request<Body>, http::Error> {
+    let mut builder = Request::builder()
+        .method(request.method.clone())
+        .uri(path)
+        .header("host", lease.grant().address.to_string())
+        .header(CALL_ID, call_id);
+    if let Some(content_type) = &request.content_type {
+        builder = builder.header("content-type", content_type);
+    }
+    if let Some(token) = resume_after {
+        builder = builder.header(RESUME_AFTER, token.to_string());
+    }
+    builder.body(full(request.body.clone()))
+}
--- /dev/null
+++ b/crates/entry/src/caller/mod.rs
@@ -0,0 +1,13 @@
+//! The HTTP interfaces towards callers and operators.
+
+mod forward;
+mod model;
+mod operator;
+mod refusal;
+mod request;
+mod server;
+mod service;
+mod sse;
+
+pub(crate) use operator::run_operator_server;
+pub(crate) use server::{CallerServer, run_caller_server};
--- /dev/null
+++ b/crates/entry/src/caller/model.rs
@@ -0,0 +1,233 @@
+//! Model calls: whole and streamed.
+
+use bytes::Bytes;
+use cowslip_net::{Body, ChunkSender, collect, full, stream};
+use http::{Response, StatusCode};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use serde::Deserialize;
+
+use super::forward::{SendFailure, send_once};
+use super::refusal::CallerError;
+use super::request::CallerRequest;
+use super::server::{CallerServer, Lease, json_response};
+use super::sse::SseBuffer;
+use crate::events::Event;
+use crate::hub::{Ending, Goal, Wanted};
+use crate::metrics::Count;
+
+/// Largest whole answer of an engine, in bytes.
+const MAX_ANSWER_BYTES: usize = 8_388_608;
+/// Largest single event of a stream, in bytes.
+const MAX_EVENT_BYTES: usize = 1_048_576;
+/// Bytes of a prompt that make about one token.
+const BYTES_PER_TOKEN: u64 = 4;
+/// Tokens that a request without a limit is expected to generate.
+const DEFAULT_MAX_TOKENS: u64 = 256;
+
+/// The fields of a model request that matter here; all others go to the engine unread.
+#[derive(Debug, Deserialize)]
+struct ModelFields {
+    model: String,
+    #[serde(default)]
+    stream: bool,
+    max_tokens: Option<u64>,
+}
+
+/// Runs a model call.
+pub(crate) async fn complete(
+    server: &CallerServer,
+    request: CallerRequest,
+    bearer: Option<String>,
+) -> Result<Response<Body>, CallerError> {
+    let fields: ModelFields =
+        serde_json::from_slice(&request.body).map_err(|_| CallerError::BAD_REQUEST)?;
+    let prompt_tokens = request.body.len() as u64 / BYTES_PER_TOKEN;
+    let wanted = Wanted {
+        bearer,
+        goal: Goal::Model(fields.model),
+        cost_tokens: prompt_tokens + fields.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS),
+        fingerprint: request.digest(),
+    };
+    let lease = server.begin(wanted).await?;
+    if fields.stream {
+        streamed(server, request, lease).await
+    } else {
+        let deadline = server.deadline();
+        let work = whole(server, request, lease);
+        compio::time::timeout(deadline, work).await.unwrap_or(Err(CallerError::DEADLINE))
+    }
+}
+
+/// What a failed try means for the upstream.
+fn ending(failure: SendFailure) -> Ending {
+    match failure {
+        SendFailure::NothingSent => Ending::Unreachable,
+        SendFailure::Broken => Ending::Lost,
+    }
+}
+
+/// Sends to one upstream after another until one answers.
+async fn open(
+    server: &CallerServer,
+    request: &CallerRequest,
+    mut lease: Lease,
+    resume_after: Option<u64>,
+) -> Result<(Response<Incoming>, Lease), CallerError> {
+    let mut may_have_run = resume_after.is_some();
+    loop {
+        let failure = match send_once(server, &lease, request, &request.path, resume_after).await {
+            Ok(response) if response.status().is_server_error() => SendFailure::Broken,
+            Ok(response) => return Ok((response, lease)),
+            Err(failure) => failure,
+        };
+        may_have_run |= failure == SendFailure::Broken;
+        let moved = lease.move_on(ending(failure)).await;
+        lease = moved.map_err(|error| if may_have_run { error.after_send() } else { error })?;
+    }
+}
+
+async fn whole(
+    server: &CallerServer,
+    request: CallerRequest,
+    mut lease: Lease,
+) -> Result<Response<Body>, CallerError> {
+    loop {
+        let (response, held) = open(server, &request, lease, None).await?;
+        let status = response.status();
+        match collect(response.into_body(), MAX_ANSWER_BYTES).await {
+            Ok(body) => {
+                held.end(Ending::Finished).await;
+                return Ok(answer(status, body));
+            }
+            Err(_) => {
+                lease = held.move_on(Ending::Lost).await.map_err(CallerError::after_send)?;
+            }
+        }
+    }
+}
+
+fn answer(status: StatusCode, body: Bytes) -> Response<Body> {
+    Response::builder()
+        .status(status)
+        .header("content-type", "application/json")
+        .body(full(body))
+        .expect("constants form a response")
+}
+
+async fn streamed(
+    server: &CallerServer,
+    request: CallerRequest,
+    lease: Lease,
+) -> Result<Response<Body>, CallerError> {
+    let (response, lease) = open(server, &request, lease, None).await?;
+    if response.status() != StatusCode::OK {
+        let status = response.status();
+        let body = collect(response.into_body(), MAX_ANSWER_BYTES)
+            .await
+            .map_err(|_| CallerError::OUTCOME_UNKNOWN)?;
+        lease.end(Ending::Finished).await;
+        return Ok(json_response(status, String::from_utf8_lossy(&body).into_owned()));
+    }
+    let (chunks, body) = stream();
+    let pump = Pump { server: server.clone(), request, chunks, last_token: None };
+    compio::runtime::spawn(pump.run(response, lease)).detach();
+    let response = Response::builder()
+        .header("content-type", "text/event-stream")
+        .header("cache-control", "no-store")
+        .body(body)
+        .expect("constants form a response");
+    Ok(response)
+}
+
+/// How the copying of one upstream's stream ended.
+enum Copied {
+    Done,
+    CallerGone,
+    Broken,
+}
+
+/// Copies a stream to the caller, over several upstreams if need be.
+struct Pump {
+    server: CallerServer,
+    request: CallerRequest,
+    chunks: ChunkSender,
+    last_token: Option<u64>,
+}
+
+impl Pump {
+    async fn run(mut self, response: Response<Incoming>, lease: Lease) {
+        let deadline = self.server.deadline();
+        let chunks = self.chunks.clone();
+        let work = self.copy_all(response, lease);
+        let failed = match compio::time::timeout(deadline, work).await {
+            Ok(Ok(())) => return,
+            Ok(Err(error)) => error,
+            Err(_) => CallerError::DEADLINE,
+        };
+        // The head of the answer is out: the error goes into the stream, which ends without DONE.
+        let event = format!("event: error\ndata: {}\n\n", failed.body());
+        chunks.send(event.into()).await;
+    }
+
+    async fn copy_all(
+        &mut self,
+        mut response: Response<Incoming>,
+        mut lease: Lease,
+    ) -> Result<(), CallerError> {
+        loop {
+            match self.copy(response).await {
+                Copied::Done | Copied::CallerGone => {
+                    lease.end(Ending::Finished).await;
+                    return Ok(());
+                }
+                Copied::Broken => {
+                    let moved = lease.move_on(Ending::Lost).await;
+                    let moved = moved.map_err(CallerError::after_send)?;
+                    let resume_after = Some(self.last_token.unwrap_or(0));
+                    (response, lease) =
+                        open(&self.server, &self.request, moved, resume_after).await?;
+                    self.server.metrics.count(Count::Resumed);
+                    Event::StreamResumed
+                        .emit(&self.server.me, format_args!("after token {:?}", self.last_token));
+                }
+            }
+        }
+    }
+
+    /// Copies whole events only, so that a break never leaves half of one with the caller.
+    async fn copy(&mut self, response: Response<Incoming>) -> Copied {
+        let mut body = response.into_body();
+        let mut buffer = SseBuffer::default();
+        loop {
+            let frame = {
+                let next = std::pin::pin!(body.frame());
+                let gone = std::pin::pin!(self.chunks.closed());
+                match futures_util::future::select(next, gone).await {
+                    futures_util::future::Either::Left((frame, _)) => frame,
+                    futures_util::future::Either::Right(_) => return Copied::CallerGone,
+                }
+            };
+            let Some(Ok(frame)) = frame else { return Copied::Broken };
+            let Ok(data) = frame.into_data() else { continue };
+            buffer.push(&data);
+            while let Some(event) = buffer.next_event() {
+                // A resumed engine may repeat a token: the caller gets each number once.
+                let is_repeat = event.token.is_some() && event.token <= self.last_token;
+                if is_repeat {
+                    continue;
+                }
+                self.last_token = event.token.or(self.last_token);
+                if !self.chunks.send(event.bytes).await {
+                    return Copied::CallerGone;
+                }
+                if event.is_done {
+                    return Copied::Done;
+                }
+            }
+            if buffer.len_bytes() > MAX_EVENT_BYTES {
+                return Copied::Broken;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/caller/refusal.rs
@@ -0,0 +1,121 @@
+//! Errors towards callers, in the form of the OpenAI-compatible interface.
+
+use cowslip_net::{Body, full};
+use http::{Response, StatusCode};
+use serde_json::json;
+
+use crate::hub::Refusal;
+
+/// Seconds after which a refused caller may try again.
+const RETRY_AFTER_S: &str = "1";
+
+/// An error as callers see it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct CallerError {
+    pub(crate) status: StatusCode,
+    pub(crate) code: &'static str,
+    pub(crate) message: &'static str,
+    /// No byte of the request can have reached an upstream.
+    pub(crate) is_not_run: bool,
+}
+
+impl CallerError {
+    const fn not_run(status: StatusCode, code: &'static str, message: &'static str) -> Self {
+        Self { status, code, message, is_not_run: true }
+    }
+
+    pub(crate) const BAD_REQUEST: Self =
+        Self::not_run(StatusCode::BAD_REQUEST, "bad_request", "the request is malformed");
+    pub(crate) const TOO_LARGE: Self =
+        Self::not_run(StatusCode::PAYLOAD_TOO_LARGE, "too_large", "the body is too large");
+    pub(crate) const KEY_IN_REQUEST: Self = Self::not_run(
+        StatusCode::BAD_REQUEST,
+        "key_in_request",
+        "the path or body holds the caller's key, which no upstream may see",
+    );
+    pub(crate) const KEY_REUSED: Self = Self::not_run(
+        StatusCode::UNPROCESSABLE_ENTITY,
+        "idempotency_key_reused",
+        "the idempotency key belongs to another request",
+    );
+    pub(crate) const OUTCOME_UNKNOWN: Self = Self {
+        status: StatusCode::BAD_GATEWAY,
+        code: "outcome_unknown",
+        message: "the request may have run; its answer is not known",
+        is_not_run: false,
+    };
+    pub(crate) const DEADLINE: Self = Self {
+        status: StatusCode::GATEWAY_TIMEOUT,
+        code: "deadline_exceeded",
+        message: "the request took too long; it may have run",
+        is_not_run: false,
+    };
+
+    /// The error for a request that was refused before it was granted.
+    pub(crate) const fn from_refusal(refusal: Refusal) -> Self {
+        let (status, code, message) = match refusal {
+            Refusal::BadKey => {
+                (StatusCode::UNAUTHORIZED, "invalid_api_key", "the key is missing or not valid")
+            }
+            Refusal::NotAllowed => {
+                (StatusCode::FORBIDDEN, "not_allowed", "the key's workspace may not call this")
+            }
+            Refusal::NotFound => (StatusCode::NOT_FOUND, "not_found", "there is no such target"),
+            Refusal::TooMany => (
+                StatusCode::TOO_MANY_REQUESTS,
+                "rate_limit_exceeded",
+                "the workspace has too many requests in flight",
+            ),
+            Refusal::NoCapacity => {
+                (StatusCode::SERVICE_UNAVAILABLE, "no_capacity", "no upstream is free")
+            }
+            Refusal::NotReady => (
+                StatusCode::SERVICE_UNAVAILABLE,
+                "not_ready",
+                "this instance admits no requests now",
+            ),
+            Refusal::Poison => (
+                StatusCode::UNPROCESSABLE_ENTITY,
+                "request_refused",
+                "upstreams failed while they ran this request",
+            ),
+            Refusal::LogDown => (
+                StatusCode::SERVICE_UNAVAILABLE,
+                "log_unavailable",
+                "the call cannot be recorded and was not started",
+            ),
+        };
+        Self::not_run(status, code, message)
+    }
+
+    /// Same error, after bytes may have reached an upstream.
+    pub(crate) const fn after_send(self) -> Self {
+        Self { is_not_run: false, ..self }
+    }
+
+    /// JSON body.
+    pub(crate) fn body(&self) -> String {
+        let kind =
+            if self.status.is_client_error() { "invalid_request_error" } else { "server_error" };
+        json!({ "error": {
+            "message": self.message,
+            "type": kind,
+            "code": self.code,
+            "not_run": self.is_not_run,
+            "outcome_unknown": !self.is_not_run,
+        } })
+        .to_string()
+    }
+
+    /// HTTP response.
+    pub(crate) fn response(&self) -> Response<Body> {
+        let mut builder =
+            Response::builder().status(self.status).header("content-type", "application/json");
+        let may_retry = self.status == StatusCode::TOO_MANY_REQUESTS
+            || self.status == StatusCode::SERVICE_UNAVAILABLE;
+        if may_retry {
+            builder = builder.header("retry-after", RETRY_AFTER_S);
+        }
+        builder.body(full(self.body())).expect("constants form a response")
+    }
+}
--- /dev/null
+++ b/crates/entry/src/caller/request.rs
@@ -0,0 +1,85 @@
+//! A caller's request, read whole.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use cowslip_net::{Error, collect};
+use http::{HeaderMap, Method, Request};
+use hyper::body::Incoming;
+
+use super::refusal::CallerError;
+
+/// Longest idempotency key, in bytes.
+const MAX_IDEMPOTENCY_KEY_BYTES: usize = 255;
+
+/// A request without the caller's key.
+#[derive(Clone, Debug)]
+pub(crate) struct CallerRequest {
+    pub(crate) method: Method,
+    /// Path and query.
+    pub(crate) path: String,
+    pub(crate) content_type: Option<String>,
+    pub(crate) idempotency_key: Option<Arc<str>>,
+    pub(crate) body: Bytes,
+}
+
+impl CallerRequest {
+    /// Reads the request; the key is returned apart, so that nothing that goes on can hold it.
+    pub(crate) async fn read(
+        request: Request<Incoming>,
+        max_body_bytes: usize,
+    ) -> Result<(Self, Option<String>), CallerError> {
+        let (head, body) = request.into_parts();
+        let bearer = bearer(&head.headers);
+        let path = head.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned();
+        let idempotency_key = idempotency_key(&head.headers)?;
+        let content_type = text(&head.headers, "content-type");
+        let body = collect(body, max_body_bytes).await.map_err(|error| match error {
+            Error::TooLarge { .. } => CallerError::TOO_LARGE,
+            _ => CallerError::BAD_REQUEST,
+        })?;
+        let request = Self { method: head.method, path, content_type, idempotency_key, body };
+        match bearer.as_deref() {
+            Some(key) if request.holds(key) => Err(CallerError::KEY_IN_REQUEST),
+            _ => Ok((request, bearer)),
+        }
+    }
+
+    /// Whether anything that goes to an upstream holds the key.
+    fn holds(&self, key: &str) -> bool {
+        let in_body = self.body.windows(key.len().max(1)).any(|window| window == key.as_bytes());
+        let in_text = |text: &str| text.contains(key);
+        in_body
+            || in_text(&self.path)
+            || self.content_type.as_deref().is_some_and(in_text)
+            || self.idempotency_key.as_deref().is_some_and(in_text)
+    }
+
+    /// BLAKE3 of what makes the request: method, path and body, each with its length.
+    pub(crate) fn digest(&self) -> [u8; 32] {
+        let mut hasher = blake3::Hasher::new();
+        for part in [self.method.as_str().as_bytes(), self.path.as_bytes(), &self.body] {
+            hasher.update(&(part.len() as u64).to_be_bytes());
+            hasher.update(part);
+        }
+        *hasher.finalize().as_bytes()
+    }
+}
+
+fn text(headers: &HeaderMap, name: &str) -> Option<String> {
+    headers.get(name)?.to_str().ok().map(str::to_owned)
+}
+
+fn bearer(headers: &HeaderMap) -> Option<String> {
+    text(headers, "authorization")?.strip_prefix("Bearer ").map(str::to_owned)
+}
+
+fn idempotency_key(headers: &HeaderMap) -> Result<Option<Arc<str>>, CallerError> {
+    match headers.get("idempotency-key").map(|value| value.to_str()) {
+        None => Ok(None),
+        Some(Ok(key)) if !key.is_empty() && key.len() <= MAX_IDEMPOTENCY_KEY_BYTES => {
+            Ok(Some(Arc::from(key)))
+        }
+        Some(_) => Err(CallerError::BAD_REQUEST),
+    }
+}
--- /dev/null
+++ b/crates/entry/src/config.rs
@@ -0,0 +1,87 @@
+//! Settings of the daemon, read once.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::path::Path;
+
+use cowslip_border::{SettingError, load_settings};
+use cowslip_proto::EntrySettings;
+use snafu::ResultExt;
+
+use crate::error::{BadSettingsSnafu, Error, ReadSettingsSnafu};
+
+/// Everything that an instance is told at its start.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// Settings as given, with defaults.
+    pub settings: EntrySettings,
+    /// Where callers connect.
+    pub caller_address: SocketAddr,
+    /// Where other instances connect.
+    pub peer_address: SocketAddr,
+    /// Where operators connect.
+    pub operator_address: SocketAddr,
+    /// The platform's service.
+    pub platform_address: SocketAddr,
+}
+
+impl Config {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    /// Returns every error of the file at once.
+    pub fn load(path: &Path) -> Result<Self, Error> {
+        let text = fs::read_to_string(path).context(ReadSettingsSnafu { path })?;
+        Self::parse(&text).map_err(|errors| BadSettingsSnafu { path, errors }.build())
+    }
+
+    fn parse(text: &str) -> Result<Self, Vec<SettingError>> {
+        let settings = load_settings(text)?;
+        check_times(&settings)?;
+        let address = |text: &str| {
+            text.parse().map_err(|_| {
+                let reason = format!("{text:?} is not an IP address and port");
+                vec![SettingError { line: 0, at: "address".to_owned(), reason }]
+            })
+        };
+        Ok(Self {
+            caller_address: address(&settings.instance.caller_address)?,
+            peer_address: address(&settings.instance.peer_address)?,
+            operator_address: address(&settings.instance.operator_address)?,
+            platform_address: address(&settings.platform.address)?,
+            settings,
+        })
+    }
+}
+
+/// A lease must survive one lost renewal, and a member at least two lost heartbeats.
+fn check_times(settings: &EntrySettings) -> Result<(), Vec<SettingError>> {
+    let rules = [
+        (
+            2 * settings.authority.renew_every_ms <= settings.authority.lease_ms,
+            "[authority] renew_every_ms",
+            "must be at most half of lease_ms",
+        ),
+        (
+            3 * settings.config.heartbeat_ms <= settings.config.member_timeout_ms,
+            "[config] heartbeat_ms",
+            "must be at most a third of member_timeout_ms",
+        ),
+        (
+            settings.config.member_timeout_ms <= settings.config.stale_limit_ms,
+            "[config] member_timeout_ms",
+            "must be at most stale_limit_ms",
+        ),
+        (settings.limits.poison_limit > 0, "[limits] poison_limit", "must be at least 1"),
+    ];
+    let errors: Vec<SettingError> = rules
+        .into_iter()
+        .filter(|(is_right, ..)| !is_right)
+        .map(|(_, at, reason)| SettingError {
+            line: 0,
+            at: at.to_owned(),
+            reason: reason.to_owned(),
+        })
+        .collect();
+    if errors.is_empty() { Ok(()) } else { Err(errors) }
+}
--- /dev/null
+++ b/crates/entry/src/hub/calls.rs
@@ -0,0 +1,184 @@
+//! Calls that may not be repeated and carry an idempotency key.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use cowslip_once::{
+    Attempt, AttemptStep, CallId, Outcome, SendResult, Standing, Start, StartVerdict, Told,
+};
+use cowslip_state::StateRecord;
+
+use super::{CallStep, Hub, Reply, answer};
+
+/// How long a start whose caller has been answered is waited for.
+const READ_BACK_MS: u64 = 600_000;
+
+#[derive(Debug)]
+struct Call {
+    grant: u64,
+    start: Start,
+    attempt: Attempt,
+    deadline_ms: u64,
+    reply: Option<Reply<CallStep>>,
+}
+
+/// A repeat that waits for the answer of the attempt that runs.
+#[derive(Debug)]
+struct Follower {
+    call: CallId,
+    digest: [u8; 32],
+    deadline_ms: u64,
+    reply: Reply<CallStep>,
+}
+
+/// Attempts of this instance.
+#[derive(Debug, Default)]
+pub(super) struct Calls {
+    followers: Vec<Follower>,
+    by_attempt: BTreeMap<Arc<str>, Call>,
+    by_grant: BTreeMap<u64, Arc<str>>,
+}
+
+impl Hub {
+    pub(super) fn on_call_start(
+        &mut self,
+        grant: u64,
+        idempotency_key: Arc<str>,
+        digest: [u8; 32],
+        reply: Reply<CallStep>,
+    ) {
+        let Some(workspace) = self.requests.workspace(grant).cloned() else {
+            return answer(&reply, CallStep::Tell(Told::NotRun));
+        };
+        let call = CallId { workspace, idempotency_key };
+        let deadline_ms = self.clock.now_ms() + self.config.settings.platform.request_timeout_ms;
+        match self.state.calls.standing(&call, &digest) {
+            None => {}
+            Some(Standing::InProgress) => {
+                let follower = Follower { call, digest, deadline_ms, reply };
+                return self.calls.followers.push(follower);
+            }
+            Some(standing) => {
+                let mut attempt = Attempt::default();
+                return tell(&reply, attempt.on_verdict(StartVerdict::Lost(standing)));
+            }
+        }
+        let attempt: Arc<str> = Arc::from(uuid::Uuid::new_v4().to_string());
+        let start = Start { call, attempt: attempt.clone(), digest };
+        if !self.append_state(&StateRecord::CallStart(start.clone())) {
+            return answer(&reply, CallStep::Tell(Told::NotRun));
+        }
+        let call =
+            Call { grant, start, attempt: Attempt::default(), deadline_ms, reply: Some(reply) };
+        self.calls.by_grant.insert(grant, attempt.clone());
+        self.calls.by_attempt.insert(attempt, call);
+    }
+
+    /// A start was read back, of this instance or another.
+    pub(super) fn on_call_verdict(&mut self, start: &Start, verdict: StartVerdict) {
+        let Some(call) = self.calls.by_attempt.get_mut(&start.attempt) else { return };
+        let step = call.attempt.on_verdict(verdict);
+        let reply = call.reply.take();
+        self.perform(&start.attempt.clone(), step, reply.as_ref());
+    }
+
+    /// An end was read back: repeats that waited for it are told.
+    pub(super) fn tick_followers(&mut self, now_ms: u64) {
+        for follower in std::mem::take(&mut self.calls.followers) {
+            let standing = self.state.calls.standing(&follower.call, &follower.digest);
+            let told = match standing {
+                Some(Standing::InProgress) if now_ms < follower.deadline_ms => {
+                    self.calls.followers.push(follower);
+                    continue;
+                }
+                Some(standing) => Attempt::default().on_verdict(StartVerdict::Lost(standing)),
+                // The attempt ended without running: the caller may send the call again.
+                None => AttemptStep::Tell(Told::NotRun, None),
+            };
+            tell(&follower.reply, told);
+        }
+    }
+
+    pub(super) fn on_call_sent(&mut self, grant: u64, result: SendResult, reply: &Reply<CallStep>) {
+        let Some(attempt) = self.calls.by_grant.get(&grant).cloned() else {
+            return answer(reply, CallStep::Tell(Told::OutcomeUnknown));
+        };
+        let Some(call) = self.calls.by_attempt.get_mut(&attempt) else { return };
+        let step = call.attempt.on_sent(result);
+        self.perform(&attempt, step, Some(reply));
+    }
+
+    /// The caller of a granted call is gone, or has its answer.
+    pub(super) fn on_call_gone(&mut self, grant: u64) {
+        let Some(attempt) = self.calls.by_grant.remove(&grant) else { return };
+        let Some(call) = self.calls.by_attempt.get_mut(&attempt) else { return };
+        let step = call.attempt.on_deadline();
+        let reply = call.reply.take();
+        self.perform(&attempt, step, reply.as_ref());
+    }
+
+    fn perform(&mut self, attempt: &Arc<str>, step: AttemptStep, reply: Option<&Reply<CallStep>>) {
+        match step {
+            AttemptStep::Send => {
+                // A caller that is gone by now leaves the attempt unsent.
+                let is_heard = reply.is_some_and(|reply| reply.try_send(CallStep::Send).is_ok());
+                if !is_heard {
+                    self.end_call(attempt, Outcome::NotRun);
+                }
+            }
+            AttemptStep::Tell(told, outcome) => {
+                if let Some(reply) = reply {
+                    answer(reply, CallStep::Tell(told));
+                }
+                match outcome {
+                    Some(outcome) => self.end_call(attempt, outcome),
+                    None => self.forget_lost_call(attempt),
+                }
+            }
+            AttemptStep::Record(outcome) => self.end_call(attempt, outcome),
+            AttemptStep::Nothing => {}
+        }
+    }
+
+    fn end_call(&mut self, attempt: &Arc<str>, outcome: Outcome) {
+        let Some(call) = self.calls.by_attempt.remove(attempt) else { return };
+        self.calls.by_grant.remove(&call.grant);
+        let (call, attempt) = (call.start.call, call.start.attempt);
+        // A full queue leaves the call open in the log: a repeat is told that its outcome is
+        // unknown, which is safe.
+        self.append_state(&StateRecord::CallEnd { call, attempt, outcome });
+    }
+
+    /// An attempt that lost is over; one that gave up still waits for its start to be read back.
+    fn forget_lost_call(&mut self, attempt: &Arc<str>) {
+        if self.calls.by_attempt.get(attempt).is_some_and(|call| call.attempt.is_over()) {
+            if let Some(call) = self.calls.by_attempt.remove(attempt) {
+                self.calls.by_grant.remove(&call.grant);
+            }
+        }
+    }
+
+    pub(super) fn tick_calls(&mut self, now_ms: u64) {
+        self.tick_followers(now_ms);
+        self.calls.by_attempt.retain(|_, call| now_ms < call.deadline_ms + READ_BACK_MS);
+        let expired: Vec<Arc<str>> = self
+            .calls
+            .by_attempt
+            .iter()
+            .filter(|(_, call)| call.reply.is_some() && now_ms >= call.deadline_ms)
+            .map(|(attempt, _)| attempt.clone())
+            .collect();
+        for attempt in expired {
+            let Some(call) = self.calls.by_attempt.get_mut(&attempt) else { continue };
+            let step = call.attempt.on_deadline();
+            let reply = call.reply.take();
+            self.perform(&attempt, step, reply.as_ref());
+        }
+    }
+}
+
+fn tell(reply: &Reply<CallStep>, step: AttemptStep) {
+    if let AttemptStep::Tell(told, _) = step {
+        answer(reply, CallStep::Tell(told));
+    }
+}
--- /dev/null
+++ b/crates/entry/src/hub/message.rs
@@ -0,0 +1,143 @@
+//! Messages to the hub.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use async_channel::Sender;
+use cowslip_authority::{Target, TargetView, Term};
+use cowslip_member::Listed;
+use cowslip_name::Name;
+use cowslip_once::{SendResult, Told};
+use cowslip_proto as proto;
+
+/// Where one answer goes; the channel holds one message.
+pub(crate) type Reply<T> = Sender<T>;
+
+/// Everything that the owner of the state is told or asked.
+#[derive(Debug)]
+pub(crate) enum HubMessage {
+    /// Time passes.
+    Tick,
+    /// The log answered a read that was sent at `sent_at_ms`; the reply is the next read's start.
+    Page { sent_at_ms: u64, page: Option<proto::LogPage>, reply: Reply<u64> },
+    /// The platform's list.
+    List(Vec<Listed>),
+    /// Asks for this instance's own report.
+    OwnHeartbeat { reply: Reply<proto::Heartbeat> },
+    /// A heartbeat from another instance; the reply is the own one.
+    Heartbeat { heartbeat: proto::Heartbeat, reply: Reply<proto::Heartbeat> },
+    /// Another instance's answer to a heartbeat sent at `sent_at_ms`.
+    HeartbeatAnswer { sent_at_ms: u64, heartbeat: proto::Heartbeat, reply: Reply<Option<u64>> },
+    /// Another instance asks for entries.
+    Tail { from_offset: u64, reply: Reply<Vec<proto::RawEntry>> },
+    /// Another instance's entries.
+    PeerEntries(Vec<proto::RawEntry>),
+    /// A caller wants to run a request.
+    Begin { wanted: Wanted, reply: Reply<Begun> },
+    /// A granted request has ended.
+    End { grant: u64, ending: Ending },
+    /// A granted request needs another upstream.
+    Move { grant: u64, ending: Ending, reply: Reply<Begun> },
+    /// A granted call that may not be repeated carries an idempotency key.
+    CallStart { grant: u64, idempotency_key: Arc<str>, digest: [u8; 32], reply: Reply<CallStep> },
+    /// What became of the call's bytes; the reply is what the caller is told.
+    CallSent { grant: u64, result: SendResult, reply: Reply<CallStep> },
+    /// Models that the bearer may call.
+    Models { bearer: Option<String>, reply: Reply<Result<Vec<Name>, Refusal>> },
+    /// An operator's ticket.
+    Ticket { ticket: Box<proto::Ticket>, dry_run: bool, reply: Reply<proto::TicketReply> },
+    /// An operator asks for the state of an object.
+    Object { key: proto::ObjectKey, reply: Reply<Option<proto::ObjectState>> },
+    /// An operator asks for the status.
+    Status { reply: Reply<proto::StatusReport> },
+    /// An operator asks for the newest changes.
+    Audit { reply: Reply<proto::AuditPage> },
+    /// The order sender asks before it connects.
+    BeforeConnect { job: OrderJob, reply: Reply<cowslip_authority::GuardStep> },
+    /// The order sender asks before it writes.
+    BeforeWrite { job: OrderJob, view: TargetView, reply: Reply<cowslip_authority::GuardStep> },
+    /// The order sender is through with a job.
+    OrderEnded { job: OrderJob, is_done: bool },
+    /// Shutdown began; the reply comes when the term is given up.
+    Stop { reply: Reply<()> },
+}
+
+/// What a request is for.
+#[derive(Clone, Debug)]
+pub(crate) enum Goal {
+    /// A model by name.
+    Model(String),
+    /// A call of a plain service by name.
+    Service { service: String, method: String, path: String },
+    /// A path that may need no key.
+    Open { method: String, path: String },
+}
+
+/// A request before it is granted.
+#[derive(Clone, Debug)]
+pub(crate) struct Wanted {
+    pub(crate) bearer: Option<String>,
+    pub(crate) goal: Goal,
+    pub(crate) cost_tokens: u64,
+    pub(crate) fingerprint: [u8; 32],
+}
+
+/// The right to run a request at an upstream.
+#[derive(Clone, Debug)]
+pub(crate) struct Grant {
+    pub(crate) id: u64,
+    pub(crate) upstream: Name,
+    pub(crate) address: SocketAddr,
+    pub(crate) is_idempotent: bool,
+}
+
+/// Answer to a wish to run.
+#[derive(Clone, Debug)]
+pub(crate) enum Begun {
+    Granted(Grant),
+    Refused(Refusal),
+}
+
+/// Why nothing was run.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Refusal {
+    BadKey,
+    NotAllowed,
+    NotFound,
+    TooMany,
+    NoCapacity,
+    NotReady,
+    Poison,
+    LogDown,
+}
+
+/// How the use of an upstream ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Ending {
+    /// The upstream did its part, or the caller left.
+    Finished,
+    /// No connection came about.
+    Unreachable,
+    /// The connection broke while the request ran.
+    Lost,
+}
+
+/// Step of a call that may not be repeated.
+#[derive(Clone, Debug)]
+pub(crate) enum CallStep {
+    /// Send the request once.
+    Send,
+    /// Answer the caller.
+    Tell(Told),
+}
+
+/// An order that may have to be sent.
+#[derive(Clone, Debug)]
+pub(crate) struct OrderJob {
+    pub(crate) target: Target,
+    pub(crate) address: SocketAddr,
+    pub(crate) checks_fencing: bool,
+    pub(crate) term: Term,
+    pub(crate) sequence: u64,
+    pub(crate) action: cowslip_state::OrderAction,
+}
--- /dev/null
+++ b/crates/entry/src/hub/orders.rs
@@ -0,0 +1,127 @@
+//! Orders to upstreams: which are due, when they may be sent, and the drain before them.
+
+use cowslip_authority::{GuardStep, LeaseAction, SendGuard, Target, TargetView};
+use cowslip_config::{Fencing, Upstream};
+use cowslip_name::Name;
+use cowslip_state::{OrderAction, StateRecord};
+
+use super::{Hub, OrderJob, Reply, answer};
+use crate::events::Event;
+
+impl Hub {
+    fn target(&self, upstream: &Name) -> Target {
+        Target { scope: self.lease.scope().clone(), upstream: upstream.clone() }
+    }
+
+    /// Whether an open order keeps new work away from the upstream.
+    pub(super) fn is_ordered(&self, upstream: &Name) -> bool {
+        self.state.orders.newest(&self.target(upstream)).is_some_and(|order| order.open)
+    }
+
+    /// Upstreams with an open order to which this instance has nothing in flight.
+    pub(super) fn drained_targets(&self) -> Vec<Name> {
+        self.state
+            .orders
+            .iter()
+            .filter(|(_, order)| order.open)
+            .map(|(target, _)| &target.upstream)
+            .filter(|upstream| self.requests.in_flight_at(upstream) == 0)
+            .cloned()
+            .collect()
+    }
+
+    /// The holder writes intents for what differs from the configuration, and sends open ones.
+    pub(super) fn tick_orders(&mut self, now_ms: u64) {
+        let Some(term) = self.lease.authority(now_ms) else { return };
+        if self.is_stopping {
+            return;
+        }
+        let engines: Vec<Upstream> = self
+            .state
+            .config
+            .deployments()
+            .flat_map(|deployment| deployment.upstreams.iter().cloned())
+            .collect();
+        for engine in engines {
+            let target = self.target(&engine.name);
+            match self.state.orders.newest(&target) {
+                Some(order) if order.open => {
+                    let (sequence, action, offset) = (order.sequence, order.action, order.offset);
+                    let job = OrderJob {
+                        target,
+                        address: engine.address,
+                        checks_fencing: engine.fencing == Fencing::Checked,
+                        term,
+                        sequence,
+                        action,
+                    };
+                    self.send_order(now_ms, job, offset);
+                }
+                newest => {
+                    let action = OrderAction::Role(engine.role);
+                    let is_mixed_from_start =
+                        newest.is_none() && engine.role == cowslip_config::Role::Mixed;
+                    let is_wanted = newest.is_none_or(|order| order.action != action);
+                    if is_wanted && !is_mixed_from_start {
+                        self.write_intent(target, term, action);
+                    }
+                }
+            }
+        }
+    }
+
+    /// An intent is repeated each tick until it is read back; only the first one counts.
+    fn write_intent(&self, target: Target, term: u64, action: OrderAction) {
+        if let Some(sequence) = self.state.orders.next_sequence(&target) {
+            self.append_state(&StateRecord::Intent { target, term, sequence, action });
+        }
+    }
+
+    /// Hands an order to its sender once every instance has drained the upstream.
+    fn send_order(&mut self, now_ms: u64, job: OrderJob, offset: u64) {
+        let upstream = &job.target.upstream;
+        let is_drained = self.requests.in_flight_at(upstream) == 0
+            && self.members.all_drained(now_ms, upstream, offset);
+        if !is_drained || self.active_orders.contains_key(upstream) {
+            return;
+        }
+        let (upstream, sequence) = (upstream.clone(), job.sequence);
+        if self.outlets.orders.try_send(job).is_ok() {
+            self.active_orders.insert(upstream, sequence);
+        }
+    }
+
+    fn guard(job: &OrderJob) -> SendGuard {
+        SendGuard::new(job.term, job.sequence, job.checks_fencing)
+    }
+
+    pub(super) fn before_connect(&self, job: &OrderJob) -> GuardStep {
+        Self::guard(job).before_connect(&self.lease, self.clock.now_ms())
+    }
+
+    pub(super) fn before_write(&self, job: &OrderJob, view: TargetView) -> GuardStep {
+        Self::guard(job).before_write(&self.lease, self.clock.now_ms(), view)
+    }
+
+    pub(super) fn on_order_ended(&mut self, job: &OrderJob, is_done: bool) {
+        self.active_orders.remove(&job.target.upstream);
+        if is_done {
+            let (target, term, sequence) = (job.target.clone(), job.term, job.sequence);
+            Event::OrderDone
+                .emit(&self.me.instance, format_args!("{} {sequence}", target.upstream));
+            self.append_state(&StateRecord::Done { target, term, sequence });
+        }
+    }
+
+    /// Gives the term up, unless an order is under way: then the lease runs out instead.
+    pub(super) fn on_stop(&mut self, reply: Reply<()>) {
+        self.is_stopping = true;
+        if self.active_orders.is_empty() {
+            if let Some(LeaseAction::Append(record)) = self.lease.retire(&self.state.terms) {
+                let scope = self.lease.scope().clone();
+                self.append_state(&StateRecord::Scope(scope, record));
+            }
+        }
+        answer(&reply, ());
+    }
+}
--- /dev/null
+++ b/crates/entry/src/hub/requests.rs
@@ -0,0 +1,332 @@
+//! Requests: authorisation, the queue, the choice of an upstream.
+
+use std::collections::BTreeMap;
+
+use cowslip_border::CallerKey;
+use cowslip_config::{Admission, Deployment, Upstream, Workspace};
+use cowslip_name::Name;
+use cowslip_route::{AdmitVerdict, Candidate, Claim, Distance, Wait, choose};
+
+use super::{Begun, Ending, Goal, Grant, Hub, Refusal, Reply, Wanted, answer};
+use crate::events::Event;
+use crate::metrics::Count;
+
+/// How long a lost upstream gets no work.
+const LOST_UPSTREAM_MS: u64 = 1_000;
+/// Workspace that open routes are accounted to.
+const OPEN_WORKSPACE: &str = "open";
+/// Limit of requests in flight over open routes at one instance.
+const OPEN_MAX_IN_FLIGHT: u32 = 64;
+
+/// Where an authorised request may run.
+#[derive(Clone, Debug)]
+enum Place {
+    Deployment(Name),
+    Service { service: Name, is_idempotent: bool },
+}
+
+#[derive(Debug)]
+struct Waiting {
+    place: Place,
+    claim: Claim,
+    fingerprint: [u8; 32],
+    deadline_ms: u64,
+    reply: Reply<Begun>,
+}
+
+#[derive(Debug)]
+struct Running {
+    place: Place,
+    claim: Claim,
+    fingerprint: [u8; 32],
+    upstream: Name,
+}
+
+/// Requests that wait or run.
+#[derive(Debug, Default)]
+pub(super) struct Requests {
+    next_grant: u64,
+    waiting: BTreeMap<Wait, Waiting>,
+    running: BTreeMap<u64, Running>,
+    by_upstream: BTreeMap<Name, u32>,
+    lost_until_ms: BTreeMap<Name, u64>,
+}
+
+impl Requests {
+    pub(super) fn in_flight(&self) -> usize {
+        self.running.len()
+    }
+
+    pub(super) fn in_flight_at(&self, upstream: &Name) -> u32 {
+        self.by_upstream.get(upstream).copied().unwrap_or(0)
+    }
+
+    pub(super) fn loads(&self) -> BTreeMap<&Name, u32> {
+        self.by_upstream.iter().map(|(upstream, in_flight)| (upstream, *in_flight)).collect()
+    }
+
+    pub(super) fn workspace(&self, grant: u64) -> Option<&Name> {
+        self.running.get(&grant).map(|running| &running.claim.workspace)
+    }
+
+    fn is_lost(&self, now_ms: u64, upstream: &Name) -> bool {
+        self.lost_until_ms.get(upstream).is_some_and(|until_ms| now_ms < *until_ms)
+    }
+}
+
+impl Hub {
+    /// The workspace that a bearer's key speaks for.
+    fn authorise(&self, bearer: Option<&str>) -> Result<&Workspace, Refusal> {
+        let caller = bearer.and_then(CallerKey::parse).ok_or(Refusal::BadKey)?;
+        let key = self.state.config.key(&caller.name).ok_or(Refusal::BadKey)?;
+        if !caller.matches(key) {
+            return Err(Refusal::BadKey);
+        }
+        self.state.config.workspace(&key.workspace).ok_or(Refusal::BadKey)
+    }
+
+    fn check_admission(&self) -> Result<(), Refusal> {
+        if self.is_stopping {
+            return Err(Refusal::NotReady);
+        }
+        match self.admission(self.clock.now_ms()) {
+            Admission::Admit | Admission::AdmitStale => Ok(()),
+            Admission::Stop(_) => Err(Refusal::NotReady),
+        }
+    }
+
+    pub(super) fn models(&self, bearer: Option<&str>) -> Result<Vec<Name>, Refusal> {
+        self.check_admission()?;
+        let workspace = self.authorise(bearer)?;
+        let is_deployed = |name: &&Name| self.state.config.deployment(name).is_some();
+        Ok(workspace.deployments.iter().filter(is_deployed).cloned().collect())
+    }
+
+    pub(super) fn on_begin(&mut self, wanted: Wanted, reply: Reply<Begun>) {
+        match self.judge(&wanted) {
+            Ok((place, claim)) => {
+                self.retries.on_request();
+                self.enqueue(place, claim, wanted.fingerprint, reply);
+            }
+            Err(refusal) => self.refuse(&reply, refusal),
+        }
+    }
+
+    fn judge(&self, wanted: &Wanted) -> Result<(Place, Claim), Refusal> {
+        self.check_admission()?;
+        let (place, workspace) = self.place(wanted)?;
+        if self.suspects.is_refused(&wanted.fingerprint) {
+            Event::PoisonRefused.emit(&self.me.instance, format_args!("{}", workspace.name));
+            return Err(Refusal::Poison);
+        }
+        let claim = Claim {
+            workspace: workspace.name,
+            share_weight: workspace.share_weight,
+            max_in_flight: workspace.max_in_flight,
+            cost_tokens: wanted.cost_tokens.max(1),
+        };
+        Ok((place, claim))
+    }
+
+    fn place(&self, wanted: &Wanted) -> Result<(Place, Workspace), Refusal> {
+        match &wanted.goal {
+            Goal::Model(model) => {
+                let workspace = self.authorise(wanted.bearer.as_deref())?;
+                let name = Name::new(model).map_err(|_| Refusal::NotFound)?;
+                if !workspace.deployments.contains(&name) {
+                    return Err(Refusal::NotAllowed);
+                }
+                let deployment = self.state.config.deployment(&name).ok_or(Refusal::NotFound)?;
+                Ok((Place::Deployment(deployment.name.clone()), workspace.clone()))
+            }
+            Goal::Service { service, method, path } => {
+                let workspace = self.authorise(wanted.bearer.as_deref())?;
+                let name = Name::new(service).map_err(|_| Refusal::NotFound)?;
+                if !workspace.services.contains(&name) {
+                    return Err(Refusal::NotAllowed);
+                }
+                Ok((self.service_place(&name, method, path)?, workspace.clone()))
+            }
+            Goal::Open { method, path } => {
+                let route = self.state.config.open_route(path).ok_or(Refusal::NotFound)?;
+                let place = self.service_place(&route.service, method, path)?;
+                Ok((place, open_workspace()))
+            }
+        }
+    }
+
+    fn service_place(&self, name: &Name, method: &str, path: &str) -> Result<Place, Refusal> {
+        let service = self.state.config.service(name).ok_or(Refusal::NotFound)?;
+        let is_idempotent = service.is_idempotent(method, path);
+        Ok(Place::Service { service: name.clone(), is_idempotent })
+    }
+
+    fn enqueue(&mut self, place: Place, claim: Claim, fingerprint: [u8; 32], reply: Reply<Begun>) {
+        let deadline_ms = self.clock.now_ms() + self.config.settings.limits.queue_deadline_ms;
+        match self.admitter.enqueue(claim.clone()) {
+            AdmitVerdict::TooMany => self.refuse(&reply, Refusal::TooMany),
+            AdmitVerdict::Queued(wait) => {
+                let waiting = Waiting { place, claim, fingerprint, deadline_ms, reply };
+                self.requests.waiting.insert(wait, waiting);
+                self.start_waiting();
+            }
+        }
+    }
+
+    fn refuse(&self, reply: &Reply<Begun>, refusal: Refusal) {
+        self.metrics.count(Count::Refused);
+        answer(reply, Begun::Refused(refusal));
+    }
+
+    /// Starts waiting requests in fair order while there is a slot for them.
+    fn start_waiting(&mut self) {
+        loop {
+            let startable = self.admitter.heads().into_iter().find_map(|wait| {
+                let waiting = self.requests.waiting.get(&wait)?;
+                self.pick(&waiting.place).map(|upstream| (wait, upstream))
+            });
+            let Some((wait, upstream)) = startable else { return };
+            self.start(wait, &upstream);
+        }
+    }
+
+    fn start(&mut self, wait: Wait, upstream: &Upstream) {
+        let Some(waiting) = self.requests.waiting.remove(&wait) else { return };
+        self.admitter.start(wait);
+        let id = self.requests.next_grant;
+        self.requests.next_grant += 1;
+        let is_idempotent = match &waiting.place {
+            Place::Deployment(_) => true,
+            Place::Service { is_idempotent, .. } => *is_idempotent,
+        };
+        *self.requests.by_upstream.entry(upstream.name.clone()).or_default() += 1;
+        let running = Running {
+            place: waiting.place,
+            claim: waiting.claim,
+            fingerprint: waiting.fingerprint,
+            upstream: upstream.name.clone(),
+        };
+        self.requests.running.insert(id, running);
+        self.metrics.count(Count::Admitted);
+        let grant =
+            Grant { id, upstream: upstream.name.clone(), address: upstream.address, is_idempotent };
+        if waiting.reply.try_send(Begun::Granted(grant)).is_err() {
+            self.on_end(id, Ending::Finished);
+        }
+    }
+
+    fn pick(&self, place: &Place) -> Option<Upstream> {
+        let (upstreams, deployment) = match place {
+            Place::Deployment(name) => {
+                let deployment = self.state.config.deployment(name)?;
+                (&deployment.upstreams, Some(deployment))
+            }
+            Place::Service { service, .. } => {
+                (&self.state.config.service(service)?.upstreams, None)
+            }
+        };
+        let candidates: Vec<Candidate> =
+            upstreams.iter().map(|upstream| self.candidate(upstream, deployment)).collect();
+        choose(&candidates, fastrand::u64(..)).map(|index| upstreams[index].clone())
+    }
+
+    fn candidate(&self, upstream: &Upstream, deployment: Option<&Deployment>) -> Candidate {
+        let now_ms = self.clock.now_ms();
+        let own_domain = &self.config.settings.instance.failure_domain;
+        let share = deployment.and_then(|deployment| {
+            deployment.shares.iter().find(|share| share.failure_domain == upstream.failure_domain)
+        });
+        Candidate {
+            own_in_flight: self.requests.in_flight_at(&upstream.name),
+            others_in_flight: self.members.load_of_others(now_ms, &upstream.name),
+            slots: upstream.slots,
+            distance: if upstream.failure_domain == *own_domain {
+                Distance::Domain
+            } else {
+                Distance::Remote
+            },
+            is_open: !upstream.is_drained
+                && !self.is_ordered(&upstream.name)
+                && !self.requests.is_lost(now_ms, &upstream.name),
+            domain_weight: share.map_or(1, |share| share.weight),
+            prefix_hint: 0.0,
+        }
+    }
+
+    fn take_running(&mut self, grant: u64, ending: Ending) -> Option<Running> {
+        let running = self.requests.running.remove(&grant)?;
+        self.admitter.finish(&running.claim.workspace);
+        if let Some(in_flight) = self.requests.by_upstream.get_mut(&running.upstream) {
+            *in_flight = in_flight.saturating_sub(1);
+            if *in_flight == 0 {
+                self.requests.by_upstream.remove(&running.upstream);
+            }
+        }
+        if ending != Ending::Finished {
+            let until_ms = self.clock.now_ms() + LOST_UPSTREAM_MS;
+            self.requests.lost_until_ms.insert(running.upstream.clone(), until_ms);
+            Event::UpstreamLost
+                .emit(&self.me.instance, format_args!("{} {ending:?}", running.upstream));
+        }
+        if ending == Ending::Lost {
+            self.suspects.on_loss(running.fingerprint, running.upstream.clone());
+        }
+        Some(running)
+    }
+
+    pub(super) fn on_end(&mut self, grant: u64, ending: Ending) {
+        self.take_running(grant, ending);
+        self.on_call_gone(grant);
+        self.start_waiting();
+    }
+
+    /// Runs a request at another upstream, within the retry budget.
+    pub(super) fn on_move(&mut self, grant: u64, ending: Ending, reply: Reply<Begun>) {
+        let Some(running) = self.take_running(grant, ending) else {
+            return self.refuse(&reply, Refusal::NoCapacity);
+        };
+        let refusal = if self.suspects.is_refused(&running.fingerprint) {
+            Some(Refusal::Poison)
+        } else if ending != Ending::Unreachable && !self.retries.take() {
+            Some(Refusal::NoCapacity)
+        } else {
+            None
+        };
+        match refusal {
+            Some(refusal) => self.refuse(&reply, refusal),
+            None => {
+                self.metrics.count(Count::Retried);
+                self.enqueue(running.place, running.claim, running.fingerprint, reply);
+            }
+        }
+        self.start_waiting();
+    }
+
+    pub(super) fn tick_requests(&mut self, now_ms: u64) {
+        let expired: Vec<Wait> = self
+            .requests
+            .waiting
+            .iter()
+            .filter(|(_, waiting)| now_ms >= waiting.deadline_ms || waiting.reply.is_closed())
+            .map(|(wait, _)| *wait)
+            .collect();
+        for wait in expired {
+            self.admitter.withdraw(wait);
+            if let Some(waiting) = self.requests.waiting.remove(&wait) {
+                self.refuse(&waiting.reply, Refusal::NoCapacity);
+            }
+        }
+        self.requests.lost_until_ms.retain(|_, until_ms| now_ms < *until_ms);
+        self.start_waiting();
+    }
+}
+
+fn open_workspace() -> Workspace {
+    Workspace {
+        name: Name::new(OPEN_WORKSPACE).expect("the constant is a name"),
+        share_weight: 1,
+        max_in_flight: OPEN_MAX_IN_FLIGHT,
+        deployments: Vec::new(),
+        services: Vec::new(),
+    }
+}
--- /dev/null
+++ b/crates/entry/src/hub/status.rs
@@ -0,0 +1,166 @@
+//! What operators see.
+
+use cowslip_border::{Entry, digest_hex, object_to_proto, to_json};
+use cowslip_config::Admission;
+use cowslip_proto as proto;
+use cowslip_state::Effect;
+
+use super::{Hub, KEPT_AUDIT_LINES};
+
+impl Hub {
+    pub(super) fn status(&self) -> proto::StatusReport {
+        let now_ms = self.clock.now_ms();
+        let admission = self.admission(now_ms);
+        let is_admitting =
+            matches!(admission, Admission::Admit | Admission::AdmitStale) && !self.is_stopping;
+        proto::StatusReport {
+            instance: self.me.instance.clone(),
+            ready: is_admitting,
+            admitting: is_admitting,
+            reason: if self.is_stopping { "stopping".to_owned() } else { format!("{admission:?}") },
+            next_offset: self.next_offset,
+            log_age_ms: self.freshness.age_ms(now_ms),
+            config_digest_hex: self.config_digest(),
+            instances: self.instance_rows(now_ms),
+            upstreams: self.upstream_rows(),
+            terms: self.term_rows(),
+        }
+    }
+
+    /// Digest of all objects, equal on instances that have the same configuration.
+    fn config_digest(&self) -> String {
+        let mut hasher = blake3::Hasher::new();
+        for (_, held) in self.state.config.objects() {
+            hasher.update(&held.number.to_be_bytes());
+            if let Some(object) = &held.object {
+                hasher.update(to_json(&object_to_proto(object)).as_bytes());
+            }
+        }
+        digest_hex(hasher.finalize().as_bytes())
+    }
+
+    fn instance_rows(&self, now_ms: u64) -> Vec<proto::InstanceStatus> {
+        let own = proto::InstanceStatus {
+            name: self.me.instance.clone(),
+            failure_domain: self.config.settings.instance.failure_domain.clone(),
+            next_offset: self.next_offset,
+            in_flight: u32::try_from(self.requests.in_flight()).unwrap_or(u32::MAX),
+            heard_age_ms: 0,
+        };
+        let others =
+            self.members.live(now_ms).map(|(name, report, age_ms)| proto::InstanceStatus {
+                name: name.clone(),
+                failure_domain: report.failure_domain.clone(),
+                next_offset: report.next_offset,
+                in_flight: report.in_flight,
+                heard_age_ms: age_ms,
+            });
+        let mut rows: Vec<_> = std::iter::once(own).chain(others).collect();
+        rows.sort_by(|a, b| a.name.cmp(&b.name));
+        rows
+    }
+
+    fn upstream_rows(&self) -> Vec<proto::UpstreamStatus> {
+        let config = &self.state.config;
+        let engines = config.deployments().map(|owner| (&owner.name, &owner.upstreams));
+        let services = config.services().map(|owner| (&owner.name, &owner.upstreams));
+        engines
+            .chain(services)
+            .flat_map(|(owner, upstreams)| upstreams.iter().map(move |row| (owner, row)))
+            .map(|(owner, upstream)| proto::UpstreamStatus {
+                name: upstream.name.clone(),
+                owner: owner.clone(),
+                failure_domain: upstream.failure_domain.clone(),
+                in_flight: self.requests.in_flight_at(&upstream.name),
+                drained: upstream.is_drained || self.is_ordered(&upstream.name),
+            })
+            .collect()
+    }
+
+    fn term_rows(&self) -> Vec<proto::TermStatus> {
+        self.state
+            .terms
+            .iter()
+            .map(|(scope, newest)| proto::TermStatus {
+                scope: scope.clone(),
+                holder: newest.holder.instance.clone(),
+                term: newest.term,
+                released: newest.released,
+            })
+            .collect()
+    }
+
+    /// Notes a record for the audit trail; renewals and calls are no changes.
+    pub(super) fn note_audit(
+        &mut self,
+        offset: u64,
+        entry: &Entry,
+        message: &proto::Record,
+        effect: &Effect,
+    ) {
+        let (author, ticket, change) = match message {
+            proto::Record::Ticket(ticket) => {
+                let change = format!("{}: {}", describe(effect), ticket.reason);
+                (ticket.author.clone(), Some(ticket.number), change)
+            }
+            proto::Record::Claim(claim) => {
+                let change = format!("{}: claim of {}", describe(effect), claim.scope);
+                (claim.holder.instance.clone(), None, change)
+            }
+            proto::Record::Release(release) => {
+                let change = format!("{}: release of {}", describe(effect), release.scope);
+                (entry.writer.clone(), None, change)
+            }
+            proto::Record::Intent(intent) => {
+                let change = format!(
+                    "{}: order {} to {}: {:?}",
+                    describe(effect),
+                    intent.sequence,
+                    intent.target,
+                    intent.action
+                );
+                (entry.writer.clone(), None, change)
+            }
+            proto::Record::Done(done) => {
+                let change = format!(
+                    "{}: order {} to {} done",
+                    describe(effect),
+                    done.sequence,
+                    done.target
+                );
+                (entry.writer.clone(), None, change)
+            }
+            proto::Record::Renewal(_)
+            | proto::Record::CallStart(_)
+            | proto::Record::CallEnd(_)
+            | proto::Record::SnapshotChunk(_) => return,
+        };
+        self.audit.push_back(proto::AuditLine {
+            offset,
+            written_at_ms: entry.written_at_ms,
+            instance: entry.writer.clone(),
+            author,
+            ticket,
+            change,
+        });
+        if self.audit.len() > KEPT_AUDIT_LINES {
+            self.audit.pop_front();
+        }
+    }
+
+    pub(super) fn audit_page(&self) -> proto::AuditPage {
+        proto::AuditPage { lines: self.audit.iter().cloned().collect() }
+    }
+}
+
+fn describe(effect: &Effect) -> &'static str {
+    use cowslip_authority::Verdict;
+    use cowslip_config::TicketVerdict;
+
+    match effect {
+        Effect::Ticket(_, TicketVerdict::Accepted(_)) => "applied",
+        Effect::Scope(Verdict::Won | Verdict::Counted) | Effect::Order(true) => "counted",
+        Effect::Ticket(..) | Effect::Scope(Verdict::Ignored) | Effect::Order(false) => "no effect",
+        Effect::CallStart(_) | Effect::CallEnd(_) => "call",
+    }
+}
--- /dev/null
+++ b/crates/entry/src/hub/tickets.rs
@@ -0,0 +1,142 @@
+//! Change tickets of operators.
+
+use cowslip_border::{object_id_to_proto, object_to_proto, outcome_to_proto, ticket_from_proto};
+use cowslip_config::{Refusal, Ticket, TicketVerdict, check};
+use cowslip_proto as proto;
+
+use super::{Hub, Reply, answer};
+use crate::events::Event;
+
+/// A ticket whose operator waits.
+#[derive(Debug)]
+pub(super) struct PendingTicket {
+    ticket: Ticket,
+    deadline_ms: u64,
+    read_back: Option<(u64, TicketVerdict)>,
+    reply: Reply<proto::TicketReply>,
+}
+
+impl Hub {
+    pub(super) fn on_ticket(
+        &mut self,
+        message: proto::Ticket,
+        dry_run: bool,
+        reply: Reply<proto::TicketReply>,
+    ) {
+        let number = message.number;
+        let ticket = match ticket_from_proto(&message) {
+            Ok(ticket) => ticket,
+            Err(error) => return answer(&reply, refused(number, vec![error.to_string()])),
+        };
+        let problems = check(&ticket);
+        if !problems.is_empty() {
+            let reasons = problems.iter().map(ToString::to_string).collect();
+            return answer(&reply, refused(number, reasons));
+        }
+        if dry_run {
+            let verdict = self.state.config.judge(&ticket);
+            let offset = self.next_offset;
+            return answer(&reply, self.reply_for(number, offset, &verdict));
+        }
+        if !self.append(vec![proto::Record::Ticket(message)], false) {
+            return answer(&reply, refused(number, vec!["the log takes no records".to_owned()]));
+        }
+        let deadline_ms = self.clock.now_ms() + self.config.settings.config.accept_timeout_ms;
+        self.pending_tickets.push(PendingTicket { ticket, deadline_ms, read_back: None, reply });
+    }
+
+    /// A ticket was read from the log.
+    pub(super) fn on_ticket_read(&mut self, offset: u64, ticket: &Ticket, verdict: TicketVerdict) {
+        match &verdict {
+            TicketVerdict::Accepted(_) => Event::TicketApplied
+                .emit(&self.me.instance, format_args!("number {} at {offset}", ticket.number)),
+            TicketVerdict::Refused(refusal) => Event::TicketRefused
+                .emit(&self.me.instance, format_args!("number {}: {refusal:?}", ticket.number)),
+        }
+        for pending in &mut self.pending_tickets {
+            let is_same =
+                pending.ticket.number == ticket.number && pending.ticket.digest == ticket.digest;
+            if is_same && pending.read_back.is_none() {
+                pending.read_back = Some((offset, verdict.clone()));
+            }
+        }
+        // Limits, keys and places may have changed for those that wait.
+        self.tick_tickets(self.clock.now_ms());
+    }
+
+    pub(super) fn tick_tickets(&mut self, now_ms: u64) {
+        let pending = std::mem::take(&mut self.pending_tickets);
+        for ticket in pending {
+            match self.settle(now_ms, &ticket) {
+                Some(settled) => answer(&ticket.reply, settled),
+                None => self.pending_tickets.push(ticket),
+            }
+        }
+    }
+
+    /// The operator's answer, once it is known or the wait is over.
+    fn settle(&self, now_ms: u64, pending: &PendingTicket) -> Option<proto::TicketReply> {
+        let is_late = now_ms >= pending.deadline_ms;
+        let number = pending.ticket.number;
+        match &pending.read_back {
+            None if is_late => {
+                let reason = "the log has not confirmed the ticket; apply the same ticket again";
+                Some(unknown(number, vec![reason.to_owned()]))
+            }
+            None => None,
+            Some((_, TicketVerdict::Refused(refusal))) => {
+                Some(refused(number, vec![describe(*refusal)]))
+            }
+            Some((offset, verdict)) => {
+                let holding = 1 + self.members.others_holding(now_ms, *offset);
+                let is_majority = 2 * holding > self.members.listed_count();
+                (is_majority || is_late).then(|| self.reply_for(number, *offset, verdict))
+            }
+        }
+    }
+
+    fn reply_for(&self, number: u64, offset: u64, verdict: &TicketVerdict) -> proto::TicketReply {
+        let outcomes = match verdict {
+            TicketVerdict::Accepted(outcomes) => outcomes,
+            TicketVerdict::Refused(refusal) => return refused(number, vec![describe(*refusal)]),
+        };
+        let holding = 1 + self.members.others_holding(self.clock.now_ms(), offset);
+        let listed = self.members.listed_count();
+        proto::TicketReply::Accepted(proto::AcceptedTicket {
+            number,
+            offset,
+            reach: if 2 * holding > listed {
+                proto::Reach::Majority
+            } else {
+                proto::Reach::RecordedOnly
+            },
+            in_force_at: u32::try_from(holding).unwrap_or(u32::MAX),
+            instances: u32::try_from(listed).unwrap_or(u32::MAX),
+            objects: outcome_to_proto(outcomes),
+        })
+    }
+
+    pub(super) fn object(&self, key: &proto::ObjectKey) -> Option<proto::ObjectState> {
+        let mut objects = self.state.config.objects();
+        let (_, held) = objects.find(|(id, _)| object_id_to_proto(id) == *key)?;
+        held.object.as_deref().map(object_to_proto)
+    }
+}
+
+fn refused(number: u64, reasons: Vec<String>) -> proto::TicketReply {
+    proto::TicketReply::Refused(proto::RefusedTicket { number, reasons })
+}
+
+fn unknown(number: u64, reasons: Vec<String>) -> proto::TicketReply {
+    proto::TicketReply::Unknown(proto::RefusedTicket { number, reasons })
+}
+
+fn describe(refusal: Refusal) -> String {
+    match refusal {
+        Refusal::NumberTaken => "another ticket has this number".to_owned(),
+        Refusal::TooOld { floor } => format!("the number is too old; the lowest is {floor}"),
+        Refusal::TooFarAhead { ceiling } => {
+            format!("the number is too far ahead; the highest is {ceiling}")
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/metrics.rs
@@ -0,0 +1,79 @@
+//! Metrics towards a statsd sink.
+
+use std::net::{SocketAddr, UdpSocket};
+
+use cadence::{BufferedUdpMetricSink, Counted, Gauged, NopMetricSink, StatsdClient, Timed};
+use snafu::ResultExt;
+
+use crate::error::{Error, MetricsSnafu};
+
+/// Names of all metrics, below the prefix `cowslip.INSTANCE`.
+pub const METRIC_NAMES: &[&str] = &[
+    "requests.admitted",
+    "requests.refused",
+    "requests.retried",
+    "requests.resumed",
+    "requests.outcome_unknown",
+    "answers.crossed",
+    "requests.latency",
+    "requests.in_flight",
+    "log.lag_ms",
+];
+
+/// Something that is counted.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Count {
+    Admitted,
+    Refused,
+    Retried,
+    Resumed,
+    OutcomeUnknown,
+    Crossed,
+}
+
+/// The sink of this instance.
+#[derive(Clone, Debug)]
+pub(crate) struct Metrics {
+    client: std::sync::Arc<StatsdClient>,
+}
+
+impl Metrics {
+    /// Sends to `statsd_address`, or nowhere if it is empty.
+    pub(crate) fn new(instance: &str, statsd_address: &str) -> Result<Self, Error> {
+        let prefix = format!("cowslip.{instance}");
+        let client = match statsd_address.parse::<SocketAddr>() {
+            Err(_) => StatsdClient::from_sink(&prefix, NopMetricSink),
+            Ok(address) => {
+                let socket = UdpSocket::bind("0.0.0.0:0").context(MetricsSnafu)?;
+                socket.set_nonblocking(true).context(MetricsSnafu)?;
+                let sink = BufferedUdpMetricSink::from(address, socket)
+                    .map_err(std::io::Error::other)
+                    .context(MetricsSnafu)?;
+                StatsdClient::from_sink(&prefix, sink)
+            }
+        };
+        Ok(Self { client: std::sync::Arc::new(client) })
+    }
+
+    /// Counts one. A lost metric is no reason to stop.
+    pub(crate) fn count(&self, what: Count) {
+        let name = match what {
+            Count::Admitted => "requests.admitted",
+            Count::Refused => "requests.refused",
+            Count::Retried => "requests.retried",
+            Count::Resumed => "requests.resumed",
+            Count::OutcomeUnknown => "requests.outcome_unknown",
+            Count::Crossed => "answers.crossed",
+        };
+        let _ = self.client.count(name, 1);
+    }
+
+    pub(crate) fn latency(&self, elapsed_ms: u64) {
+        let _ = self.client.time("requests.latency", elapsed_ms);
+    }
+
+    pub(crate) fn gauges(&self, in_flight: u64, log_lag_ms: u64) {
+        let _ = self.client.gauge("requests.in_flight", in_flight);
+        let _ = self.client.gauge("log.lag_ms", log_lag_ms);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/run.rs
@@ -0,0 +1,132 @@
+//! Starts the tasks, and stops them in order.
+
+use std::time::Duration;
+
+use async_channel::Receiver;
+use compio::net::TcpListener;
+use cowslip_net::bind;
+use cowslip_proto as proto;
+use futures_util::future::{FutureExt, select};
+use snafu::ResultExt;
+use std::pin::pin;
+
+use crate::caller::{CallerServer, run_caller_server, run_operator_server};
+use crate::clock::Clock;
+use crate::config::Config;
+use crate::error::{Error, ListenSnafu, RuntimeSnafu};
+use crate::events::Event;
+use crate::hub::{Hub, HubMessage, Outlets};
+use crate::metrics::Metrics;
+use crate::tasks::{
+    HubHandle, Platform, run_links, run_list, run_log_reader, run_log_writer, run_order_sender,
+    run_peer_server, run_ticker,
+};
+
+/// Messages that may wait for the hub; when full, the sender waits.
+const HUB_INBOX: usize = 4_096;
+/// Records that may wait for the log; when full, a record is refused.
+const RECORD_QUEUE: usize = 4_096;
+/// Orders that may wait; when full, the order is offered again.
+const ORDER_QUEUE: usize = 64;
+/// Time for the release of the term to reach the log at shutdown.
+const RELEASE_TIME: Duration = Duration::from_millis(500);
+
+/// Runs an instance until it is told to stop.
+///
+/// # Errors
+/// Returns an error when the instance cannot start.
+pub fn run(config: Config) -> Result<(), Error> {
+    let runtime = compio::runtime::Runtime::new().context(RuntimeSnafu)?;
+    runtime.block_on(run_tasks(config))
+}
+
+struct Listeners {
+    caller: TcpListener,
+    peer: TcpListener,
+    operator: TcpListener,
+}
+
+async fn listen(config: &Config) -> Result<Listeners, Error> {
+    Ok(Listeners {
+        caller: bind(config.caller_address).await.context(ListenSnafu)?,
+        peer: bind(config.peer_address).await.context(ListenSnafu)?,
+        operator: bind(config.operator_address).await.context(ListenSnafu)?,
+    })
+}
+
+async fn run_tasks(config: Config) -> Result<(), Error> {
+    let listeners = listen(&config).await?;
+    let me = config.settings.instance.name.clone();
+    let metrics = Metrics::new(me.as_str(), &config.settings.metrics.statsd_address)?;
+    let clock = Clock::new();
+    let (inbox, messages) = async_channel::bounded(HUB_INBOX);
+    let hub = HubHandle::new(inbox);
+    spawn_control(&config, clock, &metrics, &hub, messages);
+    let (stop, stopped) = async_channel::bounded::<()>(1);
+    let peers = run_peer_server(me.clone(), listeners.peer, hub.clone(), stopped.clone());
+    compio::runtime::spawn(peers).detach();
+    let operators = run_operator_server(listeners.operator, hub.clone(), stopped.clone());
+    compio::runtime::spawn(operators).detach();
+    let server = CallerServer::new(&config, clock, metrics, hub.clone());
+    let callers =
+        compio::runtime::spawn(run_caller_server(server, listeners.caller, stopped.clone()));
+    Event::Started.emit(&me, format_args!("callers at {}", config.caller_address));
+    wait_for_signal().await;
+    Event::Stopping.emit(&me, format_args!("signal"));
+    hub.ask(|reply| HubMessage::Stop { reply }).await;
+    drop(stop);
+    let grace = Duration::from_millis(config.settings.limits.shutdown_grace_ms);
+    let _ = compio::time::timeout(grace, callers).await;
+    compio::time::sleep(RELEASE_TIME).await;
+    Event::Stopped.emit(&me, format_args!("all requests are finished"));
+    Ok(())
+}
+
+fn spawn_control(
+    config: &Config,
+    clock: Clock,
+    metrics: &Metrics,
+    hub: &HubHandle,
+    messages: Receiver<HubMessage>,
+) {
+    let settings = &config.settings;
+    let me = settings.instance.name.clone();
+    let timeout_ms = settings.platform.request_timeout_ms;
+    let platform = || Platform::new(config.platform_address, Duration::from_millis(timeout_ms));
+    let heartbeat = Duration::from_millis(settings.config.heartbeat_ms);
+    let list_poll = Duration::from_millis(settings.platform.list_poll_ms);
+    let group_commit = Duration::from_millis(settings.platform.group_commit_ms);
+    let (records, record_jobs) = async_channel::bounded(RECORD_QUEUE);
+    let (orders, order_jobs) = async_channel::bounded(ORDER_QUEUE);
+    let (links, lists) = async_channel::bounded(1);
+    let outlets = Outlets { records, orders, links };
+    let own_row = proto::ListedInstance {
+        name: me.clone(),
+        peer_address: settings.instance.peer_address.clone(),
+        failure_domain: settings.instance.failure_domain.clone(),
+        leaving: false,
+    };
+    let state = Hub::new(config.clone(), clock, outlets, metrics.clone());
+    let tasks = [
+        state.run(messages).boxed_local(),
+        run_ticker(hub.clone()).boxed_local(),
+        run_log_reader(me.clone(), platform(), hub.clone(), clock).boxed_local(),
+        run_log_writer(me.clone(), platform(), clock, group_commit, timeout_ms, record_jobs)
+            .boxed_local(),
+        run_list(own_row, platform(), hub.clone(), list_poll).boxed_local(),
+        run_links(me.clone(), hub.clone(), clock, heartbeat, lists).boxed_local(),
+        run_order_sender(me, hub.clone(), order_jobs).boxed_local(),
+    ];
+    for task in tasks {
+        compio::runtime::spawn(task).detach();
+    }
+}
+
+async fn wait_for_signal() {
+    let terminate = pin!(compio::signal::unix::signal(SIGTERM));
+    let interrupt = pin!(compio::signal::unix::signal(SIGINT));
+    select(terminate, interrupt).await;
+}
+
+const SIGINT: i32 = 2;
+const SIGTERM: i32 = 15;
--- /dev/null
+++ b/crates/entry/src/tasks/links.rs
@@ -0,0 +1,119 @@
+//! One link to each other instance: heartbeats, and entries when the other is ahead.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use async_channel::Receiver;
+use bytes::Bytes;
+use compio::runtime::JoinHandle;
+use cowslip_border::{MAX_PEER_BYTES, decode_peer, encode_peer};
+use cowslip_member::Listed;
+use cowslip_name::Name;
+use cowslip_net::PeerClient;
+use cowslip_proto as proto;
+
+use super::HubHandle;
+use super::peer_server::PEER_PATH;
+use crate::clock::Clock;
+use crate::events::Event;
+use crate::hub::HubMessage;
+
+/// Keeps a link to each listed instance until the process ends.
+pub(crate) async fn run_links(
+    me: Name,
+    hub: HubHandle,
+    clock: Clock,
+    every: Duration,
+    lists: Receiver<Vec<Listed>>,
+) {
+    let mut links: BTreeMap<Name, (Listed, JoinHandle<()>)> = BTreeMap::new();
+    while let Ok(rows) = lists.recv().await {
+        // A dropped handle ends the link of an instance that left or moved.
+        links.retain(|_, (linked, _)| {
+            rows.iter()
+                .any(|row| row.name == linked.name && row.peer_address == linked.peer_address)
+        });
+        for row in rows {
+            links.entry(row.name.clone()).or_insert_with(|| {
+                let link = Link {
+                    me: me.clone(),
+                    other: row.clone(),
+                    hub: hub.clone(),
+                    clock,
+                    every,
+                    client: None,
+                    is_reachable: true,
+                };
+                (row, compio::runtime::spawn(link.run()))
+            });
+        }
+    }
+}
+
+struct Link {
+    me: Name,
+    other: Listed,
+    hub: HubHandle,
+    clock: Clock,
+    every: Duration,
+    client: Option<PeerClient>,
+    is_reachable: bool,
+}
+
+impl Link {
+    async fn run(mut self) {
+        loop {
+            let reached = self.beat().await;
+            if reached.is_none() {
+                self.client = None;
+            }
+            self.note(reached.is_some());
+            compio::time::sleep(self.every).await;
+        }
+    }
+
+    fn note(&mut self, is_reachable: bool) {
+        if is_reachable == self.is_reachable {
+            return;
+        }
+        self.is_reachable = is_reachable;
+        let event = if is_reachable { Event::PeerReachable } else { Event::PeerUnreachable };
+        event.emit(&self.me, format_args!("{}", self.other.name));
+    }
+
+    /// Exchanges heartbeats, then entries if the other instance is ahead.
+    async fn beat(&mut self) -> Option<()> {
+        let heartbeat = self.hub.ask(|reply| HubMessage::OwnHeartbeat { reply }).await?;
+        let sent_at_ms = self.clock.now_ms();
+        let answer = self.call(&proto::PeerRequest::Heartbeat(heartbeat)).await?;
+        let proto::PeerReply::Heartbeat(heartbeat) = answer else { return None };
+        let read_from = self
+            .hub
+            .ask(|reply| HubMessage::HeartbeatAnswer { sent_at_ms, heartbeat, reply })
+            .await?;
+        if let Some(from_offset) = read_from {
+            let tail = proto::PeerRequest::Tail(proto::Tail { from_offset });
+            if let proto::PeerReply::Entries(page) = self.call(&tail).await? {
+                self.hub.tell(HubMessage::PeerEntries(page.entries)).await;
+            }
+        }
+        Some(())
+    }
+
+    async fn call(&mut self, request: &proto::PeerRequest) -> Option<proto::PeerReply> {
+        if self.client.is_none() {
+            let timeout = self.every * 2;
+            self.client = PeerClient::connect(self.other.peer_address, timeout).await.ok();
+        }
+        let client = self.client.as_ref()?;
+        let body = Bytes::from(encode_peer(request).ok()?);
+        let answer = client.call(PEER_PATH, body, MAX_PEER_BYTES).await.ok()?;
+        match decode_peer(&answer) {
+            Ok(reply) => Some(reply),
+            Err(error) => {
+                Event::PeerBad.emit(&self.me, format_args!("{}: {error}", self.other.name));
+                None
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/tasks/log_reader.rs
@@ -0,0 +1,42 @@
+//! Reads the platform's log.
+
+use std::time::Duration;
+
+use cowslip_name::Name;
+
+use super::{HubHandle, Platform};
+use crate::clock::Clock;
+use crate::events::Event;
+use crate::hub::HubMessage;
+
+const RETRY: Duration = Duration::from_millis(200);
+
+/// Reads page by page until the process ends.
+pub(crate) async fn run_log_reader(me: Name, platform: Platform, hub: HubHandle, clock: Clock) {
+    let mut from_offset = 0;
+    let mut is_reachable = true;
+    loop {
+        let sent_at_ms = clock.now_ms();
+        let page = match platform.read(from_offset).await {
+            Ok(page) => {
+                if !is_reachable {
+                    Event::LogReachable.emit(&me, format_args!("from offset {from_offset}"));
+                }
+                is_reachable = true;
+                Some(page)
+            }
+            Err(error) => {
+                if is_reachable {
+                    Event::LogUnreachable.emit(&me, format_args!("{error}"));
+                }
+                is_reachable = false;
+                compio::time::sleep(RETRY).await;
+                None
+            }
+        };
+        match hub.ask(|reply| HubMessage::Page { sent_at_ms, page, reply }).await {
+            Some(next_offset) => from_offset = next_offset,
+            None => return,
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/tasks/peer_server.rs
@@ -0,0 +1,53 @@
+//! Answers other instances.
+
+use async_channel::Receiver;
+use bytes::Bytes;
+use compio::net::TcpListener;
+use cowslip_border::{MAX_PEER_BYTES, decode_peer, encode_peer};
+use cowslip_name::Name;
+use cowslip_net::serve_peers;
+use cowslip_proto as proto;
+use http::StatusCode;
+
+use super::HubHandle;
+use crate::events::Event;
+use crate::hub::HubMessage;
+
+/// Path of requests between instances; it names the version of the messages.
+pub(crate) const PEER_PATH: &str = "/peer/v1";
+
+/// Answers until `stop` closes.
+pub(crate) async fn run_peer_server(
+    me: Name,
+    listener: TcpListener,
+    hub: HubHandle,
+    stop: Receiver<()>,
+) {
+    let handler = move |path: String, body: Bytes| {
+        let (me, hub) = (me.clone(), hub.clone());
+        async move { answer(&me, &hub, &path, &body).await }
+    };
+    serve_peers(listener, MAX_PEER_BYTES, stop, handler).await;
+}
+
+async fn answer(me: &Name, hub: &HubHandle, path: &str, body: &[u8]) -> Result<Bytes, StatusCode> {
+    if path != PEER_PATH {
+        return Err(StatusCode::NOT_FOUND);
+    }
+    let request = decode_peer(body).map_err(|error| {
+        Event::PeerBad.emit(me, format_args!("{error}"));
+        StatusCode::BAD_REQUEST
+    })?;
+    let reply = match request {
+        proto::PeerRequest::Heartbeat(heartbeat) => hub
+            .ask(|reply| HubMessage::Heartbeat { heartbeat, reply })
+            .await
+            .map(proto::PeerReply::Heartbeat),
+        proto::PeerRequest::Tail(tail) => hub
+            .ask(|reply| HubMessage::Tail { from_offset: tail.from_offset, reply })
+            .await
+            .map(|entries| proto::PeerReply::Entries(proto::TailEntries { entries })),
+    };
+    let reply = reply.ok_or(StatusCode::SERVICE_UNAVAILABLE)?;
+    encode_peer(&reply).map(Bytes::from).map_err(|_| StatusCode::INTERNAL_SERVER_ERROR)
+}
--- /dev/null
+++ b/crates/entry/src/tasks/platform.rs
@@ -0,0 +1,102 @@
+//! Requests to the platform's service.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use cowslip_border::{from_json, to_json};
+use cowslip_net::{Body, Client, ClientOptions, Sent, collect, full};
+use cowslip_proto as proto;
+use http::{Method, Request};
+use snafu::{ResultExt, Snafu};
+
+/// Largest answer of the platform, in bytes.
+const MAX_ANSWER_BYTES: usize = 16_777_216;
+/// Entries in one page.
+const MAX_PAGE_ENTRIES: u32 = 512;
+/// How long the platform may hold a read back until there is an entry.
+const LONG_POLL_MS: u64 = 1_000;
+
+/// Why the platform did not answer.
+#[derive(Debug, Snafu)]
+pub(crate) enum PlatformError {
+    #[snafu(display("{source}"))]
+    Net { source: cowslip_net::Error },
+    #[snafu(display("no answer in time"))]
+    Late,
+    #[snafu(display("{source}"))]
+    Answer { source: cowslip_border::Error },
+    #[snafu(display("status {status}"))]
+    Status { status: u16 },
+}
+
+/// A client of the platform.
+#[derive(Clone, Debug)]
+pub(crate) struct Platform {
+    client: Client,
+    address: SocketAddr,
+    timeout: Duration,
+}
+
+impl Platform {
+    pub(crate) fn new(address: SocketAddr, timeout: Duration) -> Self {
+        let options = ClientOptions { connect_timeout: timeout, user_timeout: timeout };
+        Self { client: Client::new(options), address, timeout }
+    }
+
+    /// Reads a page of the log from `from_offset` on.
+    pub(crate) async fn read(&self, from_offset: u64) -> Result<proto::LogPage, PlatformError> {
+        let path = format!(
+            "/log?from_offset={from_offset}&max_entries={MAX_PAGE_ENTRIES}&wait_ms={LONG_POLL_MS}"
+        );
+        let timeout = self.timeout + Duration::from_millis(LONG_POLL_MS);
+        let bytes = self.exchange(Method::GET, &path, full(Bytes::new()), timeout).await?;
+        from_json(&bytes).context(AnswerSnafu)
+    }
+
+    /// Appends an entry.
+    pub(crate) async fn append(&self, entry: Bytes) -> Result<proto::Appended, PlatformError> {
+        let bytes = self.exchange(Method::POST, "/log", full(entry), self.timeout).await?;
+        from_json(&bytes).context(AnswerSnafu)
+    }
+
+    /// Reads the instance list.
+    pub(crate) async fn list(&self) -> Result<proto::InstanceList, PlatformError> {
+        let bytes =
+            self.exchange(Method::GET, "/instances", full(Bytes::new()), self.timeout).await?;
+        from_json(&bytes).context(AnswerSnafu)
+    }
+
+    /// Enters this instance into the platform's list.
+    pub(crate) async fn announce(&self, row: &proto::ListedInstance) -> Result<(), PlatformError> {
+        let body = full(to_json(row));
+        self.exchange(Method::POST, "/instances", body, self.timeout).await.map(drop)
+    }
+
+    async fn exchange(
+        &self,
+        method: Method,
+        path: &str,
+        body: Body,
+        timeout: Duration,
+    ) -> Result<Bytes, PlatformError> {
+        let request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header("host", self.address.to_string())
+            .body(body)
+            .expect("method, path and address form a request");
+        let work = async {
+            let response =
+                self.client.send(self.address, request).await.map_err(|sent| match sent {
+                    Sent::Nothing(source) | Sent::MayBe(source) => PlatformError::Net { source },
+                })?;
+            let status = response.status();
+            if !status.is_success() {
+                return StatusSnafu { status: status.as_u16() }.fail();
+            }
+            collect(response.into_body(), MAX_ANSWER_BYTES).await.context(NetSnafu)
+        };
+        compio::time::timeout(timeout, work).await.map_err(|_| PlatformError::Late)?
+    }
+}
--- a/crates/gen/src/main.rs
+++ b/crates/gen/src/main.rs
@@ -32,7 +32,5 @@
         ("crates/proto/src/setting_table.rs", settings::table(&rows)?),
         ("docs/SETTINGS.md", settings::page(&rows)),
     ];
-    files
-        .iter()
-        .try_for_each(|(path, text)| output::put(&cli.root.join(path), text, cli.check))
+    files.iter().try_for_each(|(path, text)| output::put(&cli.root.join(path), text, cli.check))
 }
--- a/crates/gen/src/rust.rs
+++ b/crates/gen/src/rust.rs
@@ -16,9 +16,11 @@
     let root: RootSchema = serde_json::from_value(json!({ "definitions": definitions }))
         .map_err(|error| schema_error(&error))?;
     let mut settings = TypeSpaceSettings::default();
-    settings
-        .with_derive("PartialEq".to_owned())
-        .with_replacement("Name", "cowslip_name::Name", std::iter::empty::<TypeSpaceImpl>());
+    settings.with_derive("PartialEq".to_owned()).with_replacement(
+        "Name",
+        "cowslip_name::Name",
+        std::iter::empty::<TypeSpaceImpl>(),
+    );
     let mut space = TypeSpace::new(&settings);
     space
         .add_ref_types(root.definitions.into_iter().collect::<Vec<(String, Schema)>>())
--- /dev/null
+++ b/crates/member/src/members.rs
@@ -0,0 +1,139 @@
+//! Who is listed, and who was heard lately.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use cowslip_name::Name;
+
+/// A row of the platform's list.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Listed {
+    /// Name of the instance.
+    pub name: Name,
+    /// Where it listens for other instances.
+    pub peer_address: SocketAddr,
+    /// Failure domain that it runs in.
+    pub failure_domain: Name,
+    /// Whether it is about to leave.
+    pub is_leaving: bool,
+}
+
+/// What an instance reported of itself.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Report {
+    /// Number that differs between two lives of the instance.
+    pub incarnation: u64,
+    /// Failure domain that it runs in.
+    pub failure_domain: Name,
+    /// Offset after the newest entry that it has folded.
+    pub next_offset: u64,
+    /// Requests that it has in flight.
+    pub in_flight: u32,
+    /// Requests that it has in flight by upstream.
+    pub loads: BTreeMap<Name, u32>,
+    /// Upstreams that get no new work from it and have none of its in flight.
+    pub drained: Vec<Name>,
+}
+
+#[derive(Clone, Debug)]
+struct Heard {
+    at_ms: u64,
+    report: Report,
+}
+
+/// The members as one instance knows them.
+#[derive(Clone, Debug)]
+pub struct Members {
+    me: Name,
+    timeout_ms: u64,
+    listed: BTreeMap<Name, Listed>,
+    heard: BTreeMap<Name, Heard>,
+}
+
+impl Members {
+    /// Knows nobody yet.
+    #[must_use]
+    pub fn new(me: Name, timeout_ms: u64) -> Self {
+        Self { me, timeout_ms, listed: BTreeMap::new(), heard: BTreeMap::new() }
+    }
+
+    /// Takes a new list from the platform.
+    pub fn on_list(&mut self, rows: impl IntoIterator<Item = Listed>) {
+        self.listed = rows.into_iter().map(|row| (row.name.clone(), row)).collect();
+        let listed = &self.listed;
+        self.heard.retain(|name, _| listed.contains_key(name));
+    }
+
+    /// Takes a report that came in at `now_ms`; an older life of the instance is ignored.
+    pub fn on_report(&mut self, now_ms: u64, from: &Name, report: Report) {
+        if *from == self.me {
+            return;
+        }
+        match self.heard.get(from) {
+            Some(heard)
+                if heard.report.incarnation == report.incarnation
+                    && heard.report.next_offset > report.next_offset => {}
+            _ => {
+                self.heard.insert(from.clone(), Heard { at_ms: now_ms, report });
+            }
+        }
+    }
+
+    /// Listed instances other than this one.
+    pub fn others(&self) -> impl Iterator<Item = &Listed> {
+        self.listed.values().filter(|row| row.name != self.me)
+    }
+
+    /// Number of listed instances, this one included whether listed or not.
+    #[must_use]
+    pub fn listed_count(&self) -> usize {
+        self.others().count() + 1
+    }
+
+    /// Reports heard within the timeout.
+    pub fn live(&self, now_ms: u64) -> impl Iterator<Item = (&Name, &Report, u64)> {
+        self.heard.iter().filter_map(move |(name, heard)| {
+            let age_ms = now_ms.saturating_sub(heard.at_ms);
+            (age_ms <= self.timeout_ms).then_some((name, &heard.report, age_ms))
+        })
+    }
+
+    /// Instances heard lately that have folded no more than `next_offset`, this one included.
+    #[must_use]
+    pub fn reached_level(&self, now_ms: u64, next_offset: u64) -> usize {
+        1 + self.live(now_ms).filter(|(_, report, _)| report.next_offset <= next_offset).count()
+    }
+
+    /// Instances heard lately that have folded the entry at `offset`; the caller adds itself.
+    #[must_use]
+    pub fn others_holding(&self, now_ms: u64, offset: u64) -> usize {
+        self.live(now_ms).filter(|(_, report, _)| report.next_offset > offset).count()
+    }
+
+    /// The live instance that is furthest ahead of `next_offset`.
+    #[must_use]
+    pub fn ahead(&self, now_ms: u64, next_offset: u64) -> Option<&Listed> {
+        self.live(now_ms)
+            .filter(|(_, report, _)| report.next_offset > next_offset)
+            .max_by_key(|(_, report, _)| report.next_offset)
+            .and_then(|(name, _, _)| self.listed.get(name))
+    }
+
+    /// Work that live others have in flight at an upstream.
+    #[must_use]
+    pub fn load_of_others(&self, now_ms: u64, upstream: &Name) -> u32 {
+        self.live(now_ms).filter_map(|(_, report, _)| report.loads.get(upstream)).sum()
+    }
+
+    /// Whether every listed other was heard lately, has folded the entry at `offset`, and reports
+    /// the upstream as drained.
+    #[must_use]
+    pub fn all_drained(&self, now_ms: u64, upstream: &Name, offset: u64) -> bool {
+        let drained = self
+            .live(now_ms)
+            .filter(|(_, report, _)| report.next_offset > offset)
+            .filter(|(_, report, _)| report.drained.contains(upstream))
+            .count();
+        drained == self.others().count()
+    }
+}
--- /dev/null
+++ b/crates/net/src/body.rs
@@ -0,0 +1,53 @@
+//! Bodies of responses and requests.
+
+use std::convert::Infallible;
+
+use async_channel::{Receiver, Sender};
+use bytes::Bytes;
+use http_body_util::{Either, Full, StreamBody};
+use hyper::body::Frame;
+
+/// Chunks that may wait for a slow reader.
+const CHUNKS_IN_FLIGHT: usize = 16;
+
+type Chunk = Result<Frame<Bytes>, Infallible>;
+
+/// A body that is known whole, or comes chunk by chunk.
+pub type Body = Either<Full<Bytes>, StreamBody<Receiver<Chunk>>>;
+
+/// The writing side of a streamed body.
+#[derive(Clone, Debug)]
+pub struct ChunkSender(Sender<Chunk>);
+
+impl ChunkSender {
+    /// Sends a chunk, waiting while the channel is full; `false` when the reader is gone.
+    pub async fn send(&self, bytes: Bytes) -> bool {
+        self.0.send(Ok(Frame::data(bytes))).await.is_ok()
+    }
+
+    /// Resolves once the reader is gone.
+    pub async fn closed(&self) {
+        self.0.closed().await;
+    }
+}
+
+/// An empty body.
+#[must_use]
+pub fn empty() -> Body {
+    full(Bytes::new())
+}
+
+/// A whole body.
+pub fn full<B>(bytes: B) -> Body
+where
+    B: Into<Bytes>,
+{
+    Either::Left(Full::new(bytes.into()))
+}
+
+/// A streamed body and its writing side.
+#[must_use]
+pub fn stream() -> (ChunkSender, Body) {
+    let (sender, receiver) = async_channel::bounded(CHUNKS_IN_FLIGHT);
+    (ChunkSender(sender), Either::Right(StreamBody::new(receiver)))
+}
--- /dev/null
+++ b/crates/net/src/client.rs
@@ -0,0 +1,172 @@
+//! An HTTP/1.1 client that knows whether a byte of a request can have been sent.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use compio::net::TcpStream;
+use cyper_core::HyperStream;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{Request, Response};
+use snafu::ResultExt;
+use socket2::SockRef;
+
+use crate::body::Body;
+use crate::error::{ConnectSnafu, Error, HttpSnafu, TimedOutSnafu, TooLargeSnafu};
+
+/// Idle connections kept per address.
+const MAX_IDLE: usize = 64;
+
+/// How a [`Client`] connects.
+#[derive(Clone, Copy, Debug)]
+pub struct ClientOptions {
+    /// Longest wait for a connection.
+    pub connect_timeout: Duration,
+    /// How long the kernel resends unacknowledged data.
+    pub user_timeout: Duration,
+}
+
+/// An exchange that failed.
+#[derive(Debug)]
+pub enum Sent {
+    /// No byte of the request was sent.
+    Nothing(Error),
+    /// Bytes of the request may have been sent.
+    MayBe(Error),
+}
+
+/// Connections to many addresses, reused when idle.
+#[derive(Clone, Debug)]
+pub struct Client {
+    options: ClientOptions,
+    idle: Rc<RefCell<HashMap<SocketAddr, Vec<SendRequest<Body>>>>>,
+}
+
+/// A single connection that is not shared.
+#[derive(Debug)]
+pub struct Exchange {
+    sender: SendRequest<Body>,
+}
+
+impl Client {
+    /// A client without connections.
+    #[must_use]
+    pub fn new(options: ClientOptions) -> Self {
+        Self { options, idle: Rc::default() }
+    }
+
+    /// Opens a connection that nothing else uses.
+    ///
+    /// # Errors
+    /// Returns an error when no connection comes about.
+    pub async fn connect(&self, address: SocketAddr) -> Result<Exchange, Error> {
+        let after = self.options.connect_timeout;
+        let tcp = compio::time::timeout(after, TcpStream::connect(address))
+            .await
+            .map_err(|_| TimedOutSnafu { after }.build())?
+            .context(ConnectSnafu { address })?;
+        let _ = tcp.set_nodelay(true);
+        SockRef::from(&tcp)
+            .set_tcp_user_timeout(Some(self.options.user_timeout))
+            .context(ConnectSnafu { address })?;
+        let (sender, connection) =
+            http1::handshake(HyperStream::new_plain(tcp)).await.context(HttpSnafu)?;
+        compio::runtime::spawn(async move {
+            // The sender of a request gets the error of its connection.
+            let _ = connection.await;
+        })
+        .detach();
+        Ok(Exchange { sender })
+    }
+
+    /// Sends a request over an idle or a new connection and waits for the head of the response.
+    ///
+    /// # Errors
+    /// [`Sent`] tells whether a byte can have been sent.
+    pub async fn send(
+        &self,
+        address: SocketAddr,
+        mut request: Request<Body>,
+    ) -> Result<Response<Incoming>, Sent> {
+        while let Some(mut exchange) = self.take_idle(address) {
+            match exchange.try_send(request).await {
+                Ok(response) => {
+                    self.keep(address, exchange);
+                    return Ok(response);
+                }
+                // An idle connection that the other side had closed: nothing was written.
+                Err((Some(unsent), _)) => request = unsent,
+                Err((None, error)) => return Err(Sent::MayBe(error)),
+            }
+        }
+        let mut exchange = self.connect(address).await.map_err(Sent::Nothing)?;
+        match exchange.try_send(request).await {
+            Ok(response) => {
+                self.keep(address, exchange);
+                Ok(response)
+            }
+            Err((Some(_), error)) => Err(Sent::Nothing(error)),
+            Err((None, error)) => Err(Sent::MayBe(error)),
+        }
+    }
+
+    fn take_idle(&self, address: SocketAddr) -> Option<Exchange> {
+        let mut idle = self.idle.borrow_mut();
+        let senders = idle.get_mut(&address)?;
+        senders.retain(|sender| !sender.is_closed());
+        let index = senders.iter().position(SendRequest::is_ready)?;
+        Some(Exchange { sender: senders.swap_remove(index) })
+    }
+
+    /// Keeps the connection: it is ready again once the response is read to its end.
+    fn keep(&self, address: SocketAddr, exchange: Exchange) {
+        let mut idle = self.idle.borrow_mut();
+        let senders = idle.entry(address).or_default();
+        senders.retain(|sender| !sender.is_closed());
+        if senders.len() < MAX_IDLE {
+            senders.push(exchange.sender);
+        }
+    }
+}
+
+impl Exchange {
+    /// Sends a request and waits for the head of the response.
+    ///
+    /// # Errors
+    /// [`Sent`] tells whether a byte can have been sent.
+    pub async fn send(&mut self, request: Request<Body>) -> Result<Response<Incoming>, Sent> {
+        self.try_send(request).await.map_err(|(unsent, error)| match unsent {
+            Some(_) => Sent::Nothing(error),
+            None => Sent::MayBe(error),
+        })
+    }
+
+    async fn try_send(
+        &mut self,
+        request: Request<Body>,
+    ) -> Result<Response<Incoming>, (Option<Request<Body>>, Error)> {
+        self.sender.try_send_request(request).await.map_err(|mut error| {
+            let unsent = error.take_message();
+            (unsent, Error::Http { source: error.into_error() })
+        })
+    }
+}
+
+/// Reads a whole body of at most `limit_bytes`.
+///
+/// # Errors
+/// Returns [`Error::TooLarge`] for a longer body or one that breaks off.
+pub async fn collect(body: Incoming, limit_bytes: usize) -> Result<Bytes, Error> {
+    match Limited::new(body, limit_bytes).collect().await {
+        Ok(collected) => Ok(collected.to_bytes()),
+        Err(error) => match error.downcast::<hyper::Error>() {
+            Ok(source) => Err(Error::Http { source: *source }),
+            Err(_) => TooLargeSnafu { limit_bytes }.fail(),
+        },
+    }
+}
--- /dev/null
+++ b/crates/net/src/lib.rs
@@ -0,0 +1,15 @@
+//! Connections through libraries: HTTP/1.1 by `hyper`, HTTP/2 streams by `h2`, both on `compio`.
+//!
+//! Nothing here decides anything; a process starts here and ends at its decisions.
+
+mod body;
+mod client;
+mod error;
+mod peer;
+mod server;
+
+pub use body::{Body, ChunkSender, empty, full, stream};
+pub use client::{Client, ClientOptions, Exchange, Sent, collect};
+pub use error::Error;
+pub use peer::{PeerClient, serve_peers};
+pub use server::{ServerLimits, bind, serve};
--- /dev/null
+++ b/crates/net/src/peer.rs
@@ -0,0 +1,157 @@
+//! Requests between instances: one HTTP/2 connection, one stream per request.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use async_channel::Receiver;
+use bytes::Bytes;
+use compio::net::{TcpListener, TcpStream};
+use cyper_core::HyperStream;
+use futures_util::future::{Either, select};
+use h2::client::SendRequest;
+use h2::{RecvStream, client, server};
+use http::{Request, Response, StatusCode};
+use snafu::ResultExt;
+use std::pin::pin;
+use tokio_util::compat::FuturesAsyncReadCompatExt;
+
+use crate::error::{
+    ConnectSnafu, Error, H2Snafu, MessageSnafu, StatusSnafu, TimedOutSnafu, TooLargeSnafu,
+};
+
+/// A connection to one other instance.
+#[derive(Debug)]
+pub struct PeerClient {
+    sender: SendRequest<Bytes>,
+    timeout: Duration,
+}
+
+impl PeerClient {
+    /// Connects to `address`; each exchange may take `timeout`.
+    ///
+    /// # Errors
+    /// Returns an error when no connection comes about in time.
+    pub async fn connect(address: SocketAddr, timeout: Duration) -> Result<Self, Error> {
+        let open = async {
+            let tcp = TcpStream::connect(address).await.context(ConnectSnafu { address })?;
+            let _ = tcp.set_nodelay(true);
+            let io = HyperStream::new_plain(tcp).compat();
+            client::handshake(io).await.context(H2Snafu)
+        };
+        let (sender, connection) = within(timeout, open).await?;
+        compio::runtime::spawn(async move {
+            // Each stream gets the error of its connection.
+            let _ = connection.await;
+        })
+        .detach();
+        Ok(Self { sender, timeout })
+    }
+
+    /// Sends `body` to `path` and reads an answer of at most `limit_bytes`.
+    ///
+    /// # Errors
+    /// Returns an error when the other side refuses or does not answer in time.
+    pub async fn call(&self, path: &str, body: Bytes, limit_bytes: usize) -> Result<Bytes, Error> {
+        within(self.timeout, self.exchange(path, body, limit_bytes)).await
+    }
+
+    async fn exchange(&self, path: &str, body: Bytes, limit_bytes: usize) -> Result<Bytes, Error> {
+        let request = Request::post(path).body(()).context(MessageSnafu)?;
+        let mut sender = self.sender.clone().ready().await.context(H2Snafu)?;
+        let (response, mut stream) = sender.send_request(request, false).context(H2Snafu)?;
+        stream.send_data(body, true).context(H2Snafu)?;
+        let response = response.await.context(H2Snafu)?;
+        let status = response.status();
+        if status != StatusCode::OK {
+            return StatusSnafu { status: status.as_u16() }.fail();
+        }
+        read_all(response.into_body(), limit_bytes).await
+    }
+}
+
+async fn within<T, F>(after: Duration, work: F) -> Result<T, Error>
+where
+    F: Future<Output = Result<T, Error>>,
+{
+    match compio::time::timeout(after, work).await {
+        Ok(result) => result,
+        Err(_) => TimedOutSnafu { after }.fail(),
+    }
+}
+
+async fn read_all(mut stream: RecvStream, limit_bytes: usize) -> Result<Bytes, Error> {
+    let mut whole = Vec::new();
+    while let Some(chunk) = stream.data().await {
+        let chunk = chunk.context(H2Snafu)?;
+        if whole.len() + chunk.len() > limit_bytes {
+            return TooLargeSnafu { limit_bytes }.fail();
+        }
+        whole.extend_from_slice(&chunk);
+        let _ = stream.flow_control().release_capacity(chunk.len());
+    }
+    Ok(whole.into())
+}
+
+/// Answers other instances until `stop` closes.
+///
+/// `handler` gets the path and body; `Err` is the status of a refusal.
+pub async fn serve_peers<H, F>(
+    listener: TcpListener,
+    limit_bytes: usize,
+    stop: Receiver<()>,
+    handler: H,
+) where
+    H: Fn(String, Bytes) -> F + Clone + 'static,
+    F: Future<Output = Result<Bytes, StatusCode>> + 'static,
+{
+    loop {
+        let accepted = {
+            let accept = pin!(listener.accept());
+            let stopped = pin!(stop.recv());
+            match select(accept, stopped).await {
+                Either::Left((accepted, _)) => accepted,
+                Either::Right(_) => return,
+            }
+        };
+        let Ok((tcp, _)) = accepted else { continue };
+        let handler = handler.clone();
+        compio::runtime::spawn(async move {
+            // An error here is the other side's: it is gone, or broke the protocol.
+            let _ = peer_connection(tcp, limit_bytes, handler).await;
+        })
+        .detach();
+    }
+}
+
+async fn peer_connection<H, F>(tcp: TcpStream, limit_bytes: usize, handler: H) -> Result<(), Error>
+where
+    H: Fn(String, Bytes) -> F + Clone + 'static,
+    F: Future<Output = Result<Bytes, StatusCode>> + 'static,
+{
+    let _ = tcp.set_nodelay(true);
+    let io = HyperStream::new_plain(tcp).compat();
+    let mut connection = server::handshake(io).await.context(H2Snafu)?;
+    while let Some(accepted) = connection.accept().await {
+        let (request, mut respond) = accepted.context(H2Snafu)?;
+        let handler = handler.clone();
+        compio::runtime::spawn(async move {
+            let path = request.uri().path().to_owned();
+            let answer = match read_all(request.into_body(), limit_bytes).await {
+                Ok(body) => handler(path, body).await,
+                Err(_) => Err(StatusCode::PAYLOAD_TOO_LARGE),
+            };
+            let (status, body) = match answer {
+                Ok(body) => (StatusCode::OK, body),
+                Err(status) => (status, Bytes::new()),
+            };
+            let mut head = Response::new(());
+            *head.status_mut() = status;
+            // A failed send means that the other side is gone.
+            if let Ok(mut stream) = respond.send_response(head, false) {
+                let _ = stream.send_data(body, true);
+            }
+        })
+        .detach();
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/poison/src/lib.rs
@@ -0,0 +1,7 @@
+//! Requests that crash upstreams: suspicion by fingerprint, shared between instances.
+//!
+//! Pure decisions: no clock, socket or encoding.
+
+mod suspects;
+
+pub use suspects::{Fingerprint, Suspects};
--- /dev/null
+++ b/crates/poison/src/suspects.rs
@@ -0,0 +1,50 @@
+//! Which requests were in flight at upstreams that were lost.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use cowslip_name::Name;
+
+/// BLAKE3 of workspace, path and body of a request.
+pub type Fingerprint = [u8; 32];
+
+/// Requests under suspicion, a bounded number of them.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Suspects {
+    limit: usize,
+    capacity: usize,
+    lost: BTreeMap<Fingerprint, BTreeSet<Name>>,
+    order: VecDeque<Fingerprint>,
+}
+
+impl Suspects {
+    /// A request is refused once `limit` upstreams were lost with it; `capacity` are remembered.
+    #[must_use]
+    pub fn new(limit: usize, capacity: usize) -> Self {
+        Self { limit, capacity, lost: BTreeMap::new(), order: VecDeque::new() }
+    }
+
+    /// Notes that an upstream was lost while it ran the request.
+    pub fn on_loss(&mut self, fingerprint: Fingerprint, upstream: Name) {
+        let known = self.lost.entry(fingerprint).or_default();
+        if known.is_empty() {
+            self.order.push_back(fingerprint);
+        }
+        known.insert(upstream);
+        while self.order.len() > self.capacity {
+            if let Some(oldest) = self.order.pop_front() {
+                self.lost.remove(&oldest);
+            }
+        }
+    }
+
+    /// Whether the request may not run any more.
+    #[must_use]
+    pub fn is_refused(&self, fingerprint: &Fingerprint) -> bool {
+        self.lost.get(fingerprint).is_some_and(|upstreams| upstreams.len() >= self.limit)
+    }
+
+    /// All suspicions, to be shared.
+    pub fn iter(&self) -> impl Iterator<Item = (&Fingerprint, &BTreeSet<Name>)> {
+        self.lost.iter()
+    }
+}
--- a/crates/proto/src/generated.rs
+++ b/crates/proto/src/generated.rs
@@ -635,6 +635,60 @@
     pub target: cowslip_name::Name,
     pub term: u64,
 }
+///Faults of the engine stand-in.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "Faults of the engine stand-in.",
+///  "type": "object",
+///  "required": [
+///    "crash_after_tokens",
+///    "crash_on",
+///    "cross_answers",
+///    "hold_state_ms"
+///  ],
+///  "properties": {
+///    "crash_after_tokens": {
+///      "description": "The process ends after this many further tokens, null for never.",
+///      "type": [
+///        "integer",
+///        "null"
+///      ],
+///      "format": "uint64"
+///    },
+///    "crash_on": {
+///      "description": "The process ends when a prompt holds this text; empty for never.",
+///      "type": "string"
+///    },
+///    "cross_answers": {
+///      "description": "Answers that name another call.",
+///      "type": "integer",
+///      "format": "uint32"
+///    },
+///    "hold_state_ms": {
+///      "description": "Wait before each report of the state.",
+///      "type": "integer",
+///      "format": "uint64"
+///    }
+///  },
+///  "additionalProperties": false
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct EngineFaults {
+    ///The process ends after this many further tokens, null for never.
+    pub crash_after_tokens: ::std::option::Option<u64>,
+    ///The process ends when a prompt holds this text; empty for never.
+    pub crash_on: ::std::string::String,
+    ///Answers that name another call.
+    pub cross_answers: u32,
+    ///Wait before each report of the state.
+    pub hold_state_ms: u64,
+}
 ///An order as an engine takes it.
 ///
 /// <details><summary>JSON schema</summary>
@@ -731,6 +785,64 @@
     pub role: Role,
     pub sequence: u64,
 }
+///What the engine stand-in has seen.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "What the engine stand-in has seen.",
+///  "type": "object",
+///  "required": [
+///    "cancelled",
+///    "keys_seen",
+///    "orders",
+///    "requests",
+///    "tokens"
+///  ],
+///  "properties": {
+///    "cancelled": {
+///      "description": "Requests whose reader left.",
+///      "type": "integer",
+///      "format": "uint64"
+///    },
+///    "keys_seen": {
+///      "description": "Requests that held a caller's key.",
+///      "type": "integer",
+///      "format": "uint64"
+///    },
+///    "orders": {
+///      "description": "Orders carried out, in order.",
+///      "type": "array",
+///      "items": {
+///        "$ref": "#/definitions/EngineOrder"
+///      }
+///    },
+///    "requests": {
+///      "type": "integer",
+///      "format": "uint64"
+///    },
+///    "tokens": {
+///      "type": "integer",
+///      "format": "uint64"
+///    }
+///  },
+///  "additionalProperties": false
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct EngineStats {
+    ///Requests whose reader left.
+    pub cancelled: u64,
+    ///Requests that held a caller's key.
+    pub keys_seen: u64,
+    ///Orders carried out, in order.
+    pub orders: ::std::vec::Vec<EngineOrder>,
+    pub requests: u64,
+    pub tokens: u64,
+}
 ///Settings of an entry instance.
 ///
 /// <details><summary>JSON schema</summary>
@@ -873,7 +985,8 @@
 ///    "from",
 ///    "in_flight",
 ///    "loads",
-///    "next_offset"
+///    "next_offset",
+///    "suspects"
 ///  ],
 ///  "properties": {
 ///    "draining": {
@@ -911,6 +1024,12 @@
 ///      "description": "The offset after the newest entry that it has folded.",
 ///      "type": "integer",
 ///      "format": "uint64"
+///    },
+///    "suspects": {
+///      "type": "array",
+///      "items": {
+///        "$ref": "#/definitions/Suspect"
+///      }
 ///    }
 ///  },
 ///  "additionalProperties": false
@@ -930,6 +1049,7 @@
     pub loads: ::std::vec::Vec<UpstreamLoad>,
     ///The offset after the newest entry that it has folded.
     pub next_offset: u64,
+    pub suspects: ::std::vec::Vec<Suspect>,
 }
 ///One life of one instance.
 ///
@@ -1184,6 +1304,71 @@
     pub salt_hex: ::std::string::String,
     pub workspace: cowslip_name::Name,
 }
+///All bookings of the service stand-in.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "All bookings of the service stand-in.",
+///  "type": "object",
+///  "required": [
+///    "keys_seen",
+///    "rows"
+///  ],
+///  "properties": {
+///    "keys_seen": {
+///      "type": "integer",
+///      "format": "uint64"
+///    },
+///    "rows": {
+///      "type": "array",
+///      "items": {
+///        "$ref": "#/definitions/LedgerRow"
+///      }
+///    }
+///  },
+///  "additionalProperties": false
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Ledger {
+    pub keys_seen: u64,
+    pub rows: ::std::vec::Vec<LedgerRow>,
+}
+///How often a booking ran.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "How often a booking ran.",
+///  "type": "object",
+///  "required": [
+///    "booking",
+///    "runs"
+///  ],
+///  "properties": {
+///    "booking": {
+///      "type": "string"
+///    },
+///    "runs": {
+///      "type": "integer",
+///      "format": "uint32"
+///    }
+///  },
+///  "additionalProperties": false
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct LedgerRow {
+    pub booking: ::std::string::String,
+    pub runs: u32,
+}
 ///Limits on callers.
 ///
 /// <details><summary>JSON schema</summary>
@@ -1196,6 +1381,7 @@
 ///    "max_body_bytes",
 ///    "max_connections",
 ///    "max_header_bytes",
+///    "poison_limit",
 ///    "queue_deadline_ms",
 ///    "request_deadline_ms",
 ///    "shutdown_grace_ms"
@@ -1216,6 +1402,11 @@
 ///      "type": "integer",
 ///      "format": "uint32"
 ///    },
+///    "poison_limit": {
+///      "description": "Upstreams that one request may lose before it is refused.",
+///      "type": "integer",
+///      "format": "uint32"
+///    },
 ///    "queue_deadline_ms": {
 ///      "description": "Longest wait for an upstream before a request is refused as not run.",
 ///      "type": "integer",
@@ -1246,6 +1437,8 @@
     pub max_connections: u32,
     ///Size of a request's header block.
     pub max_header_bytes: u32,
+    ///Upstreams that one request may lose before it is refused.
+    pub poison_limit: u32,
     ///Longest wait for an upstream before a request is refused as not run.
     pub queue_deadline_ms: u64,
     ///Longest time of one request.
@@ -1958,6 +2151,70 @@
         Self::Tail(value)
     }
 }
+///Faults of the platform stand-in; a control request replaces all of them.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "Faults of the platform stand-in; a control request replaces all of them.",
+///  "type": "object",
+///  "required": [
+///    "cut_ports",
+///    "delay_ms",
+///    "lose_append_answers",
+///    "outage",
+///    "removed_instances"
+///  ],
+///  "properties": {
+///    "cut_ports": {
+///      "description": "Ports whose requests are not answered.",
+///      "type": "array",
+///      "items": {
+///        "type": "integer",
+///        "format": "uint16"
+///      }
+///    },
+///    "delay_ms": {
+///      "description": "Wait before each answer.",
+///      "type": "integer",
+///      "format": "uint64"
+///    },
+///    "lose_append_answers": {
+///      "description": "Appends that take effect but get no answer.",
+///      "type": "integer",
+///      "format": "uint32"
+///    },
+///    "outage": {
+///      "description": "No request is answered.",
+///      "type": "boolean"
+///    },
+///    "removed_instances": {
+///      "description": "Instances left out of the list.",
+///      "type": "array",
+///      "items": {
+///        "$ref": "#/definitions/Name"
+///      }
+///    }
+///  },
+///  "additionalProperties": false
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct PlatformFaults {
+    ///Ports whose requests are not answered.
+    pub cut_ports: ::std::vec::Vec<u16>,
+    ///Wait before each answer.
+    pub delay_ms: u64,
+    ///Appends that take effect but get no answer.
+    pub lose_append_answers: u32,
+    ///No request is answered.
+    pub outage: bool,
+    ///Instances left out of the list.
+    pub removed_instances: ::std::vec::Vec<cowslip_name::Name>,
+}
 ///The platform's service.
 ///
 /// <details><summary>JSON schema</summary>
@@ -2537,6 +2794,42 @@
     pub name: cowslip_name::Name,
     pub upstreams: ::std::vec::Vec<Upstream>,
 }
+///Faults of the service stand-in.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "Faults of the service stand-in.",
+///  "type": "object",
+///  "required": [
+///    "break_after_run",
+///    "delay_ms"
+///  ],
+///  "properties": {
+///    "break_after_run": {
+///      "description": "Bookings that run but get no answer.",
+///      "type": "integer",
+///      "format": "uint32"
+///    },
+///    "delay_ms": {
+///      "description": "Wait before each answer.",
+///      "type": "integer",
+///      "format": "uint64"
+///    }
+///  },
+///  "additionalProperties": false
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct ServiceFaults {
+    ///Bookings that run but get no answer.
+    pub break_after_run: u32,
+    ///Wait before each answer.
+    pub delay_ms: u64,
+}
 ///The whole folded state.
 ///
 /// <details><summary>JSON schema</summary>
@@ -2791,6 +3084,7 @@
 ///  "type": "object",
 ///  "required": [
 ///    "action",
+///    "offset",
 ///    "open",
 ///    "scope",
 ///    "sequence",
@@ -2800,6 +3094,10 @@
 ///    "action": {
 ///      "$ref": "#/definitions/OrderAction"
 ///    },
+///    "offset": {
+///      "type": "integer",
+///      "format": "uint64"
+///    },
 ///    "open": {
 ///      "type": "boolean"
 ///    },
@@ -2822,6 +3120,7 @@
 #[serde(deny_unknown_fields)]
 pub struct SnapshotTarget {
     pub action: OrderAction,
+    pub offset: u64,
     pub open: bool,
     pub scope: cowslip_name::Name,
     pub sequence: u64,
@@ -2978,6 +3277,39 @@
     pub content_type: ::std::string::String,
     pub status: u16,
 }
+///A request that was in flight at upstreams when they were lost.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "A request that was in flight at upstreams when they were lost.",
+///  "type": "object",
+///  "required": [
+///    "digest_hex",
+///    "upstreams"
+///  ],
+///  "properties": {
+///    "digest_hex": {
+///      "type": "string"
+///    },
+///    "upstreams": {
+///      "type": "array",
+///      "items": {
+///        "$ref": "#/definitions/Name"
+///      }
+///    }
+///  },
+///  "additionalProperties": false
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Suspect {
+    pub digest_hex: ::std::string::String,
+    pub upstreams: ::std::vec::Vec<cowslip_name::Name>,
+}
 ///Asks for entries from an offset on.
 ///
 /// <details><summary>JSON schema</summary>
@@ -3268,6 +3600,7 @@
 ///  "type": "object",
 ///  "required": [
 ///    "address",
+///    "drained",
 ///    "failure_domain",
 ///    "fencing",
 ///    "name",
@@ -3280,6 +3613,10 @@
 ///      "description": "IP address and port.",
 ///      "type": "string"
 ///    },
+///    "drained": {
+///      "description": "Whether it is kept without new work.",
+///      "type": "boolean"
+///    },
 ///    "failure_domain": {
 ///      "$ref": "#/definitions/Name"
 ///    },
@@ -3310,6 +3647,8 @@
 pub struct Upstream {
     ///IP address and port.
     pub address: ::std::string::String,
+    ///Whether it is kept without new work.
+    pub drained: bool,
     pub failure_domain: cowslip_name::Name,
     pub fencing: Fencing,
     pub name: cowslip_name::Name,
@@ -3328,7 +3667,6 @@
 ///  "type": "object",
 ///  "required": [
 ///    "in_flight",
-///    "pending_tokens",
 ///    "upstream"
 ///  ],
 ///  "properties": {
@@ -3336,10 +3674,6 @@
 ///      "type": "integer",
 ///      "format": "uint32"
 ///    },
-///    "pending_tokens": {
-///      "type": "integer",
-///      "format": "uint64"
-///    },
 ///    "upstream": {
 ///      "$ref": "#/definitions/Name"
 ///    }
@@ -3352,7 +3686,6 @@
 #[serde(deny_unknown_fields)]
 pub struct UpstreamLoad {
     pub in_flight: u32,
-    pub pending_tokens: u64,
     pub upstream: cowslip_name::Name,
 }
 ///One upstream.
--- a/crates/proto/src/setting_table.rs
+++ b/crates/proto/src/setting_table.rs
@@ -152,6 +152,13 @@
         default: Some("16384"),
         help: "Size of a request's header block.",
     },
+    SettingRow {
+        section: "limits",
+        key: "poison_limit",
+        kind: SettingKind::Integer,
+        default: Some("2"),
+        help: "Upstreams that one request may lose before it is refused.",
+    },
     SettingRow {
         section: "limits",
         key: "queue_deadline_ms",
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,1 +1,12 @@
-//! x
+//! Small stand-ins for the platform, an engine and a plain service, for tests and the demo.
+
+mod ask;
+mod batch;
+mod engine;
+mod http;
+mod platform;
+mod service;
+
+pub use engine::{EngineOptions, run_engine};
+pub use platform::{PlatformOptions, run_platform};
+pub use service::{ServiceOptions, run_service};
--- /dev/null
+++ b/crates/state/src/state.rs
@@ -0,0 +1,125 @@
+//! One fold over all records.
+
+use std::sync::Arc;
+
+use cowslip_authority::{OrderBook, ScopeRecord, Target, Term, TermFold, Verdict};
+use cowslip_config::{ConfigFold, Role, Ticket, TicketVerdict};
+use cowslip_name::Name;
+use cowslip_once::{CallFold, CallId, Outcome, Start, StartVerdict};
+
+/// Calls that may not be repeated and are remembered for repeats.
+pub const REMEMBERED_CALLS: usize = 50_000;
+
+/// What an upstream is told to do.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum OrderAction {
+    /// Take a role.
+    Role(Role),
+    /// Take no new work.
+    Drain,
+    /// Take work again.
+    Resume,
+}
+
+/// A record that changes the state.
+#[derive(Clone, Debug, PartialEq)]
+pub enum StateRecord {
+    /// A change of configuration.
+    Ticket(Ticket),
+    /// A record of a scope's term.
+    Scope(Name, ScopeRecord),
+    /// An order, before it is sent.
+    Intent {
+        /// Upstream and scope.
+        target: Target,
+        /// Term of the writer.
+        term: Term,
+        /// Number of the order.
+        sequence: u64,
+        /// Its content.
+        action: OrderAction,
+    },
+    /// An order was carried out.
+    Done {
+        /// Upstream and scope.
+        target: Target,
+        /// Term of the writer.
+        term: Term,
+        /// Number of the order.
+        sequence: u64,
+    },
+    /// An attempt wants to run a call.
+    CallStart(Start),
+    /// An attempt ended.
+    CallEnd {
+        /// The call.
+        call: CallId,
+        /// The attempt.
+        attempt: Arc<str>,
+        /// How it ended.
+        outcome: Outcome,
+    },
+}
+
+/// What a record did.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    /// A ticket was judged.
+    Ticket(u64, TicketVerdict),
+    /// A record of a scope was judged.
+    Scope(Verdict),
+    /// An intent or its end was judged.
+    Order(bool),
+    /// A start was judged.
+    CallStart(StartVerdict),
+    /// An end was judged.
+    CallEnd(bool),
+}
+
+/// All folded state as of a place in the log.
+#[derive(Clone, Debug, PartialEq)]
+pub struct State {
+    /// Operators' configuration.
+    pub config: ConfigFold,
+    /// Terms of scopes.
+    pub terms: TermFold,
+    /// Orders to upstreams.
+    pub orders: OrderBook<OrderAction>,
+    /// Calls that may not be repeated.
+    pub calls: CallFold,
+}
+
+impl Default for State {
+    fn default() -> Self {
+        Self {
+            config: ConfigFold::default(),
+            terms: TermFold::default(),
+            orders: OrderBook::default(),
+            calls: CallFold::new(REMEMBERED_CALLS),
+        }
+    }
+}
+
+impl State {
+    /// Applies a record found at `offset`.
+    pub fn apply(&mut self, offset: u64, record: &StateRecord) -> Effect {
+        match record {
+            StateRecord::Ticket(ticket) => Effect::Ticket(ticket.number, self.config.apply(ticket)),
+            StateRecord::Scope(scope, record) => {
+                Effect::Scope(self.terms.apply(scope, offset, record))
+            }
+            StateRecord::Intent { target, term, sequence, action } => Effect::Order(
+                self.orders.apply_intent(&self.terms, offset, target, *term, *sequence, action),
+            ),
+            StateRecord::Done { target, term, sequence } => {
+                Effect::Order(self.orders.apply_done(&self.terms, target, *term, *sequence))
+            }
+            StateRecord::CallStart(start) => {
+                Effect::CallStart(self.calls.apply_start(offset, start))
+            }
+            StateRecord::CallEnd { call, attempt, outcome } => {
+                Effect::CallEnd(self.calls.apply_end(call, attempt, outcome))
+            }
+        }
+    }
+}
