--- a/crates/authority/tests/random.rs
+++ b/crates/authority/tests/random.rs
@@ -87,12 +87,12 @@
     #[test]
     fn fold_equals_naive(log in prop::collection::vec(any_record(), 0..40)) {
         let mut fold = TermFold::default();
-        for (offset, record) in (0u64..).zip(&log) {
-            fold.apply(&scope(), offset, record);
+        for (index, record) in log.iter().enumerate() {
+            fold.apply(&scope(), index as u64, record);
             let newest = fold.newest(&scope()).map(|newest| {
                 (newest.term, newest.holder.clone(), newest.last_offset, newest.released)
             });
-            prop_assert_eq!(newest, naive_newest(&log[..=offset as usize]));
+            prop_assert_eq!(newest, naive_newest(&log[..=index]));
         }
     }
 
--- a/crates/border/src/hex.rs
+++ b/crates/border/src/hex.rs
@@ -5,7 +5,7 @@
 /// Hex digits of bytes.
 #[must_use]
 pub fn digest_hex(bytes: &[u8]) -> String {
-    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
+    hex::encode(bytes)
 }
 
 /// 32 bytes from 64 hex digits.
@@ -13,18 +13,16 @@
 /// # Errors
 /// Returns [`Error::Field`] for anything else.
 pub fn parse_digest(field: &'static str, text: &str) -> Result<[u8; 32], Error> {
-    blake3::Hash::from_hex(text)
-        .map(|hash| *hash.as_bytes())
-        .map_err(|error| FieldSnafu { field, reason: error.to_string() }.build())
+    let mut digest = [0; 32];
+    hex::decode_to_slice(text, &mut digest).map_err(|error| field_error(field, error))?;
+    Ok(digest)
 }
 
 /// Bytes from an even number of hex digits.
 pub(crate) fn parse_bytes(field: &'static str, text: &str) -> Result<Vec<u8>, Error> {
-    let wrong = || FieldSnafu { field, reason: "expected pairs of hex digits".to_owned() }.build();
-    if !text.is_ascii() || !text.len().is_multiple_of(2) {
-        return Err(wrong());
-    }
-    (0..text.len() / 2)
-        .map(|index| u8::from_str_radix(&text[2 * index..2 * index + 2], 16).map_err(|_| wrong()))
-        .collect()
+    hex::decode(text).map_err(|error| field_error(field, error))
+}
+
+fn field_error(field: &'static str, error: hex::FromHexError) -> Error {
+    FieldSnafu { field, reason: error.to_string() }.build()
 }
--- a/crates/border/src/key.rs
+++ b/crates/border/src/key.rs
@@ -1,5 +1,7 @@
 //! Callers' keys: `csk_NAME_SECRET`, of which only a salted hash is kept.
 
+use std::fmt;
+
 use cowslip_config::Key;
 use cowslip_name::Name;
 use cowslip_proto as proto;
@@ -16,6 +18,13 @@
     secret: String,
 }
 
+impl fmt::Debug for CallerKey {
+    /// Leaves the secret out.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("CallerKey").field("name", &self.name).finish_non_exhaustive()
+    }
+}
+
 impl CallerKey {
     /// Takes a bearer token apart; `None` if it has not the form of a key.
     #[must_use]
--- a/crates/entry/src/caller/forward.rs
+++ b/crates/entry/src/caller/forward.rs
@@ -43,7 +43,7 @@
             Sent::MayBe(_) => SendFailure::Broken,
         },
     )?;
-    let answered = response.headers().get(CALL_ID).map(|value| value.as_bytes());
+    let answered = response.headers().get(CALL_ID).map(http::HeaderValue::as_bytes);
     if answered.is_some_and(|answered| answered != call_id.as_bytes()) {
         server.metrics.count(Count::Crossed);
         Event::AnswerCrossed.emit(&server.me, format_args!("from {}", lease.grant().upstream));
--- a/crates/entry/src/caller/server.rs
+++ b/crates/entry/src/caller/server.rs
@@ -95,14 +95,15 @@
             (&Method::POST, "/v1/chat/completions" | "/v1/completions") => {
                 model::complete(self, request, bearer).await
             }
-            _ => match path.strip_prefix(SERVICE_PREFIX) {
-                Some(rest) => service::call(self, request, bearer, rest).await,
-                None => {
+            _ => {
+                if let Some(rest) = path.strip_prefix(SERVICE_PREFIX) {
+                    service::call(self, request, bearer, rest).await
+                } else {
                     let method = request.method.to_string();
                     let goal = Goal::Open { method, path };
                     service::call_goal(self, request, bearer, goal).await
                 }
-            },
+            }
         }
     }
 
--- a/crates/entry/src/hub/calls.rs
+++ b/crates/entry/src/hub/calls.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use cowslip_once::{
-    Attempt, AttemptStep, CallId, Outcome, SendResult, Standing, Start, StartVerdict, Told,
+    Attempt, AttemptStep, CallId, Outcome, SendResult, Standing, Start, StartVerdict, Told, told,
 };
 use cowslip_state::StateRecord;
 
@@ -51,23 +51,16 @@
             return answer(&reply, CallStep::Tell(Told::NotRun));
         };
         let call = CallId { workspace, idempotency_key };
-        let deadline_ms = self.clock.now_ms() + self.config.settings.platform.request_timeout_ms;
-        match self.state.calls.standing(&call, &digest) {
-            None => {}
-            Some(Standing::InProgress) => {
-                let follower = Follower { call, digest, deadline_ms, reply };
-                return self.calls.followers.push(follower);
-            }
-            Some(standing) => {
-                let mut attempt = Attempt::default();
-                return tell(&reply, attempt.on_verdict(StartVerdict::Lost(standing)));
-            }
+        if let Some(standing) = self.state.calls.standing(&call, &digest) {
+            let step = Attempt::default().on_verdict(StartVerdict::Lost(standing));
+            return self.perform_lost(call, digest, step, reply);
         }
         let attempt: Arc<str> = Arc::from(uuid::Uuid::new_v4().to_string());
         let start = Start { call, attempt: attempt.clone(), digest };
         if !self.append_state(&StateRecord::CallStart(start.clone())) {
             return answer(&reply, CallStep::Tell(Told::NotRun));
         }
+        let deadline_ms = self.call_deadline_ms();
         let call =
             Call { grant, start, attempt: Attempt::default(), deadline_ms, reply: Some(reply) };
         self.calls.by_grant.insert(grant, attempt.clone());
@@ -78,8 +71,35 @@
     pub(super) fn on_call_verdict(&mut self, start: &Start, verdict: StartVerdict) {
         let Some(call) = self.calls.by_attempt.get_mut(&start.attempt) else { return };
         let step = call.attempt.on_verdict(verdict);
-        let reply = call.reply.take();
-        self.perform(&start.attempt.clone(), step, reply.as_ref());
+        match (step, call.reply.take()) {
+            (AttemptStep::Follow, Some(reply)) => {
+                self.forget_lost_call(&start.attempt);
+                self.perform_lost(start.call.clone(), start.digest, AttemptStep::Follow, reply);
+            }
+            (step, reply) => self.perform(&start.attempt.clone(), step, reply.as_ref()),
+        }
+    }
+
+    fn call_deadline_ms(&self) -> u64 {
+        self.clock.now_ms() + self.config.settings.platform.request_timeout_ms
+    }
+
+    /// Performs the step of an attempt that does not run.
+    fn perform_lost(
+        &mut self,
+        call: CallId,
+        digest: [u8; 32],
+        step: AttemptStep,
+        reply: Reply<CallStep>,
+    ) {
+        match step {
+            AttemptStep::Follow => {
+                let deadline_ms = self.call_deadline_ms();
+                self.calls.followers.push(Follower { call, digest, deadline_ms, reply });
+            }
+            AttemptStep::Tell(told, _) => answer(&reply, CallStep::Tell(told)),
+            AttemptStep::Send | AttemptStep::Record(_) | AttemptStep::Nothing => {}
+        }
     }
 
     /// An end was read back: repeats that waited for it are told.
@@ -91,11 +111,11 @@
                     self.calls.followers.push(follower);
                     continue;
                 }
-                Some(standing) => Attempt::default().on_verdict(StartVerdict::Lost(standing)),
+                Some(standing) => told(standing),
                 // The attempt ended without running: the caller may send the call again.
-                None => AttemptStep::Tell(Told::NotRun, None),
+                None => Told::NotRun,
             };
-            tell(&follower.reply, told);
+            answer(&follower.reply, CallStep::Tell(told));
         }
     }
 
@@ -136,7 +156,7 @@
                 }
             }
             AttemptStep::Record(outcome) => self.end_call(attempt, outcome),
-            AttemptStep::Nothing => {}
+            AttemptStep::Follow | AttemptStep::Nothing => {}
         }
     }
 
@@ -151,10 +171,10 @@
 
     /// An attempt that lost is over; one that gave up still waits for its start to be read back.
     fn forget_lost_call(&mut self, attempt: &Arc<str>) {
-        if self.calls.by_attempt.get(attempt).is_some_and(|call| call.attempt.is_over()) {
-            if let Some(call) = self.calls.by_attempt.remove(attempt) {
-                self.calls.by_grant.remove(&call.grant);
-            }
+        if self.calls.by_attempt.get(attempt).is_some_and(|call| call.attempt.is_over())
+            && let Some(call) = self.calls.by_attempt.remove(attempt)
+        {
+            self.calls.by_grant.remove(&call.grant);
         }
     }
 
@@ -176,9 +196,3 @@
         }
     }
 }
-
-fn tell(reply: &Reply<CallStep>, step: AttemptStep) {
-    if let AttemptStep::Tell(told, _) = step {
-        answer(reply, CallStep::Tell(told));
-    }
-}
--- a/crates/entry/src/hub/log.rs
+++ b/crates/entry/src/hub/log.rs
@@ -118,7 +118,7 @@
                 }
             }
             (StateRecord::Ticket(ticket), Effect::Ticket(_, verdict)) => {
-                self.on_ticket_read(offset, ticket, verdict);
+                self.on_ticket_read(offset, ticket, &verdict);
             }
             (StateRecord::CallStart(start), Effect::CallStart(verdict)) => {
                 self.on_call_verdict(start, verdict);
@@ -142,12 +142,11 @@
 
     pub(super) fn tick_lease(&mut self, now_ms: u64) {
         // Claims of an instance that does not know the newest state would only lose.
-        if self.freshness.age_ms(now_ms).is_some_and(|age_ms| age_ms < self.lease_ms()) {
-            if let Some(LeaseAction::Append(record)) = self.lease.on_tick(now_ms, &self.state.terms)
-            {
-                let scope = self.lease.scope().clone();
-                self.append_state(&StateRecord::Scope(scope, record));
-            }
+        if self.freshness.age_ms(now_ms).is_some_and(|age_ms| age_ms < self.lease_ms())
+            && let Some(LeaseAction::Append(record)) = self.lease.on_tick(now_ms, &self.state.terms)
+        {
+            let scope = self.lease.scope().clone();
+            self.append_state(&StateRecord::Scope(scope, record));
         }
         let term = self.lease.authority(now_ms);
         if term != self.reported_term {
--- a/crates/entry/src/hub/mod.rs
+++ b/crates/entry/src/hub/mod.rs
@@ -159,7 +159,7 @@
             }
             HubMessage::Tail { from_offset, reply } => answer(&reply, self.tail(from_offset)),
             HubMessage::PeerEntries(entries) => self.on_peer_entries(entries),
-            HubMessage::Begin { wanted, reply } => self.on_begin(wanted, reply),
+            HubMessage::Begin { wanted, reply } => self.on_begin(&wanted, reply),
             HubMessage::End { grant, ending } => self.on_end(grant, ending),
             HubMessage::Move { grant, ending, reply } => self.on_move(grant, ending, reply),
             HubMessage::CallStart { grant, idempotency_key, digest, reply } => {
@@ -180,7 +180,7 @@
                 answer(&reply, self.before_write(&job, view));
             }
             HubMessage::OrderEnded { job, is_done } => self.on_order_ended(&job, is_done),
-            HubMessage::Stop { reply } => self.on_stop(reply),
+            HubMessage::Stop { reply } => self.on_stop(&reply),
         }
     }
 
--- a/crates/entry/src/hub/orders.rs
+++ b/crates/entry/src/hub/orders.rs
@@ -114,14 +114,14 @@
     }
 
     /// Gives the term up, unless an order is under way: then the lease runs out instead.
-    pub(super) fn on_stop(&mut self, reply: Reply<()>) {
+    pub(super) fn on_stop(&mut self, reply: &Reply<()>) {
         self.is_stopping = true;
-        if self.active_orders.is_empty() {
-            if let Some(LeaseAction::Append(record)) = self.lease.retire(&self.state.terms) {
-                let scope = self.lease.scope().clone();
-                self.append_state(&StateRecord::Scope(scope, record));
-            }
+        if self.active_orders.is_empty()
+            && let Some(LeaseAction::Append(record)) = self.lease.retire(&self.state.terms)
+        {
+            let scope = self.lease.scope().clone();
+            self.append_state(&StateRecord::Scope(scope, record));
         }
-        answer(&reply, ());
+        answer(reply, ());
     }
 }
--- a/crates/entry/src/hub/requests.rs
+++ b/crates/entry/src/hub/requests.rs
@@ -102,8 +102,8 @@
         Ok(workspace.deployments.iter().filter(is_deployed).cloned().collect())
     }
 
-    pub(super) fn on_begin(&mut self, wanted: Wanted, reply: Reply<Begun>) {
-        match self.judge(&wanted) {
+    pub(super) fn on_begin(&mut self, wanted: &Wanted, reply: Reply<Begun>) {
+        match self.judge(wanted) {
             Ok((place, claim)) => {
                 self.retries.on_request();
                 self.enqueue(place, claim, wanted.fingerprint, reply);
@@ -285,23 +285,24 @@
         let Some(running) = self.take_running(grant, ending) else {
             return self.refuse(&reply, Refusal::NoCapacity);
         };
-        let refusal = if self.suspects.is_refused(&running.fingerprint) {
-            Some(Refusal::Poison)
-        } else if ending != Ending::Unreachable && !self.retries.take() {
-            Some(Refusal::NoCapacity)
+        if let Some(refusal) = self.move_refusal(&running, ending) {
+            self.refuse(&reply, refusal);
         } else {
-            None
-        };
-        match refusal {
-            Some(refusal) => self.refuse(&reply, refusal),
-            None => {
-                self.metrics.count(Count::Retried);
-                self.enqueue(running.place, running.claim, running.fingerprint, reply);
-            }
+            self.metrics.count(Count::Retried);
+            self.enqueue(running.place, running.claim, running.fingerprint, reply);
         }
         self.start_waiting();
     }
 
+    /// A try that sent nothing costs no upstream anything and is not charged to the budget.
+    fn move_refusal(&mut self, running: &Running, ending: Ending) -> Option<Refusal> {
+        if self.suspects.is_refused(&running.fingerprint) {
+            return Some(Refusal::Poison);
+        }
+        let is_allowed = ending == Ending::Unreachable || self.retries.take();
+        (!is_allowed).then_some(Refusal::NoCapacity)
+    }
+
     pub(super) fn tick_requests(&mut self, now_ms: u64) {
         let expired: Vec<Wait> = self
             .requests
--- a/crates/entry/src/hub/tickets.rs
+++ b/crates/entry/src/hub/tickets.rs
@@ -46,8 +46,8 @@
     }
 
     /// A ticket was read from the log.
-    pub(super) fn on_ticket_read(&mut self, offset: u64, ticket: &Ticket, verdict: TicketVerdict) {
-        match &verdict {
+    pub(super) fn on_ticket_read(&mut self, offset: u64, ticket: &Ticket, verdict: &TicketVerdict) {
+        match verdict {
             TicketVerdict::Accepted(_) => Event::TicketApplied
                 .emit(&self.me.instance, format_args!("number {} at {offset}", ticket.number)),
             TicketVerdict::Refused(refusal) => Event::TicketRefused
--- a/crates/entry/src/tasks/log_writer.rs
+++ b/crates/entry/src/tasks/log_writer.rs
@@ -69,10 +69,7 @@
     let entry = bytes::Bytes::from(encode_entry(me, wall_ms(), records));
     let give_up_at_ms = clock.now_ms() + give_up_ms;
     loop {
-        let error = match platform.append(entry.clone()).await {
-            Ok(_) => return,
-            Err(error) => error,
-        };
+        let Err(error) = platform.append(entry.clone()).await else { return };
         if clock.now_ms() >= give_up_at_ms {
             Event::AppendDropped.emit(me, format_args!("{count} records: {error}"));
             return;
--- /dev/null
+++ b/crates/entry/tests/catalogue.rs
@@ -0,0 +1,31 @@
+//! The catalogues in the docs name exactly what the code knows.
+
+use cowslip_entry::{CATALOGUE, METRIC_NAMES};
+
+const EVENTS: &str = include_str!("../../../docs/EVENTS.md");
+
+#[test]
+fn every_event_is_in_the_catalogue() {
+    let rows: Vec<String> = CATALOGUE
+        .iter()
+        .map(|row| {
+            format!("| E{} | {} | {} |", row.code, row.level.as_str().to_lowercase(), row.summary)
+        })
+        .collect();
+    let documented: Vec<&str> = EVENTS.lines().filter(|line| line.starts_with("| E")).collect();
+    assert_eq!(documented, rows);
+}
+
+#[test]
+fn every_metric_is_in_the_catalogue() {
+    let documented: Vec<&str> = EVENTS
+        .lines()
+        .filter_map(|line| line.strip_prefix("| `")?.split_once('`').map(|(name, _)| name))
+        .collect();
+    assert_eq!(documented, METRIC_NAMES);
+}
+
+#[test]
+fn numbers_are_unique_and_ascending() {
+    assert!(CATALOGUE.is_sorted_by(|a, b| a.code < b.code));
+}
--- a/crates/harness/src/fleet.rs
+++ b/crates/harness/src/fleet.rs
@@ -109,11 +109,16 @@
 }
 
 fn ini_text(rows: &[(&str, &str, String)]) -> String {
-    let mut sections: BTreeMap<&str, String> = BTreeMap::new();
+    let mut sections: BTreeMap<&str, Vec<String>> = BTreeMap::new();
     for (section, key, value) in rows {
-        sections.entry(section).or_default().push_str(&format!("{key} = {value}\n"));
+        let keys = sections.entry(section).or_default();
+        keys.push(format!("{key} = {value}"));
     }
-    sections.iter().map(|(section, keys)| format!("[{section}]\n{keys}")).collect()
+    let texts: Vec<String> = sections
+        .iter()
+        .map(|(section, keys)| format!("[{section}]\n{}\n", keys.join("\n")))
+        .collect();
+    texts.concat()
 }
 
 fn free_address() -> Result<SocketAddr, Error> {
@@ -279,7 +284,7 @@
     /// # Errors
     /// Returns an error when the instance does not answer.
     pub fn apply(&self, index: usize, ticket: &proto::Ticket) -> Result<proto::TicketReply, Error> {
-        self.post(self.entries[index].operator, "/tickets", ticket)
+        post(self.entries[index].operator, "/tickets", ticket)
     }
 
     /// Status of an instance.
@@ -329,7 +334,7 @@
     where
         M: Serialize,
     {
-        self.post::<M, serde_json::Value>(address, "/faults", faults).map(drop)
+        post::<M, serde_json::Value>(address, "/faults", faults).map(drop)
     }
 
     /// Reads JSON from a process.
@@ -344,16 +349,6 @@
         decode(path, &answer)
     }
 
-    fn post<M, T>(&self, address: SocketAddr, path: &str, message: &M) -> Result<T, Error>
-    where
-        M: Serialize,
-        T: DeserializeOwned,
-    {
-        let body = to_json(message);
-        let answer = request(&Method::POST, &format!("http://{address}{path}"), &[], &body)?;
-        decode(path, &answer)
-    }
-
     /// Waits for a condition.
     ///
     /// # Errors
@@ -381,6 +376,16 @@
     }
 }
 
+fn post<M, T>(address: SocketAddr, path: &str, message: &M) -> Result<T, Error>
+where
+    M: Serialize,
+    T: DeserializeOwned,
+{
+    let body = to_json(message);
+    let answer = request(&Method::POST, &format!("http://{address}{path}"), &[], &body)?;
+    decode(path, &answer)
+}
+
 fn decode<T>(path: &str, answer: &Answer) -> Result<T, Error>
 where
     T: DeserializeOwned,
--- a/crates/harness/src/process.rs
+++ b/crates/harness/src/process.rs
@@ -40,6 +40,9 @@
     }
 
     /// Sends a signal.
+    ///
+    /// # Panics
+    /// Never: a process id fits its type.
     pub fn signal(&self, signal: i32) {
         let pid = i32::try_from(self.child.id()).expect("a process id is positive");
         // SAFETY: kill has no memory effects; the id is that of a child that was not waited for.
--- a/crates/once/src/attempt.rs
+++ b/crates/once/src/attempt.rs
@@ -33,6 +33,8 @@
     Send,
     /// Tell the caller, then record how the attempt ended, if anything is given.
     Tell(Told, Option<Outcome>),
+    /// Wait for the end of the attempt that runs, then tell the caller by its outcome.
+    Follow,
     /// Only record how the attempt ended: the caller has been told.
     Record(Outcome),
     /// Nothing.
@@ -78,6 +80,10 @@
                 self.stage = Stage::Ended;
                 AttemptStep::Record(Outcome::NotRun)
             }
+            (Stage::Starting, StartVerdict::Lost(Standing::InProgress)) => {
+                self.stage = Stage::Ended;
+                AttemptStep::Follow
+            }
             (Stage::Starting, StartVerdict::Lost(standing)) => {
                 self.stage = Stage::Ended;
                 AttemptStep::Tell(told(standing), None)
@@ -121,7 +127,9 @@
     }
 }
 
-fn told(standing: Standing) -> Told {
+/// What the caller of an attempt that does not run is told, once it waits no longer.
+#[must_use]
+pub fn told(standing: Standing) -> Told {
     match standing {
         Standing::OtherRequest => Told::KeyReused,
         Standing::InProgress | Standing::Unknown => Told::OutcomeUnknown,
--- a/crates/once/src/fold.rs
+++ b/crates/once/src/fold.rs
@@ -1,6 +1,6 @@
 //! The fold of starts and ends: the first start of a call in the log runs it.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use cowslip_name::Name;
@@ -87,20 +87,20 @@
 pub struct CallFold {
     capacity: usize,
     calls: BTreeMap<CallId, Remembered>,
-    by_offset: BTreeMap<(u64, CallId), ()>,
+    by_offset: BTreeSet<(u64, CallId)>,
 }
 
 impl CallFold {
     /// Remembers the newest `capacity` calls.
     #[must_use]
     pub fn new(capacity: usize) -> Self {
-        Self { capacity, calls: BTreeMap::new(), by_offset: BTreeMap::new() }
+        Self { capacity, calls: BTreeMap::new(), by_offset: BTreeSet::new() }
     }
 
     /// Restores a remembered call from a snapshot.
     pub fn restore(&mut self, remembered: Remembered) {
         let call = remembered.start.call.clone();
-        self.by_offset.insert((remembered.offset, call.clone()), ());
+        self.by_offset.insert((remembered.offset, call.clone()));
         self.calls.insert(call, remembered);
     }
 
@@ -143,7 +143,7 @@
 
     fn forget_oldest(&mut self) {
         while self.calls.len() > self.capacity {
-            let Some(((_, call), ())) = self.by_offset.pop_first() else { return };
+            let Some((_, call)) = self.by_offset.pop_first() else { return };
             self.calls.remove(&call);
         }
     }
--- a/crates/once/src/lib.rs
+++ b/crates/once/src/lib.rs
@@ -5,5 +5,5 @@
 mod attempt;
 mod fold;
 
-pub use attempt::{Attempt, AttemptStep, SendResult, Told};
+pub use attempt::{Attempt, AttemptStep, SendResult, Told, told};
 pub use fold::{Answer, CallFold, CallId, Outcome, Remembered, Standing, Start, StartVerdict};
--- a/crates/proto/src/generated.rs
+++ b/crates/proto/src/generated.rs
@@ -798,6 +798,7 @@
 ///    "keys_seen",
 ///    "orders",
 ///    "requests",
+///    "state_reads",
 ///    "tokens"
 ///  ],
 ///  "properties": {
@@ -822,6 +823,10 @@
 ///      "type": "integer",
 ///      "format": "uint64"
 ///    },
+///    "state_reads": {
+///      "type": "integer",
+///      "format": "uint64"
+///    },
 ///    "tokens": {
 ///      "type": "integer",
 ///      "format": "uint64"
@@ -841,6 +846,7 @@
     ///Orders carried out, in order.
     pub orders: ::std::vec::Vec<EngineOrder>,
     pub requests: u64,
+    pub state_reads: u64,
     pub tokens: u64,
 }
 ///Settings of an entry instance.
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -22,7 +22,7 @@
 const BYTES_PER_TOKEN: u64 = 4;
 const DEFAULT_MAX_TOKENS: u64 = 16;
 /// Longest answer, in tokens; as many may wait for a slow reader.
-const MAX_TOKENS: u64 = 4_096;
+const MAX_TOKENS: u16 = 4_096;
 const KEY_MARK: &[u8] = b"csk_";
 const CRASH_EXIT_CODE: i32 = 3;
 
@@ -103,6 +103,7 @@
                 tokens: 0,
                 keys_seen: 0,
                 cancelled: 0,
+                state_reads: 0,
                 orders: Vec::new(),
             },
             faults: proto::EngineFaults {
@@ -153,6 +154,7 @@
                 let _ = reply.try_send(takes_work);
             }
             Message::State { reply } => {
+                self.stats.state_reads += 1;
                 let _ = reply.try_send((self.report(), self.faults.hold_state_ms));
             }
             Message::Order { order, reply } => {
@@ -254,8 +256,9 @@
         .values()
         .any(|value| value.as_bytes().windows(KEY_MARK.len()).any(|window| window == KEY_MARK));
     let resume_after = header_number(headers, "x-resume-after");
-    let last_token = fields.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS).clamp(1, MAX_TOKENS);
-    let (tokens, numbers) = async_channel::bounded(MAX_TOKENS as usize);
+    let last_token =
+        fields.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS).clamp(1, u64::from(MAX_TOKENS));
+    let (tokens, numbers) = async_channel::bounded(usize::from(MAX_TOKENS));
     let sequence = Sequence {
         prefill_left_tokens: body.len() as u64 / BYTES_PER_TOKEN,
         next_token: resume_after + 1,
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -22,7 +22,7 @@
 const KEY_MARK: &[u8] = b"csk_";
 
 /// How the service runs.
-#[derive(Clone, Debug)]
+#[derive(Clone, Copy, Debug)]
 pub struct ServiceOptions {
     /// Address to listen on.
     pub listen: SocketAddr,
