Measure slopes, added cost and time to force; bound the kept entries by size

Measuring them showed two faults: the choice of an upstream summed the reports of all members for each candidate (members times candidates a request), and kept log entries were bounded by count, which is up to 480 MB at the target's entry sizes. Ruled out: memory by resident size; freed pages hide small states, so allocated bytes are counted instead.

--- /dev/null
+++ b/crates/bench/src/capacity.rs
@@ -0,0 +1,251 @@
+//! Slopes of the decision crates, measured up to the target size.
+
+use cowslip_authority::{Holder, OrderBook, ScopeRecord, Target, TermFold};
+use cowslip_border::{
+    decode_entry, decode_peer, encode_entry, encode_peer, restore, snapshot_chunks,
+};
+use cowslip_proto as proto;
+use cowslip_route::{Candidate, Distance, choose};
+use cowslip_state::{Assembler, OrderAction, State, StateRecord};
+
+use crate::fleet::{heartbeat, members, name, report, ticket, tickets, to_domain, workspace};
+use crate::output::table;
+use crate::slope::{memory_of, slope, time_ns};
+
+/// Upstreams at which an instance has work at the same time.
+const LOADS: usize = 40;
+const DEPLOYMENTS: usize = 5;
+
+/// Prints all tables.
+pub(crate) fn run() {
+    measure_members();
+    measure_configuration();
+    measure_terms();
+    measure_orders();
+    measure_choice();
+}
+
+fn measure_members() {
+    let sizes = [6, 50, 100, 200, 400, 800, 1_100];
+    let mut rows = Vec::new();
+    let (mut memory, mut times) = (Vec::new(), Vec::new());
+    for size in sizes {
+        let (mut state, bytes) = memory_of(|| members(size, LOADS));
+        let from = name("entry-1");
+        let report_ns = time_ns(|| state.on_report(1, &from, report(LOADS)));
+        let view_ns = time_ns(|| state.reached_level(1, 1_000_000));
+        memory.push((size as f64, bytes));
+        times.push((size as f64, view_ns));
+        rows.push(vec![
+            size.to_string(),
+            format!("{:.0}", bytes / 1_024.0),
+            format!("{:.1}", report_ns / 1_000.0),
+            format!("{:.1}", view_ns / 1_000.0),
+        ]);
+    }
+    let columns = ["members", "state (KiB)", "one report (µs)", "one count of level members (µs)"];
+    table("Membership, 40 loads a report", &columns, &rows);
+    println!(
+        "\nslopes: {:.0} bytes a member; {:.1} ns a member and count",
+        slope(&memory),
+        slope(&times)
+    );
+    let sizes = [0, 40, 400, 3_700];
+    let rows: Vec<Vec<String>> = sizes.iter().map(|loads| heartbeat_row(*loads)).collect();
+    let columns = ["loads", "size (bytes)", "encode (µs)", "decode (µs)"];
+    table("Heartbeat", &columns, &rows);
+}
+
+fn heartbeat_row(loads: usize) -> Vec<String> {
+    let message = proto::PeerRequest::Heartbeat(heartbeat(1, loads));
+    let bytes = encode_peer(&message).expect("a heartbeat fits");
+    let encode_ns = time_ns(|| encode_peer(&message).expect("a heartbeat fits"));
+    let decode_ns = time_ns(|| decode_peer::<proto::PeerRequest>(&bytes).expect("own bytes"));
+    vec![
+        loads.to_string(),
+        bytes.len().to_string(),
+        format!("{:.1}", encode_ns / 1_000.0),
+        format!("{:.1}", decode_ns / 1_000.0),
+    ]
+}
+
+fn folded(tickets: &[cowslip_config::Ticket]) -> State {
+    let mut state = State::default();
+    for (offset, ticket) in (0u64..).zip(tickets) {
+        state.apply(offset, &StateRecord::Ticket(ticket.clone()));
+    }
+    state
+}
+
+fn measure_configuration() {
+    let sizes = [(12, 15), (300, 925), (600, 1_850), (1_200, 3_700)];
+    let mut rows = Vec::new();
+    for (workspaces, upstreams) in sizes {
+        let messages = tickets(workspaces, upstreams, DEPLOYMENTS);
+        let domain = to_domain(&messages);
+        let (mut state, bytes) = memory_of(|| folded(&domain));
+        let change = domain[0].clone();
+        let mut number = 10_000;
+        let apply_ns = time_ns(|| {
+            number += 1;
+            let ticket = cowslip_config::Ticket { number, ..change.clone() };
+            state.config.apply(&ticket)
+        });
+        let key_entry = encode_entry(
+            &name("entry-1"),
+            0,
+            vec![proto::Record::Ticket(messages[1.min(messages.len() - 1)].clone())],
+        );
+        let largest = messages.last().expect("at least one ticket").clone();
+        let large_entry = encode_entry(&name("entry-1"), 0, vec![proto::Record::Ticket(largest)]);
+        let decode_ns = time_ns(|| decode_entry(&key_entry).expect("own bytes"));
+        let large_ns = time_ns(|| decode_entry(&large_entry).expect("own bytes"));
+        rows.push(vec![
+            format!("{workspaces} / {upstreams}"),
+            format!("{:.0}", bytes / 1_024.0),
+            format!("{:.1}", apply_ns / 1_000.0),
+            format!("{} / {}", key_entry.len(), large_entry.len()),
+            format!("{:.0} / {:.0}", decode_ns / 1_000.0, large_ns / 1_000.0),
+        ]);
+    }
+    let columns = [
+        "workspaces / upstreams",
+        "state (KiB)",
+        "one change (µs)",
+        "entry of a key / of a deployment (bytes)",
+        "decode (µs)",
+    ];
+    table("Configuration, 5 models", &columns, &rows);
+    measure_snapshots(&sizes);
+}
+
+fn measure_snapshots(sizes: &[(usize, usize)]) {
+    let writer = Holder { instance: name("entry-1"), incarnation: 1 };
+    let mut rows = Vec::new();
+    for (workspaces, upstreams) in sizes {
+        let first = tickets(*workspaces, *upstreams, DEPLOYMENTS);
+        let mut state = folded(&to_domain(&first));
+        let start = name("entry-1");
+        for number in first.len() as u64 + 1..first.len() as u64 + 5_201 {
+            let change = ticket(number, workspace(number));
+            let domain = to_domain(std::slice::from_ref(&change));
+            state.apply(number, &StateRecord::Ticket(domain[0].clone()));
+        }
+        let chunks = snapshot_chunks(&state, 1, &writer);
+        let entries: Vec<String> =
+            chunks.iter().map(|chunk| encode_entry(&start, 0, vec![chunk.clone()])).collect();
+        let size: usize = entries.iter().map(String::len).sum();
+        let write_ns = time_ns(|| snapshot_chunks(&state, 1, &writer));
+        let read_ns = time_ns(|| read_snapshot(&entries));
+        rows.push(vec![
+            format!("{workspaces} / {upstreams}"),
+            format!("{:.0}", size as f64 / 1_024.0),
+            chunks.len().to_string(),
+            format!("{:.1}", write_ns / 1e6),
+            format!("{:.1}", read_ns / 1e6),
+        ]);
+    }
+    let columns =
+        ["workspaces / upstreams", "size (KiB)", "appends", "write (ms)", "read and restore (ms)"];
+    table("Snapshot, after a day's 5,200 tickets", &columns, &rows);
+}
+
+fn read_snapshot(entries: &[String]) -> Option<State> {
+    let mut assembler = Assembler::default();
+    for entry in entries {
+        for (_, logged) in decode_entry(entry).ok()?.records {
+            if let cowslip_border::Logged::Snapshot(chunk) = logged
+                && let Some(complete) = assembler.on_chunk(chunk)
+            {
+                return restore(&complete).ok();
+            }
+        }
+    }
+    None
+}
+
+fn measure_terms() {
+    let mut rows = Vec::new();
+    for scopes in [1, 17, 170] {
+        let names: Vec<_> = (0..scopes).map(|index| name(&format!("domain-{index}"))).collect();
+        let holder = Holder { instance: name("entry-1"), incarnation: 1 };
+        let mut fold = TermFold::default();
+        for (offset, scope) in (0u64..).zip(&names) {
+            let claim =
+                ScopeRecord::Claim { holder: holder.clone(), nonce: 0, expected_offset: None };
+            fold.apply(scope, offset, &claim);
+        }
+        let renewal_ns =
+            time_ns(|| fold.apply(&names[0], 1_000, &ScopeRecord::Renewal { term: 0, nonce: 1 }));
+        let entry = encode_entry(
+            &holder.instance,
+            u64::MAX,
+            vec![proto::Record::Renewal(proto::Renewal {
+                scope: names[0].clone(),
+                term: u64::MAX,
+                nonce: u64::MAX,
+            })],
+        );
+        let decode_ns = time_ns(|| decode_entry(&entry).expect("own bytes"));
+        rows.push(vec![
+            scopes.to_string(),
+            format!("{renewal_ns:.0}"),
+            entry.len().to_string(),
+            format!("{:.1}", decode_ns / 1_000.0),
+        ]);
+    }
+    let columns = ["scopes", "one renewal (ns)", "entry (bytes)", "decode (µs)"];
+    table("Terms", &columns, &rows);
+}
+
+fn measure_orders() {
+    let mut rows = Vec::new();
+    for targets in [12, 925, 3_700] {
+        let scope = name("fleet");
+        let holder = Holder { instance: name("entry-1"), incarnation: 1 };
+        let mut terms = TermFold::default();
+        let claim = ScopeRecord::Claim { holder, nonce: 0, expected_offset: None };
+        terms.apply(&scope, 0, &claim);
+        let names: Vec<_> = (0..targets).map(|index| name(&format!("engine-{index}"))).collect();
+        let build = || {
+            let mut book = OrderBook::default();
+            for upstream in &names {
+                let target = Target { scope: scope.clone(), upstream: upstream.clone() };
+                book.apply_intent(&terms, 1, &target, 0, 1, &OrderAction::Drain);
+            }
+            book
+        };
+        let (book, bytes) = memory_of(build);
+        let target = Target { scope: scope.clone(), upstream: names[0].clone() };
+        let read_ns = time_ns(|| book.newest(&target).is_some());
+        rows.push(vec![
+            targets.to_string(),
+            format!("{:.0}", bytes / 1_024.0),
+            format!("{read_ns:.0}"),
+        ]);
+    }
+    table("Order book", &["upstreams", "state (KiB)", "one look-up (ns)"], &rows);
+}
+
+fn measure_choice() {
+    let mut rows = Vec::new();
+    let mut points = Vec::new();
+    for count in [4, 50, 200, 740, 3_700] {
+        let candidates: Vec<Candidate> = (0..count)
+            .map(|index| Candidate {
+                own_in_flight: index % 7,
+                others_in_flight: index % 13,
+                slots: 64,
+                distance: Distance::Domain,
+                is_open: true,
+                domain_weight: 1,
+                prefix_hint: 0.0,
+            })
+            .collect();
+        let choose_ns = time_ns(|| choose(&candidates, 5));
+        points.push((f64::from(count), choose_ns));
+        rows.push(vec![count.to_string(), format!("{:.2}", choose_ns / 1_000.0)]);
+    }
+    table("Choice of an upstream", &["candidates", "one choice (µs)"], &rows);
+    println!("\nslope: {:.1} ns a candidate", slope(&points));
+}
--- a/crates/entry/src/hub/log.rs
+++ b/crates/entry/src/hub/log.rs
@@ -5,7 +5,7 @@
 use cowslip_proto as proto;
 use cowslip_state::{Assembler, Effect, StateRecord};
 
-use super::{Hub, KEPT_ENTRIES, Reading};
+use super::{Hub, KEPT_ENTRY_BYTES, Reading};
 use crate::events::Event;
 use crate::tasks::WriteJob;
 
@@ -68,6 +68,7 @@
                 self.last_snapshot_offset = complete.covers_offset;
                 self.reading = Reading::Folding;
                 self.entries.clear();
+                self.entries_bytes = 0;
                 self.lease.on_snapshot(self.clock.now_ms());
                 Event::SnapshotRestored
                     .emit(&self.me.instance, format_args!("covers {}", complete.covers_offset));
@@ -100,9 +101,15 @@
                     .emit(&self.me.instance, format_args!("offset {}: {error}", raw.offset));
             }
         }
+        self.keep(raw);
+    }
+
+    fn keep(&mut self, raw: proto::RawEntry) {
+        self.entries_bytes += raw.body.len();
         self.entries.push_back(raw);
-        if self.entries.len() > KEPT_ENTRIES {
-            self.entries.pop_front();
+        while self.entries_bytes > KEPT_ENTRY_BYTES {
+            let Some(oldest) = self.entries.pop_front() else { return };
+            self.entries_bytes -= oldest.body.len();
         }
     }
 
--- a/crates/entry/src/hub/mod.rs
+++ b/crates/entry/src/hub/mod.rs
@@ -39,8 +39,8 @@
 
 /// Suspicious requests that are remembered.
 const REMEMBERED_SUSPECTS: usize = 4_096;
-/// Newest entries kept for instances that cannot read the log.
-const KEPT_ENTRIES: usize = 4_096;
+/// Size of the newest entries kept for instances that cannot read the log.
+const KEPT_ENTRY_BYTES: usize = 8_388_608;
 /// Newest lines of the audit trail kept for operators.
 const KEPT_AUDIT_LINES: usize = 1_000;
 
@@ -91,6 +91,7 @@
     pending_tickets: Vec<PendingTicket>,
     active_orders: BTreeMap<Name, u64>,
     entries: VecDeque<proto::RawEntry>,
+    entries_bytes: usize,
     audit: VecDeque<proto::AuditLine>,
     is_stopping: bool,
 }
@@ -135,6 +136,7 @@
             pending_tickets: Vec::new(),
             active_orders: BTreeMap::new(),
             entries: VecDeque::new(),
+            entries_bytes: 0,
             audit: VecDeque::new(),
             is_stopping: false,
         }
@@ -194,6 +196,7 @@
 
     fn on_tick(&mut self) {
         let now_ms = self.clock.now_ms();
+        self.members.on_tick(now_ms);
         self.tick_lease(now_ms);
         self.tick_admission(now_ms);
         self.tick_requests(now_ms);
--- a/crates/entry/src/hub/requests.rs
+++ b/crates/entry/src/hub/requests.rs
@@ -16,7 +16,7 @@
 /// Workspace that open routes are accounted to.
 const OPEN_WORKSPACE: &str = "open";
 /// Limit of requests in flight over open routes at one instance.
-const OPEN_MAX_IN_FLIGHT: u32 = 64;
+const OPEN_MAX_IN_FLIGHT: u32 = 256;
 
 /// Where an authorised request may run.
 #[derive(Clone, Debug)]
@@ -239,7 +239,7 @@
         });
         Candidate {
             own_in_flight: self.requests.in_flight_at(&upstream.name),
-            others_in_flight: self.members.load_of_others(now_ms, &upstream.name),
+            others_in_flight: self.members.load_of_others(&upstream.name),
             slots: upstream.slots,
             distance: if upstream.failure_domain == *own_domain {
                 Distance::Domain
--- a/crates/harness/src/process.rs
+++ b/crates/harness/src/process.rs
@@ -49,6 +49,12 @@
         unsafe { libc::kill(pid, signal) };
     }
 
+    /// Its process id.
+    #[must_use]
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Stands the process still.
     pub fn freeze(&self) {
         self.signal(libc::SIGSTOP);
--- a/crates/harness/src/tickets.rs
+++ b/crates/harness/src/tickets.rs
@@ -30,7 +30,7 @@
         fencing,
         role: proto::Role::Mixed,
         drained: false,
-        slots: 16,
+        slots: 4_096,
     }
 }
 
@@ -51,7 +51,7 @@
         proto::ObjectState::Workspace(proto::Workspace {
             name: name(own),
             share_weight: 1,
-            max_in_flight: 256,
+            max_in_flight: 4_096,
             deployments,
             services,
         })
--- a/crates/member/src/members.rs
+++ b/crates/member/src/members.rs
@@ -48,20 +48,58 @@
     timeout_ms: u64,
     listed: BTreeMap<Name, Listed>,
     heard: BTreeMap<Name, Heard>,
+    /// Sum of the loads in `heard`, so that a choice among many upstreams stays cheap.
+    load_sums: BTreeMap<Name, u32>,
 }
 
 impl Members {
     /// Knows nobody yet.
     #[must_use]
     pub fn new(me: Name, timeout_ms: u64) -> Self {
-        Self { me, timeout_ms, listed: BTreeMap::new(), heard: BTreeMap::new() }
+        Self {
+            me,
+            timeout_ms,
+            listed: BTreeMap::new(),
+            heard: BTreeMap::new(),
+            load_sums: BTreeMap::new(),
+        }
     }
 
     /// Takes a new list from the platform.
     pub fn on_list(&mut self, rows: impl IntoIterator<Item = Listed>) {
         self.listed = rows.into_iter().map(|row| (row.name.clone(), row)).collect();
-        let listed = &self.listed;
-        self.heard.retain(|name, _| listed.contains_key(name));
+        let gone: Vec<Name> =
+            self.heard.keys().filter(|name| !self.listed.contains_key(*name)).cloned().collect();
+        for name in gone {
+            self.forget(&name);
+        }
+    }
+
+    /// Drops reports that are too old to count.
+    pub fn on_tick(&mut self, now_ms: u64) {
+        let timeout_ms = self.timeout_ms;
+        let is_old = |heard: &Heard| now_ms.saturating_sub(heard.at_ms) > timeout_ms;
+        let old: Vec<Name> = self
+            .heard
+            .iter()
+            .filter(|(_, heard)| is_old(heard))
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in old {
+            self.forget(&name);
+        }
+    }
+
+    fn forget(&mut self, name: &Name) {
+        let Some(heard) = self.heard.remove(name) else { return };
+        for (upstream, in_flight) in heard.report.loads {
+            if let Some(sum) = self.load_sums.get_mut(&upstream) {
+                *sum -= in_flight;
+                if *sum == 0 {
+                    self.load_sums.remove(&upstream);
+                }
+            }
+        }
     }
 
     /// Takes a report that came in at `now_ms`; an older life of the instance is ignored.
@@ -69,14 +107,18 @@
         if *from == self.me {
             return;
         }
-        match self.heard.get(from) {
-            Some(heard)
-                if heard.report.incarnation == report.incarnation
-                    && heard.report.next_offset > report.next_offset => {}
-            _ => {
-                self.heard.insert(from.clone(), Heard { at_ms: now_ms, report });
-            }
+        let is_late = self.heard.get(from).is_some_and(|heard| {
+            heard.report.incarnation == report.incarnation
+                && heard.report.next_offset > report.next_offset
+        });
+        if is_late {
+            return;
+        }
+        self.forget(from);
+        for (upstream, in_flight) in &report.loads {
+            *self.load_sums.entry(upstream.clone()).or_default() += in_flight;
         }
+        self.heard.insert(from.clone(), Heard { at_ms: now_ms, report });
     }
 
     /// Listed instances other than this one.
@@ -119,10 +161,10 @@
             .and_then(|(name, _, _)| self.listed.get(name))
     }
 
-    /// Work that live others have in flight at an upstream.
+    /// Work that others have in flight at an upstream, as of the last tick.
     #[must_use]
-    pub fn load_of_others(&self, now_ms: u64, upstream: &Name) -> u32 {
-        self.live(now_ms).filter_map(|(_, report, _)| report.loads.get(upstream)).sum()
+    pub fn load_of_others(&self, upstream: &Name) -> u32 {
+        self.load_sums.get(upstream).copied().unwrap_or(0)
     }
 
     /// Whether every listed other was heard lately, has folded the entry at `offset`, and reports
--- a/crates/proto/src/setting_table.rs
+++ b/crates/proto/src/setting_table.rs
@@ -72,14 +72,14 @@
         section: "config",
         key: "heartbeat_ms",
         kind: SettingKind::Integer,
-        default: Some("500"),
+        default: Some("1000"),
         help: "Interval between heartbeats.",
     },
     SettingRow {
         section: "config",
         key: "member_timeout_ms",
         kind: SettingKind::Integer,
-        default: Some("3000"),
+        default: Some("4000"),
         help: "Silence after which an instance does not count as reached.",
     },
     SettingRow {
