--- a/crates/border/src/record.rs
+++ b/crates/border/src/record.rs
@@ -5,7 +5,8 @@
 use cowslip_authority::{Holder, ScopeRecord, Target};
 use cowslip_once::{Answer, CallId, Outcome, Start};
 use cowslip_proto as proto;
-use cowslip_state::{Chunk, OrderAction, StateRecord};
+use cowslip_state::{Chunk, OrderAction, StateRecord, WindowMark};
+use cowslip_usage::{Figures, Usage};
 
 use crate::error::Error;
 use crate::hex::{digest_hex, parse_digest};
@@ -63,6 +64,13 @@
             attempt: Arc::from(end.attempt.as_str()),
             outcome: outcome_from_proto(&end.outcome),
         },
+        proto::Record::UsageCount(count) => StateRecord::UsageCount {
+            writer: holder_from_proto(&count.writer),
+            sequence: count.sequence,
+            figures: figures_from_proto(&count.rows),
+        },
+        proto::Record::WindowFixed(mark) => StateRecord::WindowFixed(mark_from_proto(mark)),
+        proto::Record::WindowReported(mark) => StateRecord::WindowReported(mark_from_proto(mark)),
     };
     Ok(Logged::State(state))
 }
@@ -96,9 +104,53 @@
             attempt: attempt.to_string(),
             outcome: outcome_to_proto(outcome),
         }),
+        StateRecord::UsageCount { writer, sequence, figures } => {
+            proto::Record::UsageCount(proto::UsageCount {
+                writer: holder_to_proto(writer),
+                sequence: *sequence,
+                rows: figures_to_proto(figures),
+            })
+        }
+        StateRecord::WindowFixed(mark) => proto::Record::WindowFixed(mark_to_proto(mark)),
+        StateRecord::WindowReported(mark) => proto::Record::WindowReported(mark_to_proto(mark)),
     })
 }
 
+fn mark_from_proto(mark: &proto::WindowMark) -> WindowMark {
+    WindowMark { scope: mark.scope.clone(), term: mark.term, window: mark.window }
+}
+
+fn mark_to_proto(mark: &WindowMark) -> proto::WindowMark {
+    proto::WindowMark { scope: mark.scope.clone(), term: mark.term, window: mark.window }
+}
+
+pub(crate) fn figures_from_proto(rows: &[proto::UsageRow]) -> Figures {
+    rows.iter()
+        .map(|row| {
+            let usage = Usage {
+                requests: row.requests,
+                prompt_tokens: row.prompt_tokens,
+                output_tokens: row.output_tokens,
+            };
+            (row.workspace.clone(), usage)
+        })
+        .collect()
+}
+
+/// Usage as messages carry it.
+#[must_use]
+pub fn figures_to_proto(figures: &Figures) -> Vec<proto::UsageRow> {
+    figures
+        .iter()
+        .map(|(workspace, usage)| proto::UsageRow {
+            workspace: workspace.clone(),
+            requests: usage.requests,
+            prompt_tokens: usage.prompt_tokens,
+            output_tokens: usage.output_tokens,
+        })
+        .collect()
+}
+
 fn scope_to_proto(scope: &cowslip_name::Name, record: &ScopeRecord) -> proto::Record {
     let scope = scope.clone();
     match record {
--- a/crates/border/src/snapshot.rs
+++ b/crates/border/src/snapshot.rs
@@ -8,14 +8,16 @@
 use cowslip_once::Remembered;
 use cowslip_proto as proto;
 use cowslip_state::{Complete, State};
+use cowslip_usage::{Seen, UsageFold};
 
 use crate::codec::{from_json, to_json};
 use crate::error::{Error, SnapshotDigestSnafu};
 use crate::hex::{digest_hex, parse_digest};
 use crate::object::{change_from_proto, object_id_to_proto, object_to_proto};
 use crate::record::{
-    action_from_proto, action_to_proto, holder_from_proto, holder_to_proto, outcome_from_proto,
-    outcome_to_proto, start_from_proto, start_to_proto, target,
+    action_from_proto, action_to_proto, figures_from_proto, figures_to_proto, holder_from_proto,
+    holder_to_proto, outcome_from_proto, outcome_to_proto, start_from_proto, start_to_proto,
+    target,
 };
 
 /// Size of one chunk, in bytes.
@@ -109,9 +111,46 @@
                 outcome: call.outcome.as_ref().map(outcome_to_proto),
             })
             .collect(),
+        usage: usage_to_proto(&state.usage),
     }
 }
 
+fn usage_to_proto(usage: &UsageFold) -> proto::SnapshotUsage {
+    proto::SnapshotUsage {
+        open_window: usage.open_window(),
+        open: figures_to_proto(usage.open()),
+        unreported: usage
+            .unreported()
+            .map(|(window, figures)| proto::SnapshotWindow {
+                window,
+                rows: figures_to_proto(figures),
+            })
+            .collect(),
+        seen: usage
+            .seen()
+            .map(|(writer, seen)| proto::SnapshotSeen {
+                writer: holder_to_proto(writer),
+                next_sequence: seen.next_sequence,
+                window: seen.window,
+            })
+            .collect(),
+    }
+}
+
+fn restore_usage(usage: &proto::SnapshotUsage) -> UsageFold {
+    let unreported = usage.unreported.iter().map(|row| (row.window, figures_from_proto(&row.rows)));
+    let seen = usage.seen.iter().map(|row| {
+        let seen = Seen { next_sequence: row.next_sequence, window: row.window };
+        (holder_from_proto(&row.writer), seen)
+    });
+    UsageFold::from_parts(
+        usage.open_window,
+        figures_from_proto(&usage.open),
+        unreported.collect(),
+        seen.collect(),
+    )
+}
+
 /// The state that a complete snapshot holds.
 ///
 /// # Errors
@@ -125,6 +164,7 @@
         config: restore_config(&snapshot)?,
         terms: restore_terms(&snapshot),
         orders: restore_orders(&snapshot),
+        usage: restore_usage(&snapshot.usage),
         ..State::default()
     };
     for call in &snapshot.calls {
--- a/crates/entry/src/caller/model.rs
+++ b/crates/entry/src/caller/model.rs
@@ -13,7 +13,7 @@
 use super::server::{CallerServer, Lease, json_response};
 use super::sse::SseBuffer;
 use crate::events::Event;
-use crate::hub::{Ending, Goal, Wanted};
+use crate::hub::{Ending, Goal, Spent, Wanted};
 use crate::metrics::Count;
 
 /// Largest whole answer of an engine, in bytes.
@@ -42,11 +42,10 @@
 ) -> Result<Response<Body>, CallerError> {
     let fields: ModelFields =
         serde_json::from_slice(&request.body).map_err(|_| CallerError::BAD_REQUEST)?;
-    let prompt_tokens = request.body.len() as u64 / BYTES_PER_TOKEN;
     let wanted = Wanted {
         bearer,
         goal: Goal::Model(fields.model),
-        cost_tokens: prompt_tokens + fields.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS),
+        cost_tokens: prompt_tokens(&request) + fields.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS),
         fingerprint: request.digest(),
     };
     let lease = server.begin(wanted).await?;
@@ -59,6 +58,29 @@
     }
 }
 
+/// Expected tokens of a prompt.
+fn prompt_tokens(request: &CallerRequest) -> u64 {
+    request.body.len() as u64 / BYTES_PER_TOKEN
+}
+
+/// The part of a whole answer that says what was used.
+#[derive(Debug, Deserialize)]
+struct AnswerFields {
+    usage: AnswerUsage,
+}
+
+#[derive(Debug, Deserialize)]
+struct AnswerUsage {
+    completion_tokens: u64,
+}
+
+/// What a whole answer has used, by the engine's own count.
+fn whole_spent(request: &CallerRequest, status: StatusCode, body: &[u8]) -> Spent {
+    let output_tokens = serde_json::from_slice::<AnswerFields>(body)
+        .map_or(0, |fields| fields.usage.completion_tokens);
+    Spent { is_answered: status.is_success(), prompt_tokens: prompt_tokens(request), output_tokens }
+}
+
 /// Sends to one upstream after another until one answers.
 async fn open(
     server: &CallerServer,
@@ -89,7 +111,8 @@
         let status = response.status();
         match collect(response.into_body(), MAX_ANSWER_BYTES).await {
             Ok(body) => {
-                held.end(Ending::Finished).await;
+                let spent = whole_spent(&request, status, &body);
+                held.end(Ending::Finished, spent).await;
                 return Ok(answer(status, body));
             }
             Err(_) => {
@@ -118,7 +141,7 @@
         let body = collect(response.into_body(), MAX_ANSWER_BYTES)
             .await
             .map_err(|_| CallerError::OUTCOME_UNKNOWN)?;
-        lease.end(Ending::Finished).await;
+        lease.end(Ending::Finished, Spent::default()).await;
         return Ok(json_response(status, String::from_utf8_lossy(&body).into_owned()));
     }
     let (chunks, body) = stream();
@@ -170,7 +193,7 @@
         loop {
             match self.copy(response).await {
                 Copied::Done | Copied::CallerGone => {
-                    lease.end(Ending::Finished).await;
+                    lease.end(Ending::Finished, self.spent()).await;
                     return Ok(());
                 }
                 Copied::Broken => {
@@ -187,6 +210,15 @@
         }
     }
 
+    /// Tokens are counted as they reach the caller, once each, whatever the engines did.
+    fn spent(&self) -> Spent {
+        Spent {
+            is_answered: true,
+            prompt_tokens: prompt_tokens(&self.request),
+            output_tokens: self.last_token.unwrap_or(0),
+        }
+    }
+
     /// Copies whole events only, so that a break never leaves half of one with the caller.
     async fn copy(&mut self, response: Response<Incoming>) -> Copied {
         let mut body = response.into_body();
--- a/crates/entry/src/caller/server.rs
+++ b/crates/entry/src/caller/server.rs
@@ -15,7 +15,7 @@
 use super::{model, service};
 use crate::clock::Clock;
 use crate::config::Config;
-use crate::hub::{Begun, Ending, Goal, Grant, HubMessage, Wanted};
+use crate::hub::{Begun, Ending, Goal, Grant, HubMessage, Spent, Wanted};
 use crate::metrics::{Count, Metrics};
 use crate::tasks::HubHandle;
 
@@ -157,10 +157,10 @@
         self.grant.as_ref().expect("a lease holds its grant until it is given back")
     }
 
-    /// Gives the grant back with what became of the upstream.
-    pub(crate) async fn end(mut self, ending: Ending) {
+    /// Gives the grant back with what became of the upstream and what was used.
+    pub(crate) async fn end(mut self, ending: Ending, spent: Spent) {
         if let Some(grant) = self.grant.take() {
-            self.server.hub.tell(HubMessage::End { grant: grant.id, ending }).await;
+            self.server.hub.tell(HubMessage::End { grant: grant.id, ending, spent }).await;
         }
     }
 
@@ -185,7 +185,8 @@
     fn drop(&mut self) {
         if let Some(grant) = self.grant.take() {
             let hub = self.server.hub.clone();
-            let message = HubMessage::End { grant: grant.id, ending: Ending::Finished };
+            let spent = Spent::default();
+            let message = HubMessage::End { grant: grant.id, ending: Ending::Finished, spent };
             compio::runtime::spawn(async move { hub.tell(message).await }).detach();
         }
     }
--- a/crates/entry/src/caller/service.rs
+++ b/crates/entry/src/caller/service.rs
@@ -11,8 +11,10 @@
 use super::refusal::CallerError;
 use super::request::CallerRequest;
 use super::server::{CallerServer, Lease};
-use crate::hub::{CallStep, Ending, Goal, HubMessage, Refusal, Wanted};
+use crate::hub::{CallStep, Ending, Goal, HubMessage, Refusal, Spent, Wanted};
 
+/// A call of a service counts as a request and uses no tokens.
+const ANSWERED: Spent = Spent { is_answered: true, prompt_tokens: 0, output_tokens: 0 };
 /// Largest answer of a service, in bytes.
 const MAX_ANSWER_BYTES: usize = 1_048_576;
 
@@ -72,7 +74,7 @@
         let ending = match send_once(server, &lease, request, path, None).await {
             Ok(response) => match read(response).await {
                 Some(answer) => {
-                    lease.end(Ending::Finished).await;
+                    lease.end(Ending::Finished, ANSWERED).await;
                     return Ok(respond(&answer));
                 }
                 None => Ending::Lost,
@@ -95,12 +97,12 @@
     loop {
         match attempt(server, request, path, &lease).await {
             (SendResult::Answered(answer), _) => {
-                lease.end(Ending::Finished).await;
+                lease.end(Ending::Finished, ANSWERED).await;
                 return Ok(respond(&answer));
             }
             (SendResult::NothingSent, ending) => lease = lease.move_on(ending).await?,
             (SendResult::Broken, ending) => {
-                lease.end(ending).await;
+                lease.end(ending, Spent::default()).await;
                 return Err(CallerError::OUTCOME_UNKNOWN);
             }
         }
@@ -125,11 +127,12 @@
         Some(CallStep::Send) => {
             let (result, ending) = attempt(server, request, path, &lease).await;
             let told = server.hub.ask(|reply| HubMessage::CallSent { grant, result, reply }).await;
-            lease.end(ending).await;
+            let spent = if ending == Ending::Finished { ANSWERED } else { Spent::default() };
+            lease.end(ending, spent).await;
             told
         }
         other => {
-            lease.end(Ending::Finished).await;
+            lease.end(Ending::Finished, Spent::default()).await;
             other
         }
     };
--- a/crates/entry/src/events.rs
+++ b/crates/entry/src/events.rs
@@ -51,6 +51,7 @@
     OrderSent = 402, Info, "an order was written to an upstream";
     OrderAbandoned = 403, Warn, "an order was not sent";
     OrderDone = 404, Info, "an order was carried out";
+    WindowReported = 405, Info, "the platform has a usage window";
     UpstreamLost = 500, Warn, "an upstream broke a connection or cannot be reached";
     PoisonRefused = 501, Warn, "a request was refused because upstreams were lost with it";
     AnswerCrossed = 502, Warn, "an answer that belongs to another call was dropped";
--- a/crates/entry/src/hub/log.rs
+++ b/crates/entry/src/hub/log.rs
@@ -130,6 +130,11 @@
             (StateRecord::CallStart(start), Effect::CallStart(verdict)) => {
                 self.on_call_verdict(start, verdict);
             }
+            (StateRecord::UsageCount { writer, sequence, .. }, Effect::Usage(_))
+                if *writer == self.me =>
+            {
+                self.on_usage_read(*sequence);
+            }
             (StateRecord::CallEnd { .. }, Effect::CallEnd(true)) => {
                 self.tick_followers(self.clock.now_ms());
             }
--- a/crates/entry/src/hub/message.rs
+++ b/crates/entry/src/hub/message.rs
@@ -9,6 +9,7 @@
 use cowslip_name::Name;
 use cowslip_once::{SendResult, Told};
 use cowslip_proto as proto;
+use cowslip_state::OrderAction;
 
 /// Where one answer goes; the channel holds one message.
 pub(crate) type Reply<T> = Sender<T>;
@@ -41,7 +42,7 @@
     /// A caller wants to run a request.
     Begin { wanted: Wanted, reply: Reply<Begun> },
     /// A granted request has ended.
-    End { grant: u64, ending: Ending },
+    End { grant: u64, ending: Ending, spent: Spent },
     /// A granted request needs another upstream.
     Move { grant: u64, ending: Ending, reply: Reply<Begun> },
     /// A granted call that may not be repeated carries an idempotency key.
@@ -58,14 +59,16 @@
     Status { reply: Reply<proto::StatusReport> },
     /// An operator asks for the newest changes.
     Audit { reply: Reply<proto::AuditPage> },
-    /// The order sender asks before it connects.
-    BeforeConnect { job: OrderJob, reply: Reply<cowslip_authority::GuardStep> },
-    /// The order sender asks before it writes.
-    BeforeWrite { job: OrderJob, view: TargetView, reply: Reply<cowslip_authority::GuardStep> },
-    /// The order sender is through with a job.
-    OrderEnded { job: OrderJob, is_done: bool },
+    /// The sender asks before it connects.
+    BeforeConnect { errand: Errand, reply: Reply<cowslip_authority::GuardStep> },
+    /// The sender asks before it writes.
+    BeforeWrite { errand: Errand, view: TargetView, reply: Reply<cowslip_authority::GuardStep> },
+    /// The sender is through with an errand.
+    ErrandEnded { errand: Errand, is_done: bool },
     /// Shutdown began; the reply comes when the term is given up.
     Stop { reply: Reply<()> },
+    /// Asks, after the last request, whether all usage is in the log.
+    Settle { reply: Reply<bool> },
 }
 
 /// What a request is for.
@@ -117,6 +120,15 @@
     LogDown,
 }
 
+/// What a request has used, to be counted for its workspace.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(crate) struct Spent {
+    /// Whether the caller got an answer, or part of one.
+    pub(crate) is_answered: bool,
+    pub(crate) prompt_tokens: u64,
+    pub(crate) output_tokens: u64,
+}
+
 /// How the use of an upstream ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Ending {
@@ -139,13 +151,21 @@
     Tell(Told),
 }
 
-/// An order that may have to be sent.
+/// Something that the holder of a term has to send.
 #[derive(Clone, Debug)]
-pub(crate) struct OrderJob {
-    pub(crate) target: Target,
-    pub(crate) address: SocketAddr,
-    pub(crate) checks_fencing: bool,
+pub(crate) struct Errand {
     pub(crate) term: Term,
     pub(crate) sequence: u64,
-    pub(crate) action: cowslip_state::OrderAction,
+    pub(crate) checks_fencing: bool,
+    pub(crate) address: SocketAddr,
+    pub(crate) task: ErrandTask,
+}
+
+/// What is sent.
+#[derive(Clone, Debug)]
+pub(crate) enum ErrandTask {
+    /// An order to an upstream.
+    Order { target: Target, action: OrderAction },
+    /// A usage window to the platform.
+    Report { rows: Vec<proto::UsageRow> },
 }
--- a/crates/entry/src/hub/mod.rs
+++ b/crates/entry/src/hub/mod.rs
@@ -1,5 +1,6 @@
 //! The task that owns the folded state and every decision of the instance.
 
+mod billing;
 mod calls;
 mod log;
 mod message;
@@ -10,7 +11,7 @@
 mod status;
 mod tickets;
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeSet, VecDeque};
 
 use async_channel::{Receiver, Sender};
 use cowslip_authority::{Holder, Lease, LeaseTimes, Term};
@@ -29,9 +30,11 @@
 use crate::tasks::{LinkCommand, WriteJob};
 
 pub(crate) use message::{
-    Begun, CallStep, Ending, Goal, Grant, HubMessage, OrderJob, Refusal, Reply, Wanted,
+    Begun, CallStep, Ending, Errand, ErrandTask, Goal, Grant, HubMessage, Refusal, Reply, Spent,
+    Wanted,
 };
 
+use billing::Billing;
 use calls::Calls;
 use requests::Requests;
 use sharing::Sharing;
@@ -49,8 +52,8 @@
 pub(crate) struct Outlets {
     /// Records for the log; when full the record is refused, which its waiter is told.
     pub(crate) records: Sender<WriteJob>,
-    /// Orders to send; when full the order waits for the next tick.
-    pub(crate) orders: Sender<OrderJob>,
+    /// Orders and reports to send; when full they wait for the next tick.
+    pub(crate) errands: Sender<Errand>,
     /// Lists and nudges; when full, a newer list follows with the next poll and the links are
     /// about to beat anyway.
     pub(crate) links: Sender<LinkCommand>,
@@ -89,7 +92,8 @@
     sharing: Sharing,
     calls: Calls,
     pending_tickets: Vec<PendingTicket>,
-    active_orders: BTreeMap<Name, u64>,
+    active_orders: BTreeSet<Name>,
+    billing: Billing,
     entries: VecDeque<proto::RawEntry>,
     entries_bytes: usize,
     audit: VecDeque<proto::AuditLine>,
@@ -134,7 +138,8 @@
             sharing: Sharing::default(),
             calls: Calls::default(),
             pending_tickets: Vec::new(),
-            active_orders: BTreeMap::new(),
+            active_orders: BTreeSet::new(),
+            billing: Billing::default(),
             entries: VecDeque::new(),
             entries_bytes: 0,
             audit: VecDeque::new(),
@@ -170,7 +175,7 @@
             HubMessage::Tail { from_offset, reply } => answer(&reply, self.tail(from_offset)),
             HubMessage::PeerEntries(entries) => self.on_peer_entries(entries),
             HubMessage::Begin { wanted, reply } => self.on_begin(&wanted, reply),
-            HubMessage::End { grant, ending } => self.on_end(grant, ending),
+            HubMessage::End { grant, ending, spent } => self.on_end(grant, ending, spent),
             HubMessage::Move { grant, ending, reply } => self.on_move(grant, ending, reply),
             HubMessage::CallStart { grant, idempotency_key, digest, reply } => {
                 self.on_call_start(grant, idempotency_key, digest, reply);
@@ -185,12 +190,17 @@
             HubMessage::Object { key, reply } => answer(&reply, self.object(&key)),
             HubMessage::Status { reply } => answer(&reply, self.status()),
             HubMessage::Audit { reply } => answer(&reply, self.audit_page()),
-            HubMessage::BeforeConnect { job, reply } => answer(&reply, self.before_connect(&job)),
-            HubMessage::BeforeWrite { job, view, reply } => {
-                answer(&reply, self.before_write(&job, view));
+            HubMessage::BeforeConnect { errand, reply } => {
+                answer(&reply, self.before_connect(&errand));
+            }
+            HubMessage::BeforeWrite { errand, view, reply } => {
+                answer(&reply, self.before_write(&errand, view));
+            }
+            HubMessage::ErrandEnded { errand, is_done } => {
+                self.on_errand_ended(&errand, is_done);
             }
-            HubMessage::OrderEnded { job, is_done } => self.on_order_ended(&job, is_done),
             HubMessage::Stop { reply } => self.on_stop(&reply),
+            HubMessage::Settle { reply } => answer(&reply, self.settle_usage()),
         }
     }
 
@@ -204,6 +214,7 @@
         self.tick_calls(now_ms);
         self.tick_tickets(now_ms);
         self.tick_orders(now_ms);
+        self.tick_billing(now_ms);
         self.tick_snapshot(now_ms);
         let lag_ms = self.freshness.age_ms(now_ms).unwrap_or(0);
         self.metrics.gauges(self.requests.in_flight() as u64, lag_ms);
--- a/crates/entry/src/hub/orders.rs
+++ b/crates/entry/src/hub/orders.rs
@@ -5,7 +5,7 @@
 use cowslip_name::Name;
 use cowslip_state::{OrderAction, StateRecord};
 
-use super::{Hub, OrderJob, Reply, answer};
+use super::{Errand, ErrandTask, Hub, Reply, answer};
 use crate::events::Event;
 
 impl Hub {
@@ -46,16 +46,15 @@
             let target = self.target(&engine.name);
             match self.state.orders.newest(&target) {
                 Some(order) if order.open => {
-                    let (sequence, action, offset) = (order.sequence, order.action, order.offset);
-                    let job = OrderJob {
-                        target,
-                        address: engine.address,
-                        checks_fencing: engine.fencing == Fencing::Checked,
+                    let (action, offset) = (order.action, order.offset);
+                    let errand = Errand {
                         term,
-                        sequence,
-                        action,
+                        sequence: order.sequence,
+                        checks_fencing: engine.fencing == Fencing::Checked,
+                        address: engine.address,
+                        task: ErrandTask::Order { target, action },
                     };
-                    self.send_order(now_ms, job, offset);
+                    self.send_order(now_ms, &engine.name, errand, offset);
                 }
                 newest => {
                     let action = OrderAction::Role(engine.role);
@@ -78,45 +77,51 @@
     }
 
     /// Hands an order to its sender once every instance has drained the upstream.
-    fn send_order(&mut self, now_ms: u64, job: OrderJob, offset: u64) {
-        let upstream = &job.target.upstream;
+    fn send_order(&mut self, now_ms: u64, upstream: &Name, errand: Errand, offset: u64) {
         let is_drained = self.requests.in_flight_at(upstream) == 0
             && self.members.all_drained(now_ms, upstream, offset);
-        if !is_drained || self.active_orders.contains_key(upstream) {
+        if !is_drained || self.active_orders.contains(upstream) {
             return;
         }
-        let (upstream, sequence) = (upstream.clone(), job.sequence);
-        if self.outlets.orders.try_send(job).is_ok() {
-            self.active_orders.insert(upstream, sequence);
+        if self.outlets.errands.try_send(errand).is_ok() {
+            self.active_orders.insert(upstream.clone());
         }
     }
 
-    fn guard(job: &OrderJob) -> SendGuard {
-        SendGuard::new(job.term, job.sequence, job.checks_fencing)
+    fn guard(errand: &Errand) -> SendGuard {
+        SendGuard::new(errand.term, errand.sequence, errand.checks_fencing)
     }
 
-    pub(super) fn before_connect(&self, job: &OrderJob) -> GuardStep {
-        Self::guard(job).before_connect(&self.lease, self.clock.now_ms())
+    pub(super) fn before_connect(&self, errand: &Errand) -> GuardStep {
+        Self::guard(errand).before_connect(&self.lease, self.clock.now_ms())
     }
 
-    pub(super) fn before_write(&self, job: &OrderJob, view: TargetView) -> GuardStep {
-        Self::guard(job).before_write(&self.lease, self.clock.now_ms(), view)
+    pub(super) fn before_write(&self, errand: &Errand, view: TargetView) -> GuardStep {
+        Self::guard(errand).before_write(&self.lease, self.clock.now_ms(), view)
     }
 
-    pub(super) fn on_order_ended(&mut self, job: &OrderJob, is_done: bool) {
-        self.active_orders.remove(&job.target.upstream);
-        if is_done {
-            let (target, term, sequence) = (job.target.clone(), job.term, job.sequence);
-            Event::OrderDone
-                .emit(&self.me.instance, format_args!("{} {sequence}", target.upstream));
-            self.append_state(&StateRecord::Done { target, term, sequence });
+    pub(super) fn on_errand_ended(&mut self, errand: &Errand, is_done: bool) {
+        let (term, sequence) = (errand.term, errand.sequence);
+        match &errand.task {
+            ErrandTask::Order { target, .. } => {
+                self.active_orders.remove(&target.upstream);
+                if is_done {
+                    let target = target.clone();
+                    Event::OrderDone
+                        .emit(&self.me.instance, format_args!("{} {sequence}", target.upstream));
+                    self.append_state(&StateRecord::Done { target, term, sequence });
+                }
+            }
+            ErrandTask::Report { .. } => self.on_report_ended(term, sequence, is_done),
         }
     }
 
-    /// Gives the term up, unless an order is under way: then the lease runs out instead.
+    /// Gives the term up, unless an errand is under way: then the lease runs out instead.
     pub(super) fn on_stop(&mut self, reply: &Reply<()>) {
         self.is_stopping = true;
+        self.flush_usage();
         if self.active_orders.is_empty()
+            && !self.billing.is_reporting()
             && let Some(LeaseAction::Append(record)) = self.lease.retire(&self.state.terms)
         {
             let scope = self.lease.scope().clone();
--- a/crates/entry/src/hub/requests.rs
+++ b/crates/entry/src/hub/requests.rs
@@ -7,7 +7,7 @@
 use cowslip_name::Name;
 use cowslip_route::{AdmitVerdict, Candidate, Claim, Distance, Wait, choose};
 
-use super::{Begun, Ending, Goal, Grant, Hub, Refusal, Reply, Wanted, answer};
+use super::{Begun, Ending, Goal, Grant, Hub, Refusal, Reply, Spent, Wanted, answer};
 use crate::events::Event;
 use crate::metrics::Count;
 
@@ -212,7 +212,7 @@
         let grant =
             Grant { id, upstream: upstream.name.clone(), address: upstream.address, is_idempotent };
         if waiting.reply.try_send(Begun::Granted(grant)).is_err() {
-            self.on_end(id, Ending::Finished);
+            self.on_end(id, Ending::Finished, Spent::default());
         }
     }
 
@@ -275,8 +275,10 @@
         Some(running)
     }
 
-    pub(super) fn on_end(&mut self, grant: u64, ending: Ending) {
-        self.take_running(grant, ending);
+    pub(super) fn on_end(&mut self, grant: u64, ending: Ending, spent: Spent) {
+        if let Some(running) = self.take_running(grant, ending) {
+            self.count_usage(&running.claim.workspace, spent);
+        }
         self.on_call_gone(grant);
         self.start_waiting();
     }
--- a/crates/entry/src/hub/status.rs
+++ b/crates/entry/src/hub/status.rs
@@ -130,7 +130,16 @@
                 );
                 (entry.writer.clone(), None, change)
             }
+            proto::Record::WindowFixed(mark) => {
+                let change = format!("{}: usage window {} fixed", describe(effect), mark.window);
+                (entry.writer.clone(), None, change)
+            }
+            proto::Record::WindowReported(mark) => {
+                let change = format!("{}: usage window {} reported", describe(effect), mark.window);
+                (entry.writer.clone(), None, change)
+            }
             proto::Record::Renewal(_)
+            | proto::Record::UsageCount(_)
             | proto::Record::CallStart(_)
             | proto::Record::CallEnd(_)
             | proto::Record::SnapshotChunk(_) => return,
@@ -159,8 +168,13 @@
 
     match effect {
         Effect::Ticket(_, TicketVerdict::Accepted(_)) => "applied",
-        Effect::Scope(Verdict::Won | Verdict::Counted) | Effect::Order(true) => "counted",
-        Effect::Ticket(..) | Effect::Scope(Verdict::Ignored) | Effect::Order(false) => "no effect",
+        Effect::Scope(Verdict::Won | Verdict::Counted)
+        | Effect::Order(true)
+        | Effect::Usage(true) => "counted",
+        Effect::Ticket(..)
+        | Effect::Scope(Verdict::Ignored)
+        | Effect::Order(false)
+        | Effect::Usage(false) => "no effect",
         Effect::CallStart(_) | Effect::CallEnd(_) => "call",
     }
 }
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -18,7 +18,7 @@
 use crate::hub::{Hub, HubMessage, Outlets};
 use crate::metrics::Metrics;
 use crate::tasks::{
-    HubHandle, Platform, run_links, run_list, run_log_reader, run_log_writer, run_order_sender,
+    HubHandle, Platform, run_errands, run_links, run_list, run_log_reader, run_log_writer,
     run_peer_server, run_ticker,
 };
 
@@ -26,12 +26,13 @@
 const HUB_INBOX: usize = 4_096;
 /// Records that may wait for the log; when full, a record is refused.
 const RECORD_QUEUE: usize = 4_096;
-/// Orders that may wait; when full, the order is offered again.
-const ORDER_QUEUE: usize = 64;
+/// Errands that may wait; when full, the errand is offered again.
+const ERRAND_QUEUE: usize = 64;
 /// Commands that may wait for the links; when full, a newer one follows soon.
 const LINK_QUEUE: usize = 16;
-/// Time for the release of the term to reach the log at shutdown.
-const RELEASE_TIME: Duration = Duration::from_millis(500);
+/// Longest wait for usage and the release of the term to reach the log at shutdown.
+const SETTLE_TIME: Duration = Duration::from_secs(5);
+const SETTLE_POLL: Duration = Duration::from_millis(100);
 
 /// Runs an instance until it is told to stop.
 ///
@@ -79,7 +80,7 @@
     drop(stop);
     let grace = Duration::from_millis(config.settings.limits.shutdown_grace_ms);
     let _ = compio::time::timeout(grace, callers).await;
-    compio::time::sleep(RELEASE_TIME).await;
+    settle(&hub).await;
     Event::Stopped.emit(&me, format_args!("all requests are finished"));
     Ok(())
 }
@@ -99,9 +100,9 @@
     let list_poll = Duration::from_millis(settings.platform.list_poll_ms);
     let group_commit = Duration::from_millis(settings.platform.group_commit_ms);
     let (records, record_jobs) = async_channel::bounded(RECORD_QUEUE);
-    let (orders, order_jobs) = async_channel::bounded(ORDER_QUEUE);
+    let (errands, errand_jobs) = async_channel::bounded(ERRAND_QUEUE);
     let (links, link_commands) = async_channel::bounded(LINK_QUEUE);
-    let outlets = Outlets { records, orders, links };
+    let outlets = Outlets { records, errands, links };
     let own_row = proto::ListedInstance {
         name: me.clone(),
         peer_address: settings.instance.peer_address.clone(),
@@ -117,13 +118,27 @@
             .boxed_local(),
         run_list(own_row, platform(), hub.clone(), list_poll).boxed_local(),
         run_links(me.clone(), hub.clone(), clock, heartbeat, link_commands).boxed_local(),
-        run_order_sender(me, hub.clone(), order_jobs).boxed_local(),
+        run_errands(me, hub.clone(), errand_jobs).boxed_local(),
     ];
     for task in tasks {
         compio::runtime::spawn(task).detach();
     }
 }
 
+/// Waits until the usage of the last requests is in the log.
+async fn settle(hub: &HubHandle) {
+    let work = async {
+        loop {
+            compio::time::sleep(SETTLE_POLL).await;
+            if hub.ask(|reply| HubMessage::Settle { reply }).await != Some(false) {
+                return;
+            }
+        }
+    };
+    // When the log is down for longer, what is not in it is lost.
+    let _ = compio::time::timeout(SETTLE_TIME, work).await;
+}
+
 async fn wait_for_signal() {
     let terminate = pin!(compio::signal::unix::signal(SIGTERM));
     let interrupt = pin!(compio::signal::unix::signal(SIGINT));
--- a/crates/entry/src/tasks/mod.rs
+++ b/crates/entry/src/tasks/mod.rs
@@ -1,10 +1,10 @@
 //! Tasks around the hub, each the owner of its sockets.
 
+mod errands;
 mod links;
 mod list;
 mod log_reader;
 mod log_writer;
-mod order_sender;
 mod peer_server;
 mod platform;
 mod ticker;
@@ -15,11 +15,11 @@
 
 use crate::hub::{HubMessage, Reply};
 
+pub(crate) use errands::run_errands;
 pub(crate) use links::{LinkCommand, run_links};
 pub(crate) use list::run_list;
 pub(crate) use log_reader::run_log_reader;
 pub(crate) use log_writer::{WriteJob, run_log_writer};
-pub(crate) use order_sender::run_order_sender;
 pub(crate) use peer_server::run_peer_server;
 pub(crate) use platform::Platform;
 pub(crate) use ticker::run_ticker;
--- a/crates/harness/src/fleet.rs
+++ b/crates/harness/src/fleet.rs
@@ -53,6 +53,8 @@
                 fast("config", "heartbeat_ms", 100),
                 fast("config", "member_timeout_ms", 1_000),
                 fast("config", "stale_limit_ms", 2_500),
+                fast("usage", "window_ms", 800),
+                fast("usage", "flush_ms", 200),
                 fast("platform", "list_poll_ms", 200),
                 fast("platform", "request_timeout_ms", 1_000),
             ],
@@ -143,7 +145,7 @@
         let folder = std::env::temp_dir().join(format!("cowslip-{}", uuid::Uuid::new_v4()));
         std::fs::create_dir_all(&folder).context(IoSnafu)?;
         let platform_addresses = free_addresses(options.entries + 1)?;
-        let mut args = vec!["platform".to_owned()];
+        let mut args = vec!["platform".to_owned(), "--idle-ms".to_owned(), "800".to_owned()];
         for address in &platform_addresses {
             args.extend(["--listen".to_owned(), address.to_string()]);
         }
--- a/crates/harness/tests/common/mod.rs
+++ b/crates/harness/tests/common/mod.rs
@@ -54,6 +54,8 @@
         outage: false,
         cut_ports: Vec::new(),
         lose_append_answers: 0,
+        lose_usage_answers: 0,
+        hold_usage_state_ms: 0,
         delay_ms: 0,
         removed_instances: Vec::new(),
     }
--- a/crates/proto/src/generated.rs
+++ b/crates/proto/src/generated.rs
@@ -863,7 +863,8 @@
 ///    "instance",
 ///    "limits",
 ///    "metrics",
-///    "platform"
+///    "platform",
+///    "usage"
 ///  ],
 ///  "properties": {
 ///    "authority": {
@@ -883,6 +884,9 @@
 ///    },
 ///    "platform": {
 ///      "$ref": "#/definitions/PlatformSettings"
+///    },
+///    "usage": {
+///      "$ref": "#/definitions/UsageSettings"
 ///    }
 ///  },
 ///  "additionalProperties": false
@@ -898,6 +902,7 @@
     pub limits: LimitSettings,
     pub metrics: MetricSettings,
     pub platform: PlatformSettings,
+    pub usage: UsageSettings,
 }
 ///Whether an upstream refuses orders with an old fencing number.
 ///
@@ -2168,7 +2173,9 @@
 ///  "required": [
 ///    "cut_ports",
 ///    "delay_ms",
+///    "hold_usage_state_ms",
 ///    "lose_append_answers",
+///    "lose_usage_answers",
 ///    "outage",
 ///    "removed_instances"
 ///  ],
@@ -2186,11 +2193,21 @@
 ///      "type": "integer",
 ///      "format": "uint64"
 ///    },
+///    "hold_usage_state_ms": {
+///      "description": "Wait before the newest reported window is told.",
+///      "type": "integer",
+///      "format": "uint64"
+///    },
 ///    "lose_append_answers": {
 ///      "description": "Appends that take effect but get no answer.",
 ///      "type": "integer",
 ///      "format": "uint32"
 ///    },
+///    "lose_usage_answers": {
+///      "description": "Usage reports that take effect but get no answer.",
+///      "type": "integer",
+///      "format": "uint32"
+///    },
 ///    "outage": {
 ///      "description": "No request is answered.",
 ///      "type": "boolean"
@@ -2214,8 +2231,12 @@
     pub cut_ports: ::std::vec::Vec<u16>,
     ///Wait before each answer.
     pub delay_ms: u64,
+    ///Wait before the newest reported window is told.
+    pub hold_usage_state_ms: u64,
     ///Appends that take effect but get no answer.
     pub lose_append_answers: u32,
+    ///Usage reports that take effect but get no answer.
+    pub lose_usage_answers: u32,
     ///No request is answered.
     pub outage: bool,
     ///Instances left out of the list.
@@ -2496,6 +2517,42 @@
 ///    {
 ///      "type": "object",
 ///      "required": [
+///        "usage_count"
+///      ],
+///      "properties": {
+///        "usage_count": {
+///          "$ref": "#/definitions/UsageCount"
+///        }
+///      },
+///      "additionalProperties": false
+///    },
+///    {
+///      "type": "object",
+///      "required": [
+///        "window_fixed"
+///      ],
+///      "properties": {
+///        "window_fixed": {
+///          "$ref": "#/definitions/WindowMark"
+///        }
+///      },
+///      "additionalProperties": false
+///    },
+///    {
+///      "type": "object",
+///      "required": [
+///        "window_reported"
+///      ],
+///      "properties": {
+///        "window_reported": {
+///          "$ref": "#/definitions/WindowMark"
+///        }
+///      },
+///      "additionalProperties": false
+///    },
+///    {
+///      "type": "object",
+///      "required": [
 ///        "snapshot_chunk"
 ///      ],
 ///      "properties": {
@@ -2527,6 +2584,12 @@
     CallStart(CallStart),
     #[serde(rename = "call_end")]
     CallEnd(CallEnd),
+    #[serde(rename = "usage_count")]
+    UsageCount(UsageCount),
+    #[serde(rename = "window_fixed")]
+    WindowFixed(WindowMark),
+    #[serde(rename = "window_reported")]
+    WindowReported(WindowMark),
     #[serde(rename = "snapshot_chunk")]
     SnapshotChunk(SnapshotChunk),
 }
@@ -2570,6 +2633,11 @@
         Self::CallEnd(value)
     }
 }
+impl ::std::convert::From<UsageCount> for Record {
+    fn from(value: UsageCount) -> Self {
+        Self::UsageCount(value)
+    }
+}
 impl ::std::convert::From<SnapshotChunk> for Record {
     fn from(value: SnapshotChunk) -> Self {
         Self::SnapshotChunk(value)
@@ -2849,7 +2917,8 @@
 ///    "objects",
 ///    "scopes",
 ///    "targets",
-///    "tickets"
+///    "tickets",
+///    "usage"
 ///  ],
 ///  "properties": {
 ///    "calls": {
@@ -2881,6 +2950,9 @@
 ///      "items": {
 ///        "$ref": "#/definitions/SnapshotTicket"
 ///      }
+///    },
+///    "usage": {
+///      "$ref": "#/definitions/SnapshotUsage"
 ///    }
 ///  },
 ///  "additionalProperties": false
@@ -2895,6 +2967,7 @@
     pub scopes: ::std::vec::Vec<SnapshotScope>,
     pub targets: ::std::vec::Vec<SnapshotTarget>,
     pub tickets: ::std::vec::Vec<SnapshotTicket>,
+    pub usage: SnapshotUsage,
 }
 ///A remembered call.
 ///
@@ -3080,6 +3153,43 @@
     pub scope: cowslip_name::Name,
     pub term: u64,
 }
+///Batches of one life of an instance that have counted.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "Batches of one life of an instance that have counted.",
+///  "type": "object",
+///  "required": [
+///    "next_sequence",
+///    "window",
+///    "writer"
+///  ],
+///  "properties": {
+///    "next_sequence": {
+///      "type": "integer",
+///      "format": "uint64"
+///    },
+///    "window": {
+///      "type": "integer",
+///      "format": "uint64"
+///    },
+///    "writer": {
+///      "$ref": "#/definitions/Holder"
+///    }
+///  },
+///  "additionalProperties": false
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct SnapshotSeen {
+    pub next_sequence: u64,
+    pub window: u64,
+    pub writer: Holder,
+}
 ///A target's newest order.
 ///
 /// <details><summary>JSON schema</summary>
@@ -3163,6 +3273,90 @@
     pub digest_hex: ::std::string::String,
     pub number: u64,
 }
+///Usage that is counted and not reported.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "Usage that is counted and not reported.",
+///  "type": "object",
+///  "required": [
+///    "open",
+///    "open_window",
+///    "seen",
+///    "unreported"
+///  ],
+///  "properties": {
+///    "open": {
+///      "type": "array",
+///      "items": {
+///        "$ref": "#/definitions/UsageRow"
+///      }
+///    },
+///    "open_window": {
+///      "type": "integer",
+///      "format": "uint64"
+///    },
+///    "seen": {
+///      "type": "array",
+///      "items": {
+///        "$ref": "#/definitions/SnapshotSeen"
+///      }
+///    },
+///    "unreported": {
+///      "type": "array",
+///      "items": {
+///        "$ref": "#/definitions/SnapshotWindow"
+///      }
+///    }
+///  },
+///  "additionalProperties": false
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct SnapshotUsage {
+    pub open: ::std::vec::Vec<UsageRow>,
+    pub open_window: u64,
+    pub seen: ::std::vec::Vec<SnapshotSeen>,
+    pub unreported: ::std::vec::Vec<SnapshotWindow>,
+}
+///A fixed window that is not reported.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "A fixed window that is not reported.",
+///  "type": "object",
+///  "required": [
+///    "rows",
+///    "window"
+///  ],
+///  "properties": {
+///    "rows": {
+///      "type": "array",
+///      "items": {
+///        "$ref": "#/definitions/UsageRow"
+///      }
+///    },
+///    "window": {
+///      "type": "integer",
+///      "format": "uint64"
+///    }
+///  },
+///  "additionalProperties": false
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct SnapshotWindow {
+    pub rows: ::std::vec::Vec<UsageRow>,
+    pub window: u64,
+}
 ///What one instance knows.
 ///
 /// <details><summary>JSON schema</summary>
@@ -3740,6 +3934,259 @@
     pub name: cowslip_name::Name,
     pub owner: cowslip_name::Name,
 }
+///What one instance has counted since its last batch.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "What one instance has counted since its last batch.",
+///  "type": "object",
+///  "required": [
+///    "rows",
+///    "sequence",
+///    "writer"
+///  ],
+///  "properties": {
+///    "rows": {
+///      "type": "array",
+///      "items": {
+///        "$ref": "#/definitions/UsageRow"
+///      }
+///    },
+///    "sequence": {
+///      "type": "integer",
+///      "format": "uint64"
+///    },
+///    "writer": {
+///      "$ref": "#/definitions/Holder"
+///    }
+///  },
+///  "additionalProperties": false
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct UsageCount {
+    pub rows: ::std::vec::Vec<UsageRow>,
+    pub sequence: u64,
+    pub writer: Holder,
+}
+///All usage reports, in order, repeats included.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "All usage reports, in order, repeats included.",
+///  "type": "object",
+///  "required": [
+///    "reports",
+///    "state_reads"
+///  ],
+///  "properties": {
+///    "reports": {
+///      "type": "array",
+///      "items": {
+///        "$ref": "#/definitions/UsageReport"
+///      }
+///    },
+///    "state_reads": {
+///      "type": "integer",
+///      "format": "uint64"
+///    }
+///  },
+///  "additionalProperties": false
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct UsageLog {
+    pub reports: ::std::vec::Vec<UsageReport>,
+    pub state_reads: u64,
+}
+///A usage window as the platform takes it.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "A usage window as the platform takes it.",
+///  "type": "object",
+///  "required": [
+///    "rows",
+///    "window"
+///  ],
+///  "properties": {
+///    "rows": {
+///      "type": "array",
+///      "items": {
+///        "$ref": "#/definitions/UsageRow"
+///      }
+///    },
+///    "window": {
+///      "type": "integer",
+///      "format": "uint64"
+///    }
+///  },
+///  "additionalProperties": false
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct UsageReport {
+    pub rows: ::std::vec::Vec<UsageRow>,
+    pub window: u64,
+}
+///Usage of one workspace.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "Usage of one workspace.",
+///  "type": "object",
+///  "required": [
+///    "output_tokens",
+///    "prompt_tokens",
+///    "requests",
+///    "workspace"
+///  ],
+///  "properties": {
+///    "output_tokens": {
+///      "type": "integer",
+///      "format": "uint64"
+///    },
+///    "prompt_tokens": {
+///      "type": "integer",
+///      "format": "uint64"
+///    },
+///    "requests": {
+///      "type": "integer",
+///      "format": "uint64"
+///    },
+///    "workspace": {
+///      "$ref": "#/definitions/Name"
+///    }
+///  },
+///  "additionalProperties": false
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct UsageRow {
+    pub output_tokens: u64,
+    pub prompt_tokens: u64,
+    pub requests: u64,
+    pub workspace: cowslip_name::Name,
+}
+///Usage reports.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "Usage reports.",
+///  "type": "object",
+///  "required": [
+///    "flush_ms",
+///    "window_ms"
+///  ],
+///  "properties": {
+///    "flush_ms": {
+///      "description": "Interval between records of an instance's usage; what is lost with a killed instance is at most this much.",
+///      "type": "integer",
+///      "format": "uint64"
+///    },
+///    "window_ms": {
+///      "description": "Length of a usage window.",
+///      "type": "integer",
+///      "format": "uint64"
+///    }
+///  },
+///  "additionalProperties": false,
+///  "x-section": "usage"
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct UsageSettings {
+    ///Interval between records of an instance's usage; what is lost with a killed instance is at most this much.
+    pub flush_ms: u64,
+    ///Length of a usage window.
+    pub window_ms: u64,
+}
+///The newest window that the platform has.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "The newest window that the platform has.",
+///  "type": "object",
+///  "required": [
+///    "last_window"
+///  ],
+///  "properties": {
+///    "last_window": {
+///      "type": [
+///        "integer",
+///        "null"
+///      ],
+///      "format": "uint64"
+///    }
+///  },
+///  "additionalProperties": false
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct UsageState {
+    pub last_window: ::std::option::Option<u64>,
+}
+///A usage window is fixed at this place, or was reported.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "A usage window is fixed at this place, or was reported.",
+///  "type": "object",
+///  "required": [
+///    "scope",
+///    "term",
+///    "window"
+///  ],
+///  "properties": {
+///    "scope": {
+///      "$ref": "#/definitions/Name"
+///    },
+///    "term": {
+///      "type": "integer",
+///      "format": "uint64"
+///    },
+///    "window": {
+///      "type": "integer",
+///      "format": "uint64"
+///    }
+///  },
+///  "additionalProperties": false
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct WindowMark {
+    pub scope: cowslip_name::Name,
+    pub term: u64,
+    pub window: u64,
+}
 ///A tenant: what it may call and its share.
 ///
 /// <details><summary>JSON schema</summary>
--- a/crates/proto/src/setting_table.rs
+++ b/crates/proto/src/setting_table.rs
@@ -222,4 +222,18 @@
         default: Some("20000"),
         help: "Log entries between two snapshots.",
     },
+    SettingRow {
+        section: "usage",
+        key: "flush_ms",
+        kind: SettingKind::Integer,
+        default: Some("5000"),
+        help: "Interval between records of an instance's usage; what is lost with a killed instance is at most this much.",
+    },
+    SettingRow {
+        section: "usage",
+        key: "window_ms",
+        kind: SettingKind::Integer,
+        default: Some("60000"),
+        help: "Length of a usage window.",
+    },
 ];
--- a/crates/standin/src/cli.rs
+++ b/crates/standin/src/cli.rs
@@ -40,6 +40,9 @@
     /// How long the instance list lags
     #[arg(long, default_value_t = 200)]
     list_lag_ms: u64,
+    /// Idle connections are closed after this time
+    #[arg(long, default_value_t = 2_000)]
+    idle_ms: u64,
 }
 
 impl From<PlatformArgs> for PlatformOptions {
@@ -49,6 +52,7 @@
             keep_entries: args.keep_entries,
             appends_per_s: args.appends_per_s,
             list_lag_ms: args.list_lag_ms,
+            idle_ms: args.idle_ms,
         }
     }
 }
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -17,7 +17,6 @@
 use crate::ask::{Reply, ask};
 use crate::http::{body, json, serve_forever, status};
 
-const IDLE: Duration = Duration::from_secs(30);
 const POLL: Duration = Duration::from_millis(5);
 
 /// How the platform runs.
@@ -31,6 +30,8 @@
     pub appends_per_s: u32,
     /// How long the instance list lags.
     pub list_lag_ms: u64,
+    /// Idle connections are closed after this time.
+    pub idle_ms: u64,
 }
 
 enum Message {
@@ -38,6 +39,9 @@
     Read { from_offset: u64, max_entries: usize, reply: Reply<proto::LogPage> },
     Announce(proto::ListedInstance),
     List { reply: Reply<proto::InstanceList> },
+    Report { report: proto::UsageReport, reply: Reply<bool> },
+    UsageState { reply: Reply<proto::UsageState> },
+    UsageLog { reply: Reply<proto::UsageLog> },
     SetFaults(proto::PlatformFaults),
     Faults { reply: Reply<proto::PlatformFaults> },
 }
@@ -49,6 +53,8 @@
     second: u64,
     appends_this_second: u32,
     instances: BTreeMap<Name, (Instant, proto::ListedInstance)>,
+    reports: Vec<proto::UsageReport>,
+    usage_reads: u64,
     faults: proto::PlatformFaults,
     start: Instant,
 }
@@ -61,11 +67,12 @@
     compio::runtime::Runtime::new()?.block_on(async {
         let (inbox, messages) = async_channel::bounded(1_024);
         let addresses = options.listen.clone();
+        let idle = Duration::from_millis(options.idle_ms);
         compio::runtime::spawn(State::new(options).run(messages)).detach();
         let servers = addresses.into_iter().map(|address| {
             let inbox = inbox.clone();
             let handler = move |request| handle(address.port(), inbox.clone(), request);
-            compio::runtime::spawn(serve_forever(address, IDLE, handler))
+            compio::runtime::spawn(serve_forever(address, idle, handler))
         });
         for server in servers.collect::<Vec<_>>() {
             server.await.map_err(|_| io::Error::other("a server ended"))??;
@@ -83,7 +90,11 @@
             second: 0,
             appends_this_second: 0,
             instances: BTreeMap::new(),
+            reports: Vec::new(),
+            usage_reads: 0,
             faults: proto::PlatformFaults {
+                lose_usage_answers: 0,
+                hold_usage_state_ms: 0,
                 outage: false,
                 cut_ports: Vec::new(),
                 lose_append_answers: 0,
@@ -109,6 +120,22 @@
                 Message::List { reply } => {
                     let _ = reply.try_send(self.list());
                 }
+                Message::Report { report, reply } => {
+                    self.reports.push(report);
+                    let is_lost = self.faults.lose_usage_answers > 0;
+                    self.faults.lose_usage_answers =
+                        self.faults.lose_usage_answers.saturating_sub(1);
+                    let _ = reply.try_send(is_lost);
+                }
+                Message::UsageState { reply } => {
+                    self.usage_reads += 1;
+                    let last_window = self.reports.iter().map(|report| report.window).max();
+                    let _ = reply.try_send(proto::UsageState { last_window });
+                }
+                Message::UsageLog { reply } => {
+                    let (reports, state_reads) = (self.reports.clone(), self.usage_reads);
+                    let _ = reply.try_send(proto::UsageLog { reports, state_reads });
+                }
                 Message::SetFaults(faults) => self.faults = faults,
                 Message::Faults { reply } => {
                     let _ = reply.try_send(self.faults.clone());
@@ -195,6 +222,18 @@
             Some(list) => json(&list),
             None => status(StatusCode::SERVICE_UNAVAILABLE),
         },
+        (Method::POST, "/usage") => match from_json(&body(request).await) {
+            Ok(report) => match ask(&inbox, |reply| Message::Report { report, reply }).await {
+                Some(false) => status(StatusCode::OK),
+                _ => status(StatusCode::GATEWAY_TIMEOUT),
+            },
+            Err(_) => status(StatusCode::BAD_REQUEST),
+        },
+        (Method::GET, "/usage/state") => usage_state(&inbox).await,
+        (Method::GET, "/usage") => match ask(&inbox, |reply| Message::UsageLog { reply }).await {
+            Some(log) => json(&log),
+            None => status(StatusCode::SERVICE_UNAVAILABLE),
+        },
         (Method::POST, "/faults") => match from_json(&body(request).await) {
             Ok(faults) => {
                 let _ = inbox.send(Message::SetFaults(faults)).await;
@@ -206,6 +245,16 @@
     }
 }
 
+async fn usage_state(inbox: &Sender<Message>) -> Response<Body> {
+    let faults = ask(inbox, |reply| Message::Faults { reply }).await;
+    let state = ask(inbox, |reply| Message::UsageState { reply }).await;
+    let (Some(faults), Some(state)) = (faults, state) else {
+        return status(StatusCode::SERVICE_UNAVAILABLE);
+    };
+    compio::time::sleep(Duration::from_millis(faults.hold_usage_state_ms)).await;
+    json(&state)
+}
+
 async fn append(inbox: &Sender<Message>, entry: Bytes) -> Response<Body> {
     let Ok(entry) = String::from_utf8(entry.to_vec()) else {
         return status(StatusCode::BAD_REQUEST);
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -6,4 +6,4 @@
 mod state;
 
 pub use assemble::{Assembler, Chunk, Complete};
-pub use state::{Effect, OrderAction, REMEMBERED_CALLS, State, StateRecord};
+pub use state::{Effect, OrderAction, REMEMBERED_CALLS, State, StateRecord, WindowMark};
--- a/crates/state/src/state.rs
+++ b/crates/state/src/state.rs
@@ -2,10 +2,11 @@
 
 use std::sync::Arc;
 
-use cowslip_authority::{OrderBook, ScopeRecord, Target, Term, TermFold, Verdict};
+use cowslip_authority::{Holder, OrderBook, ScopeRecord, Target, Term, TermFold, Verdict};
 use cowslip_config::{ConfigFold, Role, Ticket, TicketVerdict};
 use cowslip_name::Name;
 use cowslip_once::{CallFold, CallId, Outcome, Start, StartVerdict};
+use cowslip_usage::{Figures, UsageFold};
 
 /// Calls that may not be repeated and are remembered for repeats.
 pub const REMEMBERED_CALLS: usize = 50_000;
@@ -59,6 +60,30 @@
         /// How it ended.
         outcome: Outcome,
     },
+    /// An instance has counted usage.
+    UsageCount {
+        /// The instance.
+        writer: Holder,
+        /// Number of the batch.
+        sequence: u64,
+        /// The usage.
+        figures: Figures,
+    },
+    /// The open usage window ends here.
+    WindowFixed(WindowMark),
+    /// The platform has a usage window.
+    WindowReported(WindowMark),
+}
+
+/// A usage window in a term.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct WindowMark {
+    /// Scope of the term.
+    pub scope: Name,
+    /// Term of the writer.
+    pub term: Term,
+    /// Number of the window.
+    pub window: u64,
 }
 
 /// What a record did.
@@ -74,6 +99,8 @@
     CallStart(StartVerdict),
     /// An end was judged.
     CallEnd(bool),
+    /// A usage record was judged.
+    Usage(bool),
 }
 
 /// All folded state as of a place in the log.
@@ -87,6 +114,8 @@
     pub orders: OrderBook<OrderAction>,
     /// Calls that may not be repeated.
     pub calls: CallFold,
+    /// Usage of workspaces.
+    pub usage: UsageFold,
 }
 
 impl Default for State {
@@ -96,6 +125,7 @@
             terms: TermFold::default(),
             orders: OrderBook::default(),
             calls: CallFold::new(REMEMBERED_CALLS),
+            usage: UsageFold::default(),
         }
     }
 }
@@ -120,6 +150,17 @@
             StateRecord::CallEnd { call, attempt, outcome } => {
                 Effect::CallEnd(self.calls.apply_end(call, attempt, outcome))
             }
+            StateRecord::UsageCount { writer, sequence, figures } => {
+                Effect::Usage(self.usage.apply_count(writer, *sequence, figures))
+            }
+            StateRecord::WindowFixed(mark) => {
+                let is_current = self.terms.is_current(&mark.scope, mark.term);
+                Effect::Usage(self.usage.apply_fixed(is_current, mark.window))
+            }
+            StateRecord::WindowReported(mark) => {
+                let is_current = self.terms.is_current(&mark.scope, mark.term);
+                Effect::Usage(self.usage.apply_reported(is_current, mark.window))
+            }
         }
     }
 }
--- /dev/null
+++ b/crates/usage/src/figures.rs
@@ -0,0 +1,69 @@
+//! Sums of usage.
+
+use std::collections::BTreeMap;
+
+use cowslip_name::Name;
+
+/// Usage of one workspace.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Usage {
+    /// Requests that were answered.
+    pub requests: u64,
+    /// Tokens of their prompts.
+    pub prompt_tokens: u64,
+    /// Tokens that reached their callers.
+    pub output_tokens: u64,
+}
+
+impl Usage {
+    /// Adds another sum.
+    pub fn add(&mut self, other: Self) {
+        self.requests += other.requests;
+        self.prompt_tokens += other.prompt_tokens;
+        self.output_tokens += other.output_tokens;
+    }
+}
+
+/// Usage by workspace.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Figures {
+    by_workspace: BTreeMap<Name, Usage>,
+}
+
+impl Figures {
+    /// Adds usage of a workspace.
+    pub fn add(&mut self, workspace: &Name, usage: Usage) {
+        self.by_workspace.entry(workspace.clone()).or_default().add(usage);
+    }
+
+    /// Adds all of another sum.
+    pub fn add_all(&mut self, other: &Self) {
+        for (workspace, usage) in &other.by_workspace {
+            self.add(workspace, *usage);
+        }
+    }
+
+    /// Whether nothing was used.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.by_workspace.is_empty()
+    }
+
+    /// Rows in name order.
+    pub fn iter(&self) -> impl Iterator<Item = (&Name, Usage)> {
+        self.by_workspace.iter().map(|(workspace, usage)| (workspace, *usage))
+    }
+}
+
+impl FromIterator<(Name, Usage)> for Figures {
+    fn from_iter<I>(rows: I) -> Self
+    where
+        I: IntoIterator<Item = (Name, Usage)>,
+    {
+        let mut figures = Self::default();
+        for (workspace, usage) in rows {
+            figures.add(&workspace, usage);
+        }
+        figures
+    }
+}
--- /dev/null
+++ b/crates/usage/src/lib.rs
@@ -0,0 +1,11 @@
+//! Usage of workspaces: counted by instances, fixed in windows by the log, reported under a term.
+//!
+//! Pure decisions: no clock, socket or encoding.
+
+mod figures;
+mod fold;
+mod meter;
+
+pub use figures::{Figures, Usage};
+pub use fold::{Seen, UsageFold};
+pub use meter::{Batch, Meter};
