--- a/crates/bench/src/capacity.rs
+++ b/crates/bench/src/capacity.rs
@@ -233,13 +233,14 @@
     for count in [4, 50, 200, 740, 3_700] {
         let candidates: Vec<Candidate> = (0..count)
             .map(|index| Candidate {
-                own_in_flight: index % 7,
-                others_in_flight: index % 13,
+                own_work: index % 7,
+                in_flight: index % 13,
                 slots: 64,
                 distance: Distance::Domain,
                 is_open: true,
                 domain_weight: 1,
                 prefix_hint: 0.0,
+                last_used: u64::from(index),
             })
             .collect();
         let choose_ns = time_ns(|| choose(&candidates, 5));
--- /dev/null
+++ b/crates/bench/src/policy/engine.rs
@@ -0,0 +1,96 @@
+//! An engine in steps of time: decode first, prefill with what is left.
+
+use std::collections::VecDeque;
+
+/// Length of a step.
+pub(crate) const STEP_MS: u64 = 10;
+/// Work of one engine in one step.
+const STEP_WORK: f64 = 1.0;
+/// Work of a slow engine in one step.
+const SLOW_STEP_WORK: f64 = 0.5;
+/// Work of one token of decode.
+const DECODE_WORK: f64 = 0.01;
+/// Work of one token of prefill.
+const PREFILL_WORK: f64 = 1.0 / 150.0;
+/// Shortest time between two tokens of one answer.
+const TOKEN_MS: u64 = 30;
+
+/// A request inside an engine.
+#[derive(Clone, Debug)]
+pub(crate) struct Sequence {
+    pub(crate) id: usize,
+    pub(crate) arrived_ms: u64,
+    pub(crate) prefill_left: f64,
+    pub(crate) tokens_left: u32,
+    pub(crate) tokens: u32,
+    pub(crate) first_token_ms: Option<u64>,
+    next_token_ms: u64,
+}
+
+impl Sequence {
+    pub(crate) fn new(id: usize, now_ms: u64, prompt_tokens: u32, output_tokens: u32) -> Self {
+        Self {
+            id,
+            arrived_ms: now_ms,
+            prefill_left: f64::from(prompt_tokens),
+            tokens_left: output_tokens,
+            tokens: output_tokens,
+            first_token_ms: None,
+            next_token_ms: 0,
+        }
+    }
+}
+
+/// Sequences that decode, and sequences that wait for prefill in order.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Engine {
+    decoding: VecDeque<Sequence>,
+    prefilling: VecDeque<Sequence>,
+    is_slow: bool,
+}
+
+impl Engine {
+    pub(crate) fn new(is_slow: bool) -> Self {
+        Self { is_slow, ..Self::default() }
+    }
+
+    pub(crate) fn push(&mut self, sequence: Sequence) {
+        self.prefilling.push_back(sequence);
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.decoding.len() + self.prefilling.len()
+    }
+
+    /// One step; returns what was finished.
+    pub(crate) fn step(&mut self, now_ms: u64) -> Vec<Sequence> {
+        let mut work = if self.is_slow { SLOW_STEP_WORK } else { STEP_WORK };
+        let mut finished = Vec::new();
+        for _ in 0..self.decoding.len() {
+            let Some(mut sequence) = self.decoding.pop_front() else { break };
+            if work >= DECODE_WORK && now_ms >= sequence.next_token_ms {
+                work -= DECODE_WORK;
+                sequence.first_token_ms.get_or_insert(now_ms);
+                sequence.next_token_ms = now_ms + TOKEN_MS;
+                sequence.tokens_left -= 1;
+            }
+            if sequence.tokens_left == 0 {
+                finished.push(sequence);
+            } else {
+                self.decoding.push_back(sequence);
+            }
+        }
+        while work > 0.0 {
+            let Some(sequence) = self.prefilling.front_mut() else { break };
+            let tokens = sequence.prefill_left.min(work / PREFILL_WORK);
+            sequence.prefill_left -= tokens;
+            work -= tokens * PREFILL_WORK;
+            if sequence.prefill_left > 1e-9 {
+                break;
+            }
+            let ready = self.prefilling.pop_front();
+            self.decoding.extend(ready);
+        }
+        finished
+    }
+}
--- a/crates/entry/src/hub/requests.rs
+++ b/crates/entry/src/hub/requests.rs
@@ -5,7 +5,7 @@
 use cowslip_border::CallerKey;
 use cowslip_config::{Admission, Deployment, Upstream, Workspace};
 use cowslip_name::Name;
-use cowslip_route::{AdmitVerdict, Candidate, Claim, Distance, Wait, choose};
+use cowslip_route::{AdmitVerdict, Candidate, Claim, Distance, Wait, choose, work_units};
 
 use super::{Begun, Ending, Goal, Grant, Hub, Refusal, Reply, Spent, Wanted, answer};
 use crate::events::Event;
@@ -43,13 +43,21 @@
     upstream: Name,
 }
 
+/// What this instance has in flight at an upstream.
+#[derive(Clone, Copy, Debug, Default)]
+struct Load {
+    requests: u32,
+    work: u32,
+}
+
 /// Requests that wait or run.
 #[derive(Debug, Default)]
 pub(super) struct Requests {
     next_grant: u64,
     waiting: BTreeMap<Wait, Waiting>,
     running: BTreeMap<u64, Running>,
-    by_upstream: BTreeMap<Name, u32>,
+    by_upstream: BTreeMap<Name, Load>,
+    last_used: BTreeMap<Name, u64>,
     lost_until_ms: BTreeMap<Name, u64>,
 }
 
@@ -59,11 +67,15 @@
     }
 
     pub(super) fn in_flight_at(&self, upstream: &Name) -> u32 {
-        self.by_upstream.get(upstream).copied().unwrap_or(0)
+        self.load_at(upstream).requests
+    }
+
+    fn load_at(&self, upstream: &Name) -> Load {
+        self.by_upstream.get(upstream).copied().unwrap_or_default()
     }
 
     pub(super) fn loads(&self) -> BTreeMap<&Name, u32> {
-        self.by_upstream.iter().map(|(upstream, in_flight)| (upstream, *in_flight)).collect()
+        self.by_upstream.iter().map(|(upstream, load)| (upstream, load.requests)).collect()
     }
 
     pub(super) fn workspace(&self, grant: u64) -> Option<&Name> {
@@ -200,7 +212,10 @@
             Place::Deployment(_) => true,
             Place::Service { is_idempotent, .. } => *is_idempotent,
         };
-        *self.requests.by_upstream.entry(upstream.name.clone()).or_default() += 1;
+        let load = self.requests.by_upstream.entry(upstream.name.clone()).or_default();
+        load.requests += 1;
+        load.work += work_units(waiting.claim.cost_tokens);
+        self.requests.last_used.insert(upstream.name.clone(), id + 1);
         let running = Running {
             place: waiting.place,
             claim: waiting.claim,
@@ -237,9 +252,10 @@
         let share = deployment.and_then(|deployment| {
             deployment.shares.iter().find(|share| share.failure_domain == upstream.failure_domain)
         });
+        let own = self.requests.load_at(&upstream.name);
         Candidate {
-            own_in_flight: self.requests.in_flight_at(&upstream.name),
-            others_in_flight: self.members.load_of_others(&upstream.name),
+            own_work: own.work,
+            in_flight: own.requests + self.members.load_of_others(&upstream.name),
             slots: upstream.slots,
             distance: if upstream.failure_domain == *own_domain {
                 Distance::Domain
@@ -251,15 +267,17 @@
                 && !self.requests.is_lost(now_ms, &upstream.name),
             domain_weight: share.map_or(1, |share| share.weight),
             prefix_hint: 0.0,
+            last_used: self.requests.last_used.get(&upstream.name).copied().unwrap_or(0),
         }
     }
 
     fn take_running(&mut self, grant: u64, ending: Ending) -> Option<Running> {
         let running = self.requests.running.remove(&grant)?;
         self.admitter.finish(&running.claim.workspace);
-        if let Some(in_flight) = self.requests.by_upstream.get_mut(&running.upstream) {
-            *in_flight = in_flight.saturating_sub(1);
-            if *in_flight == 0 {
+        if let Some(load) = self.requests.by_upstream.get_mut(&running.upstream) {
+            load.requests = load.requests.saturating_sub(1);
+            load.work = load.work.saturating_sub(work_units(running.claim.cost_tokens));
+            if load.requests == 0 {
                 self.requests.by_upstream.remove(&running.upstream);
             }
         }
--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -1,5 +1,7 @@
 //! The choice of an upstream.
 
+use std::cmp::Ordering;
+
 /// How far an upstream is away.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Distance {
@@ -14,10 +16,10 @@
 /// An upstream that could run a request.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Candidate {
-    /// Requests in flight from this instance.
-    pub own_in_flight: u32,
-    /// Requests in flight from others, as last reported.
-    pub others_in_flight: u32,
+    /// Expected work of this instance's requests in flight, in units of [`work_units`].
+    pub own_work: u32,
+    /// Requests in flight from all instances, as far as known.
+    pub in_flight: u32,
     /// Requests that it batches at once, at least 1.
     pub slots: u32,
     /// How far it is away.
@@ -28,18 +30,30 @@
     pub domain_weight: u32,
     /// Part of the prompt that its cache is believed to hold, 0 to 1.
     pub prefix_hint: f64,
+    /// Number of this instance's choice that last took it, 0 for never.
+    pub last_used: u64,
 }
 
+/// Tokens that make one unit of work.
+const TOKENS_PER_UNIT: u64 = 256;
 /// Load, in slots' worth, that makes a nearer upstream equal to one a step further away.
 const DISTANCE_STEP: f64 = 0.25;
 /// Load that a wholly cached prompt outweighs; small, so that affinity yields to load.
 const PREFIX_BONUS: f64 = 0.3;
 
+/// Units of work of a request that is expected to take so many tokens, prompt and answer.
+#[must_use]
+pub fn work_units(tokens: u64) -> u32 {
+    u32::try_from(1 + tokens / TOKENS_PER_UNIT).unwrap_or(u32::MAX)
+}
+
 /// Cost of running one more request; lower is better.
+///
+/// Only this instance's own work counts, which it knows exactly. Reports of others are old, and
+/// instances that all follow the same old report herd.
 #[must_use]
 pub fn cost(candidate: &Candidate) -> f64 {
-    let in_flight = f64::from(candidate.own_in_flight) + f64::from(candidate.others_in_flight);
-    let load = (in_flight + 1.0) / f64::from(candidate.slots);
+    let load = (f64::from(candidate.own_work) + 1.0) / f64::from(candidate.slots);
     let steps = match candidate.distance {
         Distance::Domain => 0.0,
         Distance::Region => 1.0,
@@ -49,18 +63,26 @@
     weighted + DISTANCE_STEP * steps - PREFIX_BONUS * candidate.prefix_hint
 }
 
+fn is_usable(candidate: &Candidate) -> bool {
+    candidate.is_open && candidate.domain_weight > 0 && candidate.in_flight < candidate.slots
+}
+
 /// Index of the cheapest candidate that takes work and has a free slot.
 ///
-/// Among equals `draw` decides, so that instances with the same view do not herd.
+/// Among equals the one that was not used for longest is taken, and `draw` decides among those,
+/// so that fresh instances do not all begin with the same one.
 #[must_use]
 pub fn choose(candidates: &[Candidate], draw: u64) -> Option<usize> {
-    let usable = |candidate: &&Candidate| {
-        let in_flight = u64::from(candidate.own_in_flight) + u64::from(candidate.others_in_flight);
-        candidate.is_open && candidate.domain_weight > 0 && in_flight < u64::from(candidate.slots)
+    let compare = |a: &Candidate, b: &Candidate| -> Ordering {
+        cost(a).total_cmp(&cost(b)).then(a.last_used.cmp(&b.last_used))
     };
-    let cheapest = candidates.iter().filter(usable).map(cost).min_by(f64::total_cmp)?;
-    let equals: Vec<usize> = (0..candidates.len())
-        .filter(|index| usable(&&candidates[*index]) && cost(&candidates[*index]) <= cheapest)
+    let usable = candidates.iter().filter(|candidate| is_usable(candidate));
+    let best = usable.min_by(|a, b| compare(a, b))?;
+    let equals: Vec<usize> = candidates
+        .iter()
+        .enumerate()
+        .filter(|(_, candidate)| is_usable(candidate) && compare(candidate, best).is_eq())
+        .map(|(index, _)| index)
         .collect();
     let pick = usize::try_from(draw % equals.len() as u64).ok()?;
     equals.get(pick).copied()
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -7,5 +7,5 @@
 mod retry;
 
 pub use admit::{AdmitVerdict, Admitter, Claim, Wait};
-pub use choose::{Candidate, Distance, choose, cost};
+pub use choose::{Candidate, Distance, choose, cost, work_units};
 pub use retry::RetryBudget;
--- a/crates/route/tests/naive.rs
+++ b/crates/route/tests/naive.rs
@@ -9,15 +9,16 @@
 fn candidate() -> impl Strategy<Value = Candidate> {
     let distance =
         prop_oneof![Just(Distance::Domain), Just(Distance::Region), Just(Distance::Remote)];
-    (0u32..6, 0u32..6, 1u32..8, distance, any::<bool>(), 0u32..3).prop_map(
-        |(own_in_flight, others_in_flight, slots, distance, is_open, domain_weight)| Candidate {
-            own_in_flight,
-            others_in_flight,
+    (0u32..6, 0u32..9, 1u32..8, distance, any::<bool>(), 0u32..3, 0u64..3).prop_map(
+        |(own_work, in_flight, slots, distance, is_open, domain_weight, last_used)| Candidate {
+            own_work,
+            in_flight,
             slots,
             distance,
             is_open,
             domain_weight,
             prefix_hint: 0.0,
+            last_used,
         },
     )
 }
@@ -36,9 +37,7 @@
         let usable: Vec<usize> = (0..candidates.len())
             .filter(|index| {
                 let one = &candidates[*index];
-                one.is_open
-                    && one.domain_weight > 0
-                    && one.own_in_flight + one.others_in_flight < one.slots
+                one.is_open && one.domain_weight > 0 && one.in_flight < one.slots
             })
             .collect();
         match choose(&candidates, draw) {
@@ -46,7 +45,10 @@
             Some(chosen) => {
                 prop_assert!(usable.contains(&chosen));
                 for index in usable {
-                    prop_assert!(cost(&candidates[chosen]) <= cost(&candidates[index]));
+                    let (best, other) = (&candidates[chosen], &candidates[index]);
+                    prop_assert!(cost(best) <= cost(other));
+                    let is_equal = cost(best).total_cmp(&cost(other)).is_eq();
+                    prop_assert!(!is_equal || best.last_used <= other.last_used);
                 }
             }
         }
