Admit by prompts that wait for their first token; refuse early

Found by the tests: with 200 ms for all, a service whose only process had broken one connection refused for a second; services keep two seconds. A request that moves after a loss waits as long as it may take at all, so that it is not cut. Also: one accept loop and one fault handler where there were two and three.

--- a/crates/bench/src/path.rs
+++ b/crates/bench/src/path.rs
@@ -33,6 +33,8 @@
 pub(crate) fn run(args: &PathArgs) -> Result<(), Error> {
     let mut settings = FleetOptions::default().settings;
     settings.push(("limits", "max_connections", "16384".to_owned()));
+    // All streams open at once before one engine: this is about memory, not about limits.
+    settings.push(("limits", "max_waiting_tokens", "1000000".to_owned()));
     let engine_args = vec!["--slots".to_owned(), "4096".to_owned()];
     let options =
         FleetOptions { entries: 1, engines: 1, settings, engine_args, ..FleetOptions::default() };
--- a/crates/bench/src/policy/engine.rs
+++ b/crates/bench/src/policy/engine.rs
@@ -62,15 +62,21 @@
         self.decoding.len() + self.prefilling.len()
     }
 
-    /// One step; returns what was finished.
-    pub(crate) fn step(&mut self, now_ms: u64) -> Vec<Sequence> {
+    /// One step; returns what was finished, and which requests got their first token.
+    pub(crate) fn step(&mut self, now_ms: u64) -> (Vec<Sequence>, Vec<usize>) {
         let mut work = if self.is_slow { SLOW_STEP_WORK } else { STEP_WORK };
-        let mut finished = Vec::new();
+        let (mut finished, mut begun) = (Vec::new(), Vec::new());
         for _ in 0..self.decoding.len() {
             let Some(mut sequence) = self.decoding.pop_front() else { break };
             if work >= DECODE_WORK && now_ms >= sequence.next_token_ms {
                 work -= DECODE_WORK;
-                sequence.first_token_ms.get_or_insert(now_ms);
+                if sequence
+                    .first_token_ms
+                    .replace(sequence.first_token_ms.unwrap_or(now_ms))
+                    .is_none()
+                {
+                    begun.push(sequence.id);
+                }
                 sequence.next_token_ms = now_ms + TOKEN_MS;
                 sequence.tokens_left -= 1;
             }
@@ -91,6 +97,6 @@
             let ready = self.prefilling.pop_front();
             self.decoding.extend(ready);
         }
-        finished
+        (finished, begun)
     }
 }
--- a/crates/bench/src/policy/mod.rs
+++ b/crates/bench/src/policy/mod.rs
@@ -2,6 +2,7 @@
 
 mod engine;
 mod fairness;
+mod limits;
 mod routing;
 
 use crate::cli::PolicyArgs;
@@ -12,6 +13,9 @@
     for fleet in routing::FLEETS {
         routing_table(args, *fleet);
     }
+    for demand in limits::DEMANDS {
+        limits_table(args, *demand);
+    }
     fairness_table(args);
 }
 
@@ -45,6 +49,22 @@
     table(&title, &columns, &rows);
 }
 
+fn limits_table(args: &PolicyArgs, demand: limits::Demand) {
+    let rows: Vec<Vec<String>> = limits::WAYS
+        .iter()
+        .map(|way| {
+            let runs: Vec<f64> =
+                seeds(args).map(|seed| limits::goodput(*way, demand, seed)).collect();
+            let mut row = vec![way.title.to_owned()];
+            row.extend(cells(runs));
+            row
+        })
+        .collect();
+    let columns = ["way", "lowest", "median", "highest"];
+    let title = format!("Part of requests answered in time, demand: {}", demand.title);
+    table(&title, &columns, &rows);
+}
+
 fn fairness_table(args: &PolicyArgs) {
     let rows: Vec<Vec<String>> = fairness::WAYS
         .iter()
--- a/crates/bench/src/policy/routing.rs
+++ b/crates/bench/src/policy/routing.rs
@@ -121,7 +121,8 @@
             world.arrive(way, now_ms, instance, prompt_tokens, output_tokens);
         }
         for engine in 0..ENGINES {
-            for done in world.engines[engine].step(now_ms) {
+            let (finished, _) = world.engines[engine].step(now_ms);
+            for done in finished {
                 let (instance, engine, load) = world.requests[done.id];
                 world.own[instance][engine] -= load;
                 in_time += u32::from(is_in_time(&done, now_ms));
@@ -131,13 +132,13 @@
     f64::from(in_time) / world.requests.len() as f64
 }
 
-fn is_in_time(done: &Sequence, now_ms: u64) -> bool {
+pub(super) fn is_in_time(done: &Sequence, now_ms: u64) -> bool {
     let Some(first_ms) = done.first_token_ms else { return false };
     let between_ms = (now_ms - first_ms) as f64 / f64::from(done.tokens.max(2) - 1);
     first_ms - done.arrived_ms <= FIRST_TOKEN_MS && between_ms <= BETWEEN_TOKENS_MS
 }
 
-fn count_arrivals(now_ms: u64, requests_per_s: f64, rng: &mut Rng) -> u32 {
+pub(super) fn count_arrivals(now_ms: u64, requests_per_s: f64, rng: &mut Rng) -> u32 {
     let is_burst = now_ms % BURST_EVERY_MS < BURST_MS;
     let per_s = if is_burst { requests_per_s * BURST_FACTOR } else { requests_per_s };
     let expected = per_s * STEP_MS as f64 / 1_000.0;
@@ -151,7 +152,7 @@
     count
 }
 
-fn draw_request(now_ms: u64, rng: &mut Rng) -> (u32, u32) {
+pub(super) fn draw_request(now_ms: u64, rng: &mut Rng) -> (u32, u32) {
     let is_prompt_time = (now_ms / SWING_MS).is_multiple_of(2);
     let long_prompts = if is_prompt_time { 0.8 } else { 0.2 };
     if rng.f64() < long_prompts {
--- a/crates/entry/src/caller/model.rs
+++ b/crates/entry/src/caller/model.rs
@@ -13,7 +13,7 @@
 use super::server::{CallerServer, Lease, json_response};
 use super::sse::SseBuffer;
 use crate::events::Event;
-use crate::hub::{Ending, Goal, Spent, Wanted};
+use crate::hub::{Ending, Goal, HubMessage, Spent, Wanted};
 use crate::metrics::Count;
 
 /// Largest whole answer of an engine, in bytes.
@@ -45,6 +45,7 @@
     let wanted = Wanted {
         bearer,
         goal: Goal::Model(fields.model),
+        prompt_tokens: prompt_tokens(&request),
         cost_tokens: prompt_tokens(&request) + fields.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS),
         fingerprint: request.digest(),
     };
@@ -191,7 +192,7 @@
         mut lease: Lease,
     ) -> Result<(), CallerError> {
         loop {
-            match self.copy(response).await {
+            match self.copy(response, lease.grant().id).await {
                 Copied::Done | Copied::CallerGone => {
                     lease.end(Ending::Finished, self.spent()).await;
                     return Ok(());
@@ -220,7 +221,8 @@
     }
 
     /// Copies whole events only, so that a break never leaves half of one with the caller.
-    async fn copy(&mut self, response: Response<Incoming>) -> Copied {
+    async fn copy(&mut self, response: Response<Incoming>, grant: u64) -> Copied {
+        let mut has_begun = false;
         let mut body = response.into_body();
         let mut buffer = SseBuffer::default();
         loop {
@@ -242,6 +244,10 @@
                     continue;
                 }
                 self.last_token = event.token.or(self.last_token);
+                if !has_begun {
+                    has_begun = true;
+                    self.server.hub.tell(HubMessage::FirstToken { grant }).await;
+                }
                 if !self.chunks.send(event.bytes).await {
                     return Copied::CallerGone;
                 }
--- a/crates/entry/src/caller/service.rs
+++ b/crates/entry/src/caller/service.rs
@@ -49,7 +49,7 @@
         _ => request.path.clone(),
     };
     let fingerprint = request.digest();
-    let wanted = Wanted { bearer, goal, cost_tokens: 1, fingerprint };
+    let wanted = Wanted { bearer, goal, prompt_tokens: 0, cost_tokens: 1, fingerprint };
     let lease = server.begin(wanted).await?;
     let deadline = server.deadline();
     let work = async {
--- a/crates/entry/src/config.rs
+++ b/crates/entry/src/config.rs
@@ -73,6 +73,11 @@
             "must be at most stale_limit_ms",
         ),
         (settings.limits.poison_limit > 0, "[limits] poison_limit", "must be at least 1"),
+        (
+            settings.limits.max_waiting_tokens > 0,
+            "[limits] max_waiting_tokens",
+            "must be at least 1",
+        ),
     ];
     let errors: Vec<SettingError> = rules
         .into_iter()
--- a/crates/entry/src/hub/message.rs
+++ b/crates/entry/src/hub/message.rs
@@ -43,6 +43,8 @@
     Begin { wanted: Wanted, reply: Reply<Begun> },
     /// A granted request has ended.
     End { grant: u64, ending: Ending, spent: Spent },
+    /// The first token of a granted request has arrived.
+    FirstToken { grant: u64 },
     /// A granted request needs another upstream.
     Move { grant: u64, ending: Ending, reply: Reply<Begun> },
     /// A granted call that may not be repeated carries an idempotency key.
@@ -87,6 +89,8 @@
 pub(crate) struct Wanted {
     pub(crate) bearer: Option<String>,
     pub(crate) goal: Goal,
+    pub(crate) prompt_tokens: u64,
+    /// Expected tokens of prompt and answer.
     pub(crate) cost_tokens: u64,
     pub(crate) fingerprint: [u8; 32],
 }
--- a/crates/entry/src/hub/mod.rs
+++ b/crates/entry/src/hub/mod.rs
@@ -176,6 +176,7 @@
             HubMessage::PeerEntries(entries) => self.on_peer_entries(entries),
             HubMessage::Begin { wanted, reply } => self.on_begin(&wanted, reply),
             HubMessage::End { grant, ending, spent } => self.on_end(grant, ending, spent),
+            HubMessage::FirstToken { grant } => self.on_first_token(grant),
             HubMessage::Move { grant, ending, reply } => self.on_move(grant, ending, reply),
             HubMessage::CallStart { grant, idempotency_key, digest, reply } => {
                 self.on_call_start(grant, idempotency_key, digest, reply);
--- a/crates/entry/src/hub/requests.rs
+++ b/crates/entry/src/hub/requests.rs
@@ -11,6 +11,8 @@
 use crate::events::Event;
 use crate::metrics::Count;
 
+/// Time after which a prompt counts as prefilled even if no token was seen, as with whole answers.
+const FIRST_TOKEN_TARGET_MS: u64 = 490;
 /// How long a lost upstream gets no work.
 const LOST_UPSTREAM_MS: u64 = 1_000;
 /// Workspace that open routes are accounted to.
@@ -25,11 +27,18 @@
     Service { service: Name, is_idempotent: bool },
 }
 
+/// What is asked for, once it is authorised.
 #[derive(Debug)]
-struct Waiting {
+struct Request {
     place: Place,
     claim: Claim,
+    prompt_tokens: u64,
     fingerprint: [u8; 32],
+}
+
+#[derive(Debug)]
+struct Waiting {
+    request: Request,
     deadline_ms: u64,
     reply: Reply<Begun>,
 }
@@ -37,10 +46,10 @@
 /// A request at its upstream.
 #[derive(Debug)]
 pub(super) struct Running {
-    place: Place,
-    claim: Claim,
-    fingerprint: [u8; 32],
+    request: Request,
     upstream: Name,
+    /// Until when the prompt counts as waiting for its first token; `None` once it has come.
+    waits_until_ms: Option<u64>,
 }
 
 /// What this instance has in flight at an upstream.
@@ -48,6 +57,7 @@
 struct Load {
     requests: u32,
     work: u32,
+    waiting_tokens: u64,
 }
 
 /// Requests that wait or run.
@@ -79,7 +89,7 @@
     }
 
     pub(super) fn workspace(&self, grant: u64) -> Option<&Name> {
-        self.running.get(&grant).map(|running| &running.claim.workspace)
+        self.running.get(&grant).map(|running| &running.request.claim.workspace)
     }
 
     fn is_lost(&self, now_ms: u64, upstream: &Name) -> bool {
@@ -117,15 +127,16 @@
 
     pub(super) fn on_begin(&mut self, wanted: &Wanted, reply: Reply<Begun>) {
         match self.judge(wanted) {
-            Ok((place, claim)) => {
+            Ok(request) => {
                 self.retries.on_request();
-                self.enqueue(place, claim, wanted.fingerprint, reply);
+                let patience_ms = self.patience_ms(&request.place);
+                self.enqueue(request, patience_ms, reply);
             }
             Err(refusal) => self.refuse(&reply, refusal),
         }
     }
 
-    fn judge(&self, wanted: &Wanted) -> Result<(Place, Claim), Refusal> {
+    fn judge(&self, wanted: &Wanted) -> Result<Request, Refusal> {
         self.check_admission()?;
         let (place, workspace) = self.place(wanted)?;
         if self.suspects.is_refused(&wanted.fingerprint) {
@@ -138,7 +149,8 @@
             max_in_flight: workspace.max_in_flight,
             cost_tokens: wanted.cost_tokens.max(1),
         };
-        Ok((place, claim))
+        let (prompt_tokens, fingerprint) = (wanted.prompt_tokens, wanted.fingerprint);
+        Ok(Request { place, claim, prompt_tokens, fingerprint })
     }
 
     fn place(&self, wanted: &Wanted) -> Result<(Place, Workspace), Refusal> {
@@ -174,18 +186,25 @@
         Ok(Place::Service { service: name.clone(), is_idempotent })
     }
 
-    fn enqueue(&mut self, place: Place, claim: Claim, fingerprint: [u8; 32], reply: Reply<Begun>) {
-        let deadline_ms = self.clock.now_ms() + self.config.settings.limits.queue_deadline_ms;
-        match self.admitter.enqueue(claim.clone()) {
+    fn enqueue(&mut self, request: Request, patience_ms: u64, reply: Reply<Begun>) {
+        let deadline_ms = self.clock.now_ms() + patience_ms;
+        match self.admitter.enqueue(request.claim.clone()) {
             AdmitVerdict::TooMany => self.refuse(&reply, Refusal::TooMany),
             AdmitVerdict::Queued(wait) => {
-                let waiting = Waiting { place, claim, fingerprint, deadline_ms, reply };
-                self.requests.waiting.insert(wait, waiting);
+                self.requests.waiting.insert(wait, Waiting { request, deadline_ms, reply });
                 self.start_waiting();
             }
         }
     }
 
+    /// A model's first token is due soon; a call of a service may wait longer.
+    fn patience_ms(&self, place: &Place) -> u64 {
+        match place {
+            Place::Deployment(_) => self.config.settings.limits.queue_deadline_ms,
+            Place::Service { .. } => self.config.settings.limits.service_deadline_ms,
+        }
+    }
+
     fn refuse(&self, reply: &Reply<Begun>, refusal: Refusal) {
         self.metrics.count(Count::Refused);
         answer(reply, Begun::Refused(refusal));
@@ -196,7 +215,7 @@
         loop {
             let startable = self.admitter.heads().into_iter().find_map(|wait| {
                 let waiting = self.requests.waiting.get(&wait)?;
-                self.pick(&waiting.place).map(|upstream| (wait, upstream))
+                self.pick(&waiting.request.place).map(|upstream| (wait, upstream))
             });
             let Some((wait, upstream)) = startable else { return };
             self.start(wait, &upstream);
@@ -208,19 +227,19 @@
         self.admitter.start(wait);
         let id = self.requests.next_grant;
         self.requests.next_grant += 1;
-        let is_idempotent = match &waiting.place {
+        let is_idempotent = match &waiting.request.place {
             Place::Deployment(_) => true,
             Place::Service { is_idempotent, .. } => *is_idempotent,
         };
         let load = self.requests.by_upstream.entry(upstream.name.clone()).or_default();
         load.requests += 1;
-        load.work += work_units(waiting.claim.cost_tokens);
+        load.work += work_units(waiting.request.claim.cost_tokens);
+        load.waiting_tokens += waiting.request.prompt_tokens;
         self.requests.last_used.insert(upstream.name.clone(), id + 1);
         let running = Running {
-            place: waiting.place,
-            claim: waiting.claim,
-            fingerprint: waiting.fingerprint,
+            request: waiting.request,
             upstream: upstream.name.clone(),
+            waits_until_ms: Some(self.clock.now_ms() + FIRST_TOKEN_TARGET_MS),
         };
         self.requests.running.insert(id, running);
         self.metrics.count(Count::Admitted);
@@ -264,6 +283,7 @@
             },
             is_open: !upstream.is_drained
                 && !self.is_ordered(&upstream.name)
+                && own.waiting_tokens < self.config.settings.limits.max_waiting_tokens
                 && !self.requests.is_lost(now_ms, &upstream.name),
             domain_weight: share.map_or(1, |share| share.weight),
             prefix_hint: 0.0,
@@ -272,11 +292,12 @@
     }
 
     fn take_running(&mut self, grant: u64, ending: Ending) -> Option<Running> {
+        self.release_prompt(grant);
         let running = self.requests.running.remove(&grant)?;
-        self.admitter.finish(&running.claim.workspace);
+        self.admitter.finish(&running.request.claim.workspace);
         if let Some(load) = self.requests.by_upstream.get_mut(&running.upstream) {
             load.requests = load.requests.saturating_sub(1);
-            load.work = load.work.saturating_sub(work_units(running.claim.cost_tokens));
+            load.work = load.work.saturating_sub(work_units(running.request.claim.cost_tokens));
             if load.requests == 0 {
                 self.requests.by_upstream.remove(&running.upstream);
             }
@@ -288,14 +309,30 @@
                 .emit(&self.me.instance, format_args!("{} {ending:?}", running.upstream));
         }
         if ending == Ending::Lost {
-            self.suspects.on_loss(running.fingerprint, running.upstream.clone());
+            self.suspects.on_loss(running.request.fingerprint, running.upstream.clone());
         }
         Some(running)
     }
 
+    /// The prompt of a request no longer waits at its engine.
+    fn release_prompt(&mut self, grant: u64) {
+        let Some(running) = self.requests.running.get_mut(&grant) else { return };
+        if running.waits_until_ms.take().is_none() {
+            return;
+        }
+        if let Some(load) = self.requests.by_upstream.get_mut(&running.upstream) {
+            load.waiting_tokens = load.waiting_tokens.saturating_sub(running.request.prompt_tokens);
+        }
+    }
+
+    pub(super) fn on_first_token(&mut self, grant: u64) {
+        self.release_prompt(grant);
+        self.start_waiting();
+    }
+
     pub(super) fn on_end(&mut self, grant: u64, ending: Ending, spent: Spent) {
         if let Some(running) = self.take_running(grant, ending) {
-            self.count_usage(&running.claim.workspace, spent);
+            self.count_usage(&running.request.claim.workspace, spent);
         }
         self.on_call_gone(grant);
         self.start_waiting();
@@ -319,14 +356,16 @@
             self.refuse(&reply, refusal);
         } else {
             self.metrics.count(Count::Retried);
-            self.enqueue(running.place, running.claim, running.fingerprint, reply);
+            // It has run in part: it waits as long as it may take at all.
+            let patience_ms = self.config.settings.limits.request_deadline_ms;
+            self.enqueue(running.request, patience_ms, reply);
         }
         self.start_waiting();
     }
 
     /// A try that sent nothing costs no upstream anything and is not charged to the budget.
     fn move_refusal(&mut self, running: &Running, ending: Ending) -> Option<Refusal> {
-        if self.suspects.is_refused(&running.fingerprint) {
+        if self.suspects.is_refused(&running.request.fingerprint) {
             return Some(Refusal::Poison);
         }
         let is_allowed = ending == Ending::Unreachable || self.retries.take();
@@ -334,6 +373,16 @@
     }
 
     pub(super) fn tick_requests(&mut self, now_ms: u64) {
+        let prefilled: Vec<u64> = self
+            .requests
+            .running
+            .iter()
+            .filter(|(_, running)| running.waits_until_ms.is_some_and(|until| now_ms >= until))
+            .map(|(grant, _)| *grant)
+            .collect();
+        for grant in prefilled {
+            self.release_prompt(grant);
+        }
         let expired: Vec<Wait> = self
             .requests
             .waiting
--- a/crates/harness/src/fleet.rs
+++ b/crates/harness/src/fleet.rs
@@ -1,9 +1,7 @@
 //! The platform, engines, a service and entry instances as processes.
 
-use std::collections::BTreeMap;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::time::{Duration, Instant};
 
 use cowslip_border::{from_json, to_json};
 use cowslip_proto as proto;
@@ -12,14 +10,12 @@
 use serde::de::DeserializeOwned;
 use snafu::ResultExt;
 
-use crate::error::{AnswerSnafu, Error, IoSnafu, WaitSnafu};
+use crate::error::{AnswerSnafu, Error, IoSnafu};
 use crate::http::{Answer, request};
 use crate::process::Process;
+use crate::setup::{free_address, free_addresses, ini_text, wait_for_listener, wait_until};
 use crate::tickets::{Objects, engine_row, first_ticket};
 
-const WAIT: Duration = Duration::from_secs(30);
-const POLL: Duration = Duration::from_millis(25);
-
 /// How a fleet is made up.
 #[derive(Clone, Debug)]
 pub struct FleetOptions {
@@ -110,32 +106,6 @@
     folder: PathBuf,
 }
 
-fn ini_text(rows: &[(&str, &str, String)]) -> String {
-    let mut sections: BTreeMap<&str, Vec<String>> = BTreeMap::new();
-    for (section, key, value) in rows {
-        let keys = sections.entry(section).or_default();
-        keys.push(format!("{key} = {value}"));
-    }
-    let texts: Vec<String> = sections
-        .iter()
-        .map(|(section, keys)| format!("[{section}]\n{}\n", keys.join("\n")))
-        .collect();
-    texts.concat()
-}
-
-fn free_address() -> Result<SocketAddr, Error> {
-    let listener = TcpListener::bind("127.0.0.1:0").context(IoSnafu)?;
-    listener.local_addr().context(IoSnafu)
-}
-
-fn free_addresses(count: usize) -> Result<Vec<SocketAddr>, Error> {
-    // All are held at once, so that none comes twice.
-    let listeners: Vec<TcpListener> = (0..count)
-        .map(|_| TcpListener::bind("127.0.0.1:0").context(IoSnafu))
-        .collect::<Result<_, _>>()?;
-    listeners.iter().map(|listener| listener.local_addr().context(IoSnafu)).collect()
-}
-
 impl Fleet {
     /// Starts everything and waits until it listens; no ticket is applied yet.
     ///
@@ -395,23 +365,3 @@
     from_json(answer.body.as_bytes())
         .map_err(|_| AnswerSnafu { what: path, text: &answer.body }.build())
 }
-
-fn wait_for_listener(address: SocketAddr) -> Result<(), Error> {
-    wait_until(&format!("a listener at {address}"), || {
-        std::net::TcpStream::connect(address).is_ok()
-    })
-}
-
-fn wait_until<F>(what: &str, mut condition: F) -> Result<(), Error>
-where
-    F: FnMut() -> bool,
-{
-    let deadline = Instant::now() + WAIT;
-    while !condition() {
-        if Instant::now() >= deadline {
-            return WaitSnafu { what }.fail();
-        }
-        std::thread::sleep(POLL);
-    }
-    Ok(())
-}
--- a/crates/harness/src/lib.rs
+++ b/crates/harness/src/lib.rs
@@ -4,6 +4,7 @@
 mod fleet;
 mod http;
 mod process;
+mod setup;
 mod tickets;
 
 pub use error::Error;
--- a/crates/net/src/peer.rs
+++ b/crates/net/src/peer.rs
@@ -7,17 +7,16 @@
 use bytes::Bytes;
 use compio::net::{TcpListener, TcpStream};
 use cyper_core::HyperStream;
-use futures_util::future::{Either, select};
 use h2::client::SendRequest;
 use h2::{RecvStream, client, server};
 use http::{Request, Response, StatusCode};
 use snafu::ResultExt;
-use std::pin::pin;
 use tokio_util::compat::FuturesAsyncReadCompatExt;
 
 use crate::error::{
     ConnectSnafu, Error, H2Snafu, MessageSnafu, StatusSnafu, TimedOutSnafu, TooLargeSnafu,
 };
+use crate::server::accept;
 
 /// A connection to one other instance.
 #[derive(Debug)]
@@ -104,16 +103,7 @@
     H: Fn(String, Bytes) -> F + Clone + 'static,
     F: Future<Output = Result<Bytes, StatusCode>> + 'static,
 {
-    loop {
-        let accepted = {
-            let accept = pin!(listener.accept());
-            let stopped = pin!(stop.recv());
-            match select(accept, stopped).await {
-                Either::Left((accepted, _)) => accepted,
-                Either::Right(_) => return,
-            }
-        };
-        let Ok((tcp, _)) = accepted else { continue };
+    while let Some(tcp) = accept(&listener, &stop).await {
         let handler = handler.clone();
         compio::runtime::spawn(async move {
             // An error here is the other side's: it is gone, or broke the protocol.
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -53,17 +53,7 @@
 {
     // Every connection holds a clone of the sender: the channel closes when the last one ends.
     let (alive, all_done) = async_channel::bounded::<()>(1);
-    loop {
-        let accepted = {
-            let accept = pin!(listener.accept());
-            let stopped = pin!(stop.recv());
-            match select(accept, stopped).await {
-                Either::Left((accepted, _)) => accepted,
-                Either::Right(_) => break,
-            }
-        };
-        // A failed accept concerns one connection only, such as one that was reset early.
-        let Ok((tcp, _)) = accepted else { continue };
+    while let Some(tcp) = accept(&listener, &stop).await {
         if alive.sender_count() > limits.max_connections {
             continue;
         }
@@ -75,6 +65,20 @@
     let _ = all_done.recv().await;
 }
 
+/// The next connection, `None` once `stop` closes.
+pub(crate) async fn accept(listener: &TcpListener, stop: &Receiver<()>) -> Option<TcpStream> {
+    loop {
+        let accepted = pin!(listener.accept());
+        let stopped = pin!(stop.recv());
+        match select(accepted, stopped).await {
+            Either::Left((Ok((tcp, _)), _)) => return Some(tcp),
+            // A failed accept concerns one connection only, such as one that was reset early.
+            Either::Left((Err(_), _)) => {}
+            Either::Right(_) => return None,
+        }
+    }
+}
+
 async fn connection<H, F>(
     tcp: TcpStream,
     limits: ServerLimits,
--- a/crates/proto/src/generated.rs
+++ b/crates/proto/src/generated.rs
@@ -1392,9 +1392,11 @@
 ///    "max_body_bytes",
 ///    "max_connections",
 ///    "max_header_bytes",
+///    "max_waiting_tokens",
 ///    "poison_limit",
 ///    "queue_deadline_ms",
 ///    "request_deadline_ms",
+///    "service_deadline_ms",
 ///    "shutdown_grace_ms"
 ///  ],
 ///  "properties": {
@@ -1413,13 +1415,18 @@
 ///      "type": "integer",
 ///      "format": "uint32"
 ///    },
+///    "max_waiting_tokens": {
+///      "description": "An engine gets no further request from this instance while prompts of so many tokens await their first token there.",
+///      "type": "integer",
+///      "format": "uint64"
+///    },
 ///    "poison_limit": {
 ///      "description": "Upstreams that one request may lose before it is refused.",
 ///      "type": "integer",
 ///      "format": "uint32"
 ///    },
 ///    "queue_deadline_ms": {
-///      "description": "Longest wait for an upstream before a request is refused as not run.",
+///      "description": "Longest wait of a model request for an engine before it is refused as not run.",
 ///      "type": "integer",
 ///      "format": "uint64"
 ///    },
@@ -1428,6 +1435,11 @@
 ///      "type": "integer",
 ///      "format": "uint64"
 ///    },
+///    "service_deadline_ms": {
+///      "description": "The same for a call of a plain service.",
+///      "type": "integer",
+///      "format": "uint64"
+///    },
 ///    "shutdown_grace_ms": {
 ///      "description": "Longest wait for requests in flight at shutdown.",
 ///      "type": "integer",
@@ -1448,12 +1460,16 @@
     pub max_connections: u32,
     ///Size of a request's header block.
     pub max_header_bytes: u32,
+    ///An engine gets no further request from this instance while prompts of so many tokens await their first token there.
+    pub max_waiting_tokens: u64,
     ///Upstreams that one request may lose before it is refused.
     pub poison_limit: u32,
-    ///Longest wait for an upstream before a request is refused as not run.
+    ///Longest wait of a model request for an engine before it is refused as not run.
     pub queue_deadline_ms: u64,
     ///Longest time of one request.
     pub request_deadline_ms: u64,
+    ///The same for a call of a plain service.
+    pub service_deadline_ms: u64,
     ///Longest wait for requests in flight at shutdown.
     pub shutdown_grace_ms: u64,
 }
--- a/crates/proto/src/setting_table.rs
+++ b/crates/proto/src/setting_table.rs
@@ -152,6 +152,13 @@
         default: Some("16384"),
         help: "Size of a request's header block.",
     },
+    SettingRow {
+        section: "limits",
+        key: "max_waiting_tokens",
+        kind: SettingKind::Integer,
+        default: Some("500"),
+        help: "An engine gets no further request from this instance while prompts of so many tokens await their first token there.",
+    },
     SettingRow {
         section: "limits",
         key: "poison_limit",
@@ -163,8 +170,8 @@
         section: "limits",
         key: "queue_deadline_ms",
         kind: SettingKind::Integer,
-        default: Some("2000"),
-        help: "Longest wait for an upstream before a request is refused as not run.",
+        default: Some("200"),
+        help: "Longest wait of a model request for an engine before it is refused as not run.",
     },
     SettingRow {
         section: "limits",
@@ -173,6 +180,13 @@
         default: Some("60000"),
         help: "Longest time of one request.",
     },
+    SettingRow {
+        section: "limits",
+        key: "service_deadline_ms",
+        kind: SettingKind::Integer,
+        default: Some("2000"),
+        help: "The same for a call of a plain service.",
+    },
     SettingRow {
         section: "limits",
         key: "shutdown_grace_ms",
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -17,7 +17,7 @@
 
 use crate::ask::{Reply, ask};
 use crate::batch::{Batch, Sequence};
-use crate::http::{body, json, serve_forever, status, text};
+use crate::http::{body, json, serve_forever, set_faults, status, text};
 
 const BYTES_PER_TOKEN: u64 = 4;
 const DEFAULT_MAX_TOKENS: u64 = 16;
@@ -230,13 +230,7 @@
             Some(stats) => json(&stats),
             None => status(StatusCode::SERVICE_UNAVAILABLE),
         },
-        (Method::POST, "/faults") => match from_json(&body(request).await) {
-            Ok(faults) => {
-                let _ = inbox.send(Message::SetFaults(faults)).await;
-                status(StatusCode::OK)
-            }
-            Err(_) => status(StatusCode::BAD_REQUEST),
-        },
+        (Method::POST, "/faults") => set_faults(&inbox, request, Message::SetFaults).await,
         _ => status(StatusCode::NOT_FOUND),
     }
 }
--- a/crates/standin/src/http.rs
+++ b/crates/standin/src/http.rs
@@ -4,11 +4,13 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use async_channel::Sender;
 use bytes::Bytes;
-use cowslip_border::to_json;
+use cowslip_border::{from_json, to_json};
 use cowslip_net::{Body, ServerLimits, bind, collect, full, serve};
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
+use serde::de::DeserializeOwned;
 
 const MAX_BODY_BYTES: usize = 8_388_608;
 
@@ -39,6 +41,24 @@
     collect(request.into_body(), MAX_BODY_BYTES).await.unwrap_or_default()
 }
 
+/// Hands the faults of a control request to the owner of the state.
+pub(crate) async fn set_faults<M, T, F>(
+    inbox: &Sender<M>,
+    request: Request<Incoming>,
+    message: F,
+) -> Response<Body>
+where
+    T: DeserializeOwned,
+    F: FnOnce(T) -> M,
+{
+    let Ok(faults) = from_json(&body(request).await) else {
+        return status(StatusCode::BAD_REQUEST);
+    };
+    // The owner lives as long as the process.
+    let _ = inbox.send(message(faults)).await;
+    status(StatusCode::OK)
+}
+
 /// Serves one address until the process ends.
 pub(crate) async fn serve_forever<H, F>(
     address: SocketAddr,
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -15,7 +15,7 @@
 use hyper::body::Incoming;
 
 use crate::ask::{Reply, ask};
-use crate::http::{body, json, serve_forever, status};
+use crate::http::{body, json, serve_forever, set_faults, status};
 
 const POLL: Duration = Duration::from_millis(5);
 
@@ -234,13 +234,7 @@
             Some(log) => json(&log),
             None => status(StatusCode::SERVICE_UNAVAILABLE),
         },
-        (Method::POST, "/faults") => match from_json(&body(request).await) {
-            Ok(faults) => {
-                let _ = inbox.send(Message::SetFaults(faults)).await;
-                status(StatusCode::OK)
-            }
-            Err(_) => status(StatusCode::BAD_REQUEST),
-        },
+        (Method::POST, "/faults") => set_faults(&inbox, request, Message::SetFaults).await,
         _ => status(StatusCode::NOT_FOUND),
     }
 }
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -7,7 +7,6 @@
 
 use async_channel::{Receiver, Sender};
 use bytes::Bytes;
-use cowslip_border::from_json;
 use cowslip_net::{Body, stream};
 use cowslip_proto as proto;
 use http::{Method, Request, Response, StatusCode};
@@ -16,7 +15,7 @@
 use serde_json::json as json_value;
 
 use crate::ask::{Reply, ask};
-use crate::http::{body, json, serve_forever, status, text};
+use crate::http::{body, json, serve_forever, set_faults, status, text};
 
 const IDLE: Duration = Duration::from_secs(30);
 const KEY_MARK: &[u8] = b"csk_";
@@ -107,13 +106,7 @@
             Some(ledger) => json(&ledger),
             None => status(StatusCode::SERVICE_UNAVAILABLE),
         },
-        (Method::POST, "/faults") => match from_json(&body(request).await) {
-            Ok(faults) => {
-                let _ = inbox.send(Message::SetFaults(faults)).await;
-                status(StatusCode::OK)
-            }
-            Err(_) => status(StatusCode::BAD_REQUEST),
-        },
+        (Method::POST, "/faults") => set_faults(&inbox, request, Message::SetFaults).await,
         (Method::GET, path) => match path.strip_prefix("/stock/") {
             Some(item) => {
                 text(StatusCode::OK, json_value!({ "item": item, "left": 12 }).to_string())
