Let a role change drop the engine stand-in's work, as an engine's does

Cause: a mutation that sends orders without waiting for the drain left no_stream_is_cut green: the stand-in went on with its streams through a role change, so the test could not fail. Now the stand-in drops them, and the test also asserts that no stream had to be resumed by a planned change.

--- a/crates/harness/tests/service.rs
+++ b/crates/harness/tests/service.rs
@@ -123,6 +123,12 @@
             assert_eq!(requests(), before, "a drained engine gets no new work");
         }
         Change::RoleChanged => {
+            for entry in 0..3 {
+                assert!(
+                    !fleet.entry_log(entry).contains("E503"),
+                    "a planned change broke a stream"
+                );
+            }
             let role = |stats: proto::EngineStats| stats.orders.len() == 1;
             fleet
                 .wait_until("the order", || fleet.engine_stats(0).is_ok_and(role))
--- a/crates/standin/src/batch.rs
+++ b/crates/standin/src/batch.rs
@@ -42,6 +42,12 @@
         self.queued.push_back(sequence);
     }
 
+    /// Drops all work, as an engine does that takes another role.
+    pub(crate) fn clear(&mut self) {
+        self.running.clear();
+        self.queued.clear();
+    }
+
     pub(crate) fn len(&self) -> usize {
         self.running.len() + self.queued.len()
     }
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -194,6 +194,7 @@
         match &order.action {
             proto::OrderAction::Role(role) => {
                 self.role = *role;
+                self.batch.clear();
                 self.busy_until =
                     Instant::now() + Duration::from_millis(self.options.role_change_ms);
             }
@@ -267,7 +268,7 @@
     let seed = blake3::hash(&body);
     let mut response = if fields.stream {
         let (chunks, out) = stream();
-        compio::runtime::spawn(pump(seed, numbers, chunks)).detach();
+        compio::runtime::spawn(pump(seed, last_token, numbers, chunks)).detach();
         Response::builder()
             .header("content-type", "text/event-stream")
             .body(out)
@@ -300,7 +301,9 @@
     format!("{} ", &hash.to_hex()[..6])
 }
 
-async fn pump(seed: blake3::Hash, numbers: Receiver<u64>, chunks: ChunkSender) {
+/// Sends tokens as they come; a sequence that was dropped ends without `[DONE]`.
+async fn pump(seed: blake3::Hash, last_token: u64, numbers: Receiver<u64>, chunks: ChunkSender) {
+    let mut sent_token = 0;
     while let Ok(token) = numbers.recv().await {
         let chunk = json_value!({
             "object": "chat.completion.chunk",
@@ -309,8 +312,11 @@
         if !chunks.send(format!("id: {token}\ndata: {chunk}\n\n").into()).await {
             return;
         }
+        sent_token = token;
+    }
+    if sent_token == last_token {
+        chunks.send(Bytes::from_static(b"data: [DONE]\n\n")).await;
     }
-    chunks.send(Bytes::from_static(b"data: [DONE]\n\n")).await;
 }
 
 async fn whole(seed: blake3::Hash, last_token: u64, numbers: Receiver<u64>) -> Response<Body> {
