Part access from the queue, and let an engine's own errors through

Cause: read as a newcomer, hub/requests.rs held who may call what beside the queue and the choice; entries from peers went through a made-up page of the log. Found on the way: any 5xx of an engine closed it to this instance for a second, so one workspace could close the fleet with requests that an engine answers with 500. Only 503 means that the engine takes no work; any other status is its answer to that request.

--- a/crates/border/src/settings.rs
+++ b/crates/border/src/settings.rs
@@ -55,7 +55,7 @@
         return Err(errors);
     }
     let sections_json = Value::Object(sections);
-    // Each value is tried alone, so that every bad name or number is told at once.
+    // Every value was checked by itself above, so that all errors are told at once.
     serde_json::from_value(sections_json).map_err(|error| {
         vec![SettingError { line: 0, at: "settings".to_owned(), reason: error.to_string() }]
     })
--- a/crates/entry/src/caller/model.rs
+++ b/crates/entry/src/caller/model.rs
@@ -92,7 +92,8 @@
     let mut may_have_run = resume_after.is_some();
     loop {
         let ending = match send_once(server, &lease, request, &request.path, resume_after).await {
-            Ok(response) if response.status().is_server_error() => Ending::Failed,
+            // The engine takes no work now. Any other status is its answer to this request.
+            Ok(response) if response.status() == StatusCode::SERVICE_UNAVAILABLE => Ending::Failed,
             Ok(response) => return Ok((response, lease)),
             Err(failure) => failure.ending(),
         };
--- a/crates/entry/src/hub/log.rs
+++ b/crates/entry/src/hub/log.rs
@@ -41,14 +41,14 @@
         }
     }
 
-    fn on_entry(&mut self, raw: proto::RawEntry) {
+    /// Takes the next entry; any other one was read twice or comes too early.
+    pub(super) fn on_entry(&mut self, raw: proto::RawEntry) {
         match &mut self.reading {
             Reading::Folding if raw.offset == self.next_offset => self.fold(raw),
             Reading::Scanning { next_offset, .. } if raw.offset == *next_offset => {
                 *next_offset += 1;
                 self.scan(&raw);
             }
-            // Read twice, or from the time before a snapshot was restored.
             _ => {}
         }
     }
--- a/crates/entry/src/hub/mod.rs
+++ b/crates/entry/src/hub/mod.rs
@@ -1,5 +1,6 @@
 //! The task that owns the folded state and every decision of the instance.
 
+mod access;
 mod billing;
 mod calls;
 mod log;
--- a/crates/entry/src/hub/peers.rs
+++ b/crates/entry/src/hub/peers.rs
@@ -101,10 +101,10 @@
             .collect()
     }
 
+    /// Entries from another instance tell nothing of what the log holds beyond them.
     pub(super) fn on_peer_entries(&mut self, entries: Vec<proto::RawEntry>) {
-        let sent_at_ms = 0;
-        let next_offset = u64::MAX;
-        let first_offset = 0;
-        self.on_page(sent_at_ms, Some(proto::LogPage { first_offset, next_offset, entries }));
+        for entry in entries {
+            self.on_entry(entry);
+        }
     }
 }
--- a/crates/entry/src/hub/requests.rs
+++ b/crates/entry/src/hub/requests.rs
@@ -2,12 +2,12 @@
 
 use std::collections::BTreeMap;
 
-use cowslip_border::CallerKey;
-use cowslip_config::{Admission, Deployment, Upstream, Workspace};
+use cowslip_config::{Deployment, Upstream};
 use cowslip_name::Name;
-use cowslip_route::{AdmitVerdict, Candidate, Claim, Distance, Wait, choose, work_units};
+use cowslip_route::{AdmitVerdict, Candidate, Distance, Wait, choose, work_units};
 
-use super::{Begun, Ending, Goal, Grant, Hub, Refusal, Reply, Spent, Wanted, answer};
+use super::access::{Place, Request};
+use super::{Begun, Ending, Grant, Hub, Refusal, Reply, Spent, Wanted, answer};
 use crate::events::Event;
 use crate::metrics::Count;
 
@@ -15,27 +15,6 @@
 const FIRST_TOKEN_TARGET_MS: u64 = 490;
 /// How long a lost upstream gets no work.
 const LOST_UPSTREAM_MS: u64 = 1_000;
-/// Workspace that open routes are accounted to.
-const OPEN_WORKSPACE: &str = "open";
-/// Limit of requests in flight over open routes at one instance.
-const OPEN_MAX_IN_FLIGHT: u32 = 256;
-
-/// Where an authorised request may run.
-#[derive(Clone, Debug)]
-enum Place {
-    Deployment(Name),
-    Service { service: Name, is_idempotent: bool },
-}
-
-/// What is asked for, once it is authorised.
-#[derive(Debug)]
-struct Request {
-    place: Place,
-    claim: Claim,
-    prompt_tokens: u64,
-    fingerprint: [u8; 32],
-}
-
 #[derive(Debug)]
 struct Waiting {
     request: Request,
@@ -98,33 +77,6 @@
 }
 
 impl Hub {
-    /// The workspace that a bearer's key speaks for.
-    fn authorise(&self, bearer: Option<&str>) -> Result<&Workspace, Refusal> {
-        let caller = bearer.and_then(CallerKey::parse).ok_or(Refusal::BadKey)?;
-        let key = self.state.config.key(&caller.name).ok_or(Refusal::BadKey)?;
-        if !caller.matches(key) {
-            return Err(Refusal::BadKey);
-        }
-        self.state.config.workspace(&key.workspace).ok_or(Refusal::BadKey)
-    }
-
-    fn check_admission(&self) -> Result<(), Refusal> {
-        if self.is_stopping {
-            return Err(Refusal::NotReady);
-        }
-        match self.admission(self.clock.now_ms()) {
-            Admission::Admit | Admission::AdmitStale => Ok(()),
-            Admission::Stop(_) => Err(Refusal::NotReady),
-        }
-    }
-
-    pub(super) fn models(&self, bearer: Option<&str>) -> Result<Vec<Name>, Refusal> {
-        self.check_admission()?;
-        let workspace = self.authorise(bearer)?;
-        let is_deployed = |name: &&Name| self.state.config.deployment(name).is_some();
-        Ok(workspace.deployments.iter().filter(is_deployed).cloned().collect())
-    }
-
     pub(super) fn on_begin(&mut self, wanted: &Wanted, reply: Reply<Begun>) {
         match self.judge(wanted) {
             Ok(request) => {
@@ -136,56 +88,6 @@
         }
     }
 
-    fn judge(&self, wanted: &Wanted) -> Result<Request, Refusal> {
-        self.check_admission()?;
-        let (place, workspace) = self.place(wanted)?;
-        if self.suspects.is_refused(&wanted.fingerprint) {
-            Event::PoisonRefused.emit(&self.me.instance, format_args!("{}", workspace.name));
-            return Err(Refusal::Poison);
-        }
-        let claim = Claim {
-            workspace: workspace.name,
-            share_weight: workspace.share_weight,
-            max_in_flight: workspace.max_in_flight,
-            cost_tokens: wanted.cost_tokens.max(1),
-        };
-        let (prompt_tokens, fingerprint) = (wanted.prompt_tokens, wanted.fingerprint);
-        Ok(Request { place, claim, prompt_tokens, fingerprint })
-    }
-
-    fn place(&self, wanted: &Wanted) -> Result<(Place, Workspace), Refusal> {
-        match &wanted.goal {
-            Goal::Model(model) => {
-                let workspace = self.authorise(wanted.bearer.as_deref())?;
-                let name = Name::new(model).map_err(|_| Refusal::NotFound)?;
-                if !workspace.deployments.contains(&name) {
-                    return Err(Refusal::NotAllowed);
-                }
-                let deployment = self.state.config.deployment(&name).ok_or(Refusal::NotFound)?;
-                Ok((Place::Deployment(deployment.name.clone()), workspace.clone()))
-            }
-            Goal::Service { service, method, path } => {
-                let workspace = self.authorise(wanted.bearer.as_deref())?;
-                let name = Name::new(service).map_err(|_| Refusal::NotFound)?;
-                if !workspace.services.contains(&name) {
-                    return Err(Refusal::NotAllowed);
-                }
-                Ok((self.service_place(&name, method, path)?, workspace.clone()))
-            }
-            Goal::Open { method, path } => {
-                let route = self.state.config.open_route(path).ok_or(Refusal::NotFound)?;
-                let place = self.service_place(&route.service, method, path)?;
-                Ok((place, open_workspace()))
-            }
-        }
-    }
-
-    fn service_place(&self, name: &Name, method: &str, path: &str) -> Result<Place, Refusal> {
-        let service = self.state.config.service(name).ok_or(Refusal::NotFound)?;
-        let is_idempotent = service.is_idempotent(method, path);
-        Ok(Place::Service { service: name.clone(), is_idempotent })
-    }
-
     fn enqueue(&mut self, request: Request, patience_ms: u64, reply: Reply<Begun>) {
         let deadline_ms = self.clock.now_ms() + patience_ms;
         match self.admitter.enqueue(request.claim.clone()) {
@@ -400,13 +302,3 @@
         self.start_waiting();
     }
 }
-
-fn open_workspace() -> Workspace {
-    Workspace {
-        name: Name::new(OPEN_WORKSPACE).expect("the constant is a name"),
-        share_weight: 1,
-        max_in_flight: OPEN_MAX_IN_FLIGHT,
-        deployments: Vec::new(),
-        services: Vec::new(),
-    }
-}
