Let the policy model know only what an instance knows

Cause: the model weighed a request by the answer's true length, which no instance knows. After: prompt plus a guess of 256 tokens.

--- a/crates/bench/src/policy/limits.rs
+++ b/crates/bench/src/policy/limits.rs
@@ -6,7 +6,7 @@
 use fastrand::Rng;
 
 use super::engine::{Engine, STEP_MS, Sequence};
-use super::routing::{count_arrivals, draw_request, is_in_time};
+use super::routing::{count_arrivals, draw_request, expected_tokens, is_in_time};
 
 const INSTANCES: usize = 6;
 const ENGINES: usize = 12;
@@ -162,7 +162,7 @@
             let Some(engine) = self.pick(way, instance) else { return };
             self.queues[instance].pop_front();
             let Request { arrived_ms, prompt_tokens, output_tokens } = request;
-            let work = work_units(u64::from(prompt_tokens + output_tokens));
+            let work = work_units(expected_tokens(prompt_tokens));
             let id = self.started.len();
             self.started.push(Started { instance, engine, work, prompt_tokens });
             let load = &mut self.loads[instance][engine];
--- a/crates/bench/src/policy/routing.rs
+++ b/crates/bench/src/policy/routing.rs
@@ -17,6 +17,8 @@
 const REPORT_MS: u64 = 1_000;
 const FIRST_TOKEN_MS: u64 = 490;
 const BETWEEN_TOKENS_MS: f64 = 54.0;
+/// Tokens that an answer is expected to have when its request sets no limit.
+const EXPECTED_OUTPUT_TOKENS: u64 = 256;
 const SLOTS: u32 = 256;
 
 /// A way to choose an engine.
@@ -132,6 +134,11 @@
     f64::from(in_time) / world.requests.len() as f64
 }
 
+/// What an instance knows of a request's size: its prompt, and a guess of its answer.
+pub(super) fn expected_tokens(prompt_tokens: u32) -> u64 {
+    u64::from(prompt_tokens) + EXPECTED_OUTPUT_TOKENS
+}
+
 pub(super) fn is_in_time(done: &Sequence, now_ms: u64) -> bool {
     let Some(first_ms) = done.first_token_ms else { return false };
     let between_ms = (now_ms - first_ms) as f64 / f64::from(done.tokens.max(2) - 1);
@@ -179,7 +186,7 @@
         output_tokens: u32,
     ) {
         let load = match way {
-            Way::Ours => cowslip_route::work_units(u64::from(prompt_tokens + output_tokens)),
+            Way::Ours => cowslip_route::work_units(expected_tokens(prompt_tokens)),
             _ => 1,
         };
         let engine = self.pick(way, instance);
