--- a/crates/entry/src/hub/log.rs
+++ b/crates/entry/src/hub/log.rs
@@ -84,6 +84,8 @@
             Ok(entry) => {
                 for (message, logged) in &entry.records {
                     match logged {
+                        // One that its writer never finished does not put the next one off.
+                        Logged::Snapshot(chunk) if chunk.index + 1 < chunk.count => {}
                         Logged::Snapshot(chunk) => {
                             self.last_snapshot_offset =
                                 self.last_snapshot_offset.max(chunk.covers_offset);
