--- a/crates/harness/tests/configuration.rs
+++ b/crates/harness/tests/configuration.rs
@@ -194,3 +194,26 @@
     }
     assert_eq!(fleet.status(0).expect("a status").config_digest_hex, before);
 }
+
+#[test]
+fn an_instance_that_starts_without_the_log_waits_and_says_so() {
+    let _turn = turn();
+    let options = FleetOptions { entries: 1, ..FleetOptions::default() };
+    let mut fleet = Fleet::start(options).expect("a fleet");
+    let objects = fleet.configure(1).expect("a configuration");
+    let faults = proto::PlatformFaults { outage: true, ..no_platform_faults() };
+    fleet.set_faults(fleet.platform_address, &faults).expect("faults");
+    fleet.restart_entry(0).expect("a restart");
+    fleet.wait_until("a word", || fleet.entry_log(0).contains("E200")).expect("it says so");
+    let ready = fleet.call(0, &http::Method::GET, "/readyz", &[], "").expect("an answer");
+    assert_eq!(ready.status, 503, "{ready:?}");
+    assert!(ready.body.contains("NeverFresh"), "{ready:?}");
+    let refused = chat(&fleet, 0, &objects, &chat_body("x", false, 2));
+    assert!(refused.code() == "not_ready" && refused.is_not_run(), "{refused:?}");
+    fleet.set_faults(fleet.platform_address, &no_platform_faults()).expect("faults");
+    fleet
+        .wait_until("service", || {
+            chat(&fleet, 0, &objects, &chat_body("x", false, 2)).status == 200
+        })
+        .expect("it comes up from the log alone");
+}
