Add decisions about a declared fleet, a lease over compare-and-set, and starts by window

The users' platform confirms each append and can make it conditional on its place, so a claim that is appended has won; no fold of everybody's claims is needed there. The fencing number is the place of the newest own record and rises with each renewal.

The clock moves to a crate of its own and counts the time that a machine is suspended: a lease measured by the steady clock would seem to last through it.

--- a/crates/authority/src/lib.rs
+++ b/crates/authority/src/lib.rs
@@ -6,9 +6,11 @@
 mod guard;
 mod lease;
 mod orders;
+mod register;
 mod terms;
 
 pub use guard::{GuardStep, SendGuard, TargetView};
 pub use lease::{Lease, LeaseAction, LeaseTimes};
 pub use orders::{OrderBook, OrderState, Target};
+pub use register::{Register, RegisterRecord, RegisterStep, RegisterView, WriteResult};
 pub use terms::{Holder, ScopeRecord, ScopeTerm, Term, TermFold, Verdict};
--- a/crates/border/src/settings.rs
+++ b/crates/border/src/settings.rs
@@ -2,8 +2,9 @@
 
 use std::fmt;
 
-use cowslip_proto::{EntrySettings, SETTING_TABLE, SettingKind, SettingRow};
+use cowslip_proto::{SETTING_TABLE, SettingKind, SettingRow};
 use ini::Ini;
+use serde::de::DeserializeOwned;
 use serde_json::{Map, Value};
 
 /// Likeness from which a key counts as a misspelling of another.
@@ -29,23 +30,34 @@
     }
 }
 
-/// Reads settings, with defaults for what is not given.
+/// Sections of `cowslip-entry`.
+pub const ENTRY_SECTIONS: &[&str] =
+    &["instance", "platform", "authority", "config", "usage", "limits", "metrics"];
+/// Sections of an instance that serves a declared fleet.
+pub const FLEET_SECTIONS: &[&str] = &["instance", "platform", "authority", "limits", "fleet"];
+
+/// Reads the settings in `sections`, with defaults for what is not given.
 ///
 /// # Errors
 /// Returns every error at once.
-pub fn load_settings(text: &str) -> Result<EntrySettings, Vec<SettingError>> {
+pub fn load_settings<T>(text: &str, sections: &[&str]) -> Result<T, Vec<SettingError>>
+where
+    T: DeserializeOwned,
+{
     let ini = Ini::load_from_str(text).map_err(|error| {
         let reason = error.msg.to_string();
         vec![SettingError { line: error.line, at: "file".to_owned(), reason }]
     })?;
-    let mut errors = unknown_keys(text, &ini);
-    errors.extend(repeated(text, &ini));
-    let mut sections = Map::new();
-    for row in SETTING_TABLE {
+    let rows: Vec<&SettingRow> =
+        SETTING_TABLE.iter().filter(|row| sections.contains(&row.section)).collect();
+    let mut errors = unknown_keys(text, &ini, &rows);
+    errors.extend(repeated(text, &ini, &rows));
+    let mut values = Map::new();
+    for row in rows {
         match value(text, &ini, row) {
             Ok(value) => {
                 let section =
-                    sections.entry(row.section).or_insert_with(|| Value::Object(Map::new()));
+                    values.entry(row.section).or_insert_with(|| Value::Object(Map::new()));
                 section[row.key] = value;
             }
             Err(error) => errors.push(error),
@@ -54,7 +66,7 @@
     if !errors.is_empty() {
         return Err(errors);
     }
-    let sections_json = Value::Object(sections);
+    let sections_json = Value::Object(values);
     // Every value was checked by itself above, so that all errors are told at once.
     serde_json::from_value(sections_json).map_err(|error| {
         vec![SettingError { line: 0, at: "settings".to_owned(), reason: error.to_string() }]
@@ -74,6 +86,12 @@
             .parse::<u64>()
             .map(Value::from)
             .map_err(|_| error(format!("{raw:?} is not a whole number"))),
+        SettingKind::Number => raw
+            .parse::<f64>()
+            .ok()
+            .filter(|number| number.is_finite() && *number >= 0.0)
+            .map(Value::from)
+            .ok_or_else(|| error(format!("{raw:?} is not a number from 0 on"))),
         SettingKind::Text if row.key.ends_with("_address") => {
             check_address(raw, row).map_err(error)
         }
@@ -97,19 +115,19 @@
     }
 }
 
-fn unknown_keys(text: &str, ini: &Ini) -> Vec<SettingError> {
+fn unknown_keys(text: &str, ini: &Ini, rows: &[&SettingRow]) -> Vec<SettingError> {
     let mut errors = Vec::new();
     for (section, properties) in ini {
         let section = section.unwrap_or("");
         for (key, _) in properties {
-            if SETTING_TABLE.iter().any(|row| row.section == section && row.key == key) {
+            if rows.iter().any(|row| row.section == section && row.key == key) {
                 continue;
             }
             let line = line_of(text, section, key);
             errors.push(SettingError {
                 line,
                 at: format!("[{section}] {key}"),
-                reason: suggestion(section, key),
+                reason: suggestion(section, key, rows),
             });
         }
     }
@@ -117,9 +135,9 @@
 }
 
 /// Sections and keys that are given twice: it would not be plain which one counts.
-fn repeated(text: &str, ini: &Ini) -> Vec<SettingError> {
+fn repeated(text: &str, ini: &Ini, rows: &[&SettingRow]) -> Vec<SettingError> {
     let mut errors = Vec::new();
-    for row in SETTING_TABLE {
+    for row in rows {
         let sections = ini.section_all(Some(row.section)).count();
         let values = ini
             .section_all(Some(row.section))
@@ -136,13 +154,12 @@
     errors
 }
 
-fn suggestion(section: &str, key: &str) -> String {
-    let likeness = |row: &&SettingRow| {
+fn suggestion(section: &str, key: &str, rows: &[&SettingRow]) -> String {
+    let likeness = |row: &SettingRow| {
         let same_section = if row.section == section { 0.1 } else { 0.0 };
         strsim::jaro_winkler(row.key, key) + same_section
     };
-    SETTING_TABLE
-        .iter()
+    rows.iter()
         .max_by(|a, b| likeness(a).total_cmp(&likeness(b)))
         .filter(|row| strsim::jaro_winkler(row.key, key) >= MIN_LIKENESS)
         .map_or_else(
--- a/crates/border/tests/bytes.rs
+++ b/crates/border/tests/bytes.rs
@@ -2,8 +2,8 @@
 
 use cowslip_authority::Holder;
 use cowslip_border::{
-    Logged, decode_entry, decode_peer, encode_entry, encode_peer, load_settings, parse_ticket,
-    restore, snapshot_chunks, ticket_from_proto,
+    ENTRY_SECTIONS, FLEET_SECTIONS, Logged, decode_entry, decode_peer, encode_entry, encode_peer,
+    load_settings, parse_ticket, restore, snapshot_chunks, ticket_from_proto,
 };
 use cowslip_name::Name;
 use cowslip_proto as proto;
@@ -47,7 +47,8 @@
         let _ = parse_ticket(&bytes);
         let text = String::from_utf8_lossy(&bytes);
         let _ = decode_entry(&text);
-        let _ = load_settings(&text);
+        let _ = load_settings::<proto::EntrySettings>(&text, ENTRY_SECTIONS);
+        let _ = load_settings::<proto::FleetEntrySettings>(&text, FLEET_SECTIONS);
     }
 
     #[test]
--- a/crates/cli/src/check.rs
+++ b/crates/cli/src/check.rs
@@ -3,7 +3,7 @@
 use std::fs;
 use std::path::Path;
 
-use cowslip_border::{load_settings, parse_ticket, ticket_from_proto};
+use cowslip_border::{ENTRY_SECTIONS, load_settings, parse_ticket, ticket_from_proto};
 use cowslip_proto as proto;
 use snafu::ResultExt;
 
@@ -14,7 +14,8 @@
     match path.extension().and_then(|extension| extension.to_str()) {
         Some("ini") => {
             let text = fs::read_to_string(path).context(ReadFileSnafu { path })?;
-            let errors = load_settings(&text).err().unwrap_or_default();
+            let loaded = load_settings::<cowslip_proto::EntrySettings>(&text, ENTRY_SECTIONS);
+            let errors = loaded.err().unwrap_or_default();
             Ok(errors.iter().map(ToString::to_string).collect())
         }
         Some("json") => check_ticket(path),
--- /dev/null
+++ b/crates/clock/src/lib.rs
@@ -0,0 +1,5 @@
+//! Time of this process.
+
+mod clock;
+
+pub use clock::{Clock, wall_ms};
--- a/crates/entry/src/caller/server.rs
+++ b/crates/entry/src/caller/server.rs
@@ -13,11 +13,11 @@
 use super::refusal::CallerError;
 use super::request::CallerRequest;
 use super::{model, service};
-use crate::clock::Clock;
 use crate::config::Config;
 use crate::hub::{Begun, Ending, Goal, Grant, HubMessage, Spent, Wanted};
 use crate::metrics::{Count, Metrics};
 use crate::tasks::HubHandle;
+use cowslip_clock::Clock;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
--- a/crates/entry/src/config.rs
+++ b/crates/entry/src/config.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 
-use cowslip_border::{SettingError, load_settings};
+use cowslip_border::{ENTRY_SECTIONS, SettingError, load_settings};
 use cowslip_proto::EntrySettings;
 use snafu::ResultExt;
 
@@ -36,7 +36,7 @@
     }
 
     fn parse(text: &str) -> Result<Self, Vec<SettingError>> {
-        let settings = load_settings(text)?;
+        let settings: EntrySettings = load_settings(text, ENTRY_SECTIONS)?;
         check_times(&settings)?;
         let address = |text: &str| {
             text.parse().map_err(|_| {
--- a/crates/entry/src/hub/mod.rs
+++ b/crates/entry/src/hub/mod.rs
@@ -24,11 +24,11 @@
 use cowslip_route::{Admitter, RetryBudget};
 use cowslip_state::{Assembler, State};
 
-use crate::clock::Clock;
 use crate::config::Config;
 use crate::events::Event;
 use crate::metrics::Metrics;
 use crate::tasks::{LinkCommand, WriteJob};
+use cowslip_clock::Clock;
 
 pub(crate) use message::{
     Begun, CallStep, Ending, Errand, ErrandTask, Goal, Grant, HubMessage, Refusal, Reply, Spent,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,7 +1,6 @@
 //! The entry instance: the data path and the control duties of one process.
 
 mod caller;
-mod clock;
 mod config;
 mod error;
 mod events;
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -11,7 +11,6 @@
 use std::pin::pin;
 
 use crate::caller::{CallerServer, run_caller_server, run_operator_server};
-use crate::clock::Clock;
 use crate::config::Config;
 use crate::error::{Error, ListenSnafu, RuntimeSnafu};
 use crate::events::Event;
@@ -21,6 +20,7 @@
     HubHandle, Platform, run_errands, run_links, run_list, run_log_reader, run_log_writer,
     run_peer_server, run_ticker,
 };
+use cowslip_clock::Clock;
 
 /// Messages that may wait for the hub; when full, the sender waits.
 const HUB_INBOX: usize = 4_096;
--- a/crates/entry/src/tasks/links.rs
+++ b/crates/entry/src/tasks/links.rs
@@ -14,9 +14,9 @@
 
 use super::HubHandle;
 use super::peer_server::PEER_PATH;
-use crate::clock::Clock;
 use crate::events::Event;
 use crate::hub::HubMessage;
+use cowslip_clock::Clock;
 
 /// What the links are told.
 #[derive(Debug)]
--- a/crates/entry/src/tasks/log_reader.rs
+++ b/crates/entry/src/tasks/log_reader.rs
@@ -5,9 +5,9 @@
 use cowslip_name::Name;
 
 use super::{HubHandle, Platform};
-use crate::clock::Clock;
 use crate::events::Event;
 use crate::hub::HubMessage;
+use cowslip_clock::Clock;
 
 const RETRY: Duration = Duration::from_millis(200);
 
--- a/crates/entry/src/tasks/log_writer.rs
+++ b/crates/entry/src/tasks/log_writer.rs
@@ -8,8 +8,8 @@
 use cowslip_proto as proto;
 
 use super::Platform;
-use crate::clock::{Clock, wall_ms};
 use crate::events::Event;
+use cowslip_clock::{Clock, wall_ms};
 
 /// Records in one append.
 const MAX_BATCH: usize = 256;
--- /dev/null
+++ b/crates/fleet/src/budget.rs
@@ -0,0 +1,71 @@
+//! The budget of repeated sends, shared by all instances.
+
+use std::collections::{HashMap, VecDeque};
+use std::sync::Arc;
+
+/// What the budget allows in any window.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct BudgetTerms {
+    /// Repeats as a part of the requests in the window.
+    pub ratio: f64,
+    /// Repeats beside that, for all instances together.
+    pub slack: f64,
+    /// Length of a window.
+    pub window_ms: u64,
+}
+
+/// Part of the allowance that is used, as other instances' counts are not known exactly.
+const USED_PART: f64 = 0.7; // the rest covers instances that are not known yet, such as added ones
+
+/// One instance's part of the budget, by service, over a sliding window.
+#[derive(Clone, Debug)]
+pub struct RepeatBudget {
+    terms: BudgetTerms,
+    services: HashMap<Arc<str>, Window>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Window {
+    requests_ms: VecDeque<u64>,
+    repeats_ms: VecDeque<u64>,
+}
+
+impl RepeatBudget {
+    /// Nothing was sent yet.
+    #[must_use]
+    pub fn new(terms: BudgetTerms) -> Self {
+        Self { terms, services: HashMap::new() }
+    }
+
+    /// Notes a request for a service.
+    pub fn on_request(&mut self, now_ms: u64, service: &Arc<str>) {
+        let window_ms = self.terms.window_ms;
+        let window = self.services.entry(service.clone()).or_default();
+        window.expire(now_ms, window_ms);
+        window.requests_ms.push_back(now_ms);
+    }
+
+    /// Takes one repeat, if this instance's part of the budget has one; `instances` share it.
+    pub fn take(&mut self, now_ms: u64, service: &Arc<str>, instances: usize) -> bool {
+        let terms = self.terms;
+        let window = self.services.entry(service.clone()).or_default();
+        window.expire(now_ms, terms.window_ms);
+        let own_slack = terms.slack / instances.max(1) as f64;
+        let allowed = USED_PART * (terms.ratio * window.requests_ms.len() as f64 + own_slack);
+        let is_left = (window.repeats_ms.len() as f64) + 1.0 <= allowed;
+        if is_left {
+            window.repeats_ms.push_back(now_ms);
+        }
+        is_left
+    }
+}
+
+impl Window {
+    fn expire(&mut self, now_ms: u64, window_ms: u64) {
+        for times_ms in [&mut self.requests_ms, &mut self.repeats_ms] {
+            while times_ms.front().is_some_and(|at_ms| at_ms + window_ms <= now_ms) {
+                times_ms.pop_front();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/roster.rs
@@ -0,0 +1,167 @@
+//! The upstreams that may be used, as their own entries in the store say.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// How long entries that lapsed while the store was away may take to come back after its return.
+pub const RETURN_GRACE_MS: u64 = 2_000; // the users' letter: "about two seconds"
+
+/// What an engine does with a request.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub enum EngineRole {
+    /// Reads prompts for others.
+    Prefill,
+    /// Generates answers.
+    Decode,
+}
+
+/// An upstream's own entry.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Upstream {
+    /// Name of this life of the upstream, or of several in turn.
+    pub id: Arc<str>,
+    /// Start of this life, in Unix milliseconds; 0 where none is given.
+    pub born_ms: u64,
+    /// Service that it belongs to.
+    pub service: Arc<str>,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Failure domain that it runs in.
+    pub domain: Arc<str>,
+    /// Requests that it works on at once, at least 1.
+    pub slots: u32,
+    /// Whether it is about to leave.
+    pub is_leaving: bool,
+    /// What it does, for an engine.
+    pub role: Option<EngineRole>,
+    /// Number of orders that it has accepted.
+    pub orders: u64,
+    /// Whether it may be reclaimed at short notice.
+    pub is_reclaimable: bool,
+}
+
+/// Why an upstream gets no new work.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Leave {
+    /// It said that it is leaving.
+    Draining,
+    /// Its entry was removed or another life took its place.
+    Gone,
+}
+
+/// What an entry changed.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Change {
+    /// A life of an upstream that was not known, or was held for gone.
+    Joined(Arc<str>),
+    /// An upstream takes no new work from now on.
+    Left(Arc<str>, Leave),
+    /// An engine's role is another.
+    Role(Arc<str>, Option<EngineRole>),
+}
+
+#[derive(Clone, Debug)]
+struct Member {
+    upstream: Arc<Upstream>,
+    /// When it is dropped unless its entry comes back.
+    lapses_at_ms: Option<u64>,
+}
+
+/// Upstreams by id.
+#[derive(Clone, Debug, Default)]
+pub struct Roster {
+    members: BTreeMap<Arc<str>, Member>,
+    /// Until when a removed entry may only be late after an outage of the store.
+    grace_until_ms: u64,
+}
+
+impl Roster {
+    /// The store has answered again after it had failed.
+    pub fn on_store_return(&mut self, now_ms: u64) {
+        self.grace_until_ms = now_ms + RETURN_GRACE_MS;
+    }
+
+    /// Takes an upstream's entry. A life that was leaving never takes work again.
+    pub fn on_entry(&mut self, entry: Upstream) -> Vec<Change> {
+        let id = entry.id.clone();
+        let mut changes = Vec::new();
+        match self.members.get(&id) {
+            Some(known) if known.upstream.born_ms > entry.born_ms => return changes,
+            Some(known) if known.upstream.born_ms == entry.born_ms => {
+                let is_leaving = known.upstream.is_leaving;
+                if is_leaving && !entry.is_leaving {
+                    return changes;
+                }
+                if entry.is_leaving && !is_leaving {
+                    changes.push(Change::Left(id.clone(), Leave::Draining));
+                }
+                if known.upstream.role != entry.role {
+                    changes.push(Change::Role(id.clone(), entry.role));
+                }
+            }
+            Some(_) => {
+                changes.push(Change::Left(id.clone(), Leave::Gone));
+                changes.push(Change::Joined(id.clone()));
+            }
+            None => changes.push(Change::Joined(id.clone())),
+        }
+        self.members.insert(id, Member { upstream: Arc::new(entry), lapses_at_ms: None });
+        changes
+    }
+
+    /// Takes the removal of an entry.
+    pub fn on_removed(&mut self, now_ms: u64, id: &str) -> Vec<Change> {
+        let Some(member) = self.members.get_mut(id) else { return Vec::new() };
+        if now_ms < self.grace_until_ms {
+            member.lapses_at_ms.get_or_insert(self.grace_until_ms);
+            return Vec::new();
+        }
+        self.drop_member(id)
+    }
+
+    /// Takes a whole list of ids: those that are missing from it are removed.
+    pub fn on_list<'a, I>(&mut self, now_ms: u64, listed: I) -> Vec<Change>
+    where
+        I: IntoIterator<Item = &'a str>,
+    {
+        let listed: std::collections::BTreeSet<&str> = listed.into_iter().collect();
+        let missing: Vec<Arc<str>> =
+            self.members.keys().filter(|id| !listed.contains(&***id)).cloned().collect();
+        missing.iter().flat_map(|id| self.on_removed(now_ms, id)).collect()
+    }
+
+    /// Drops upstreams whose entries did not come back in time.
+    pub fn on_tick(&mut self, now_ms: u64) -> Vec<Change> {
+        let lapsed: Vec<Arc<str>> = self
+            .members
+            .iter()
+            .filter(|(_, member)| member.lapses_at_ms.is_some_and(|at_ms| at_ms <= now_ms))
+            .map(|(id, _)| id.clone())
+            .collect();
+        lapsed.iter().flat_map(|id| self.drop_member(id)).collect()
+    }
+
+    fn drop_member(&mut self, id: &str) -> Vec<Change> {
+        self.members
+            .remove(id)
+            .map(|member| vec![Change::Left(member.upstream.id.clone(), Leave::Gone)])
+            .unwrap_or_default()
+    }
+
+    /// The upstream with this id, leaving or not.
+    #[must_use]
+    pub fn get(&self, id: &str) -> Option<&Arc<Upstream>> {
+        self.members.get(id).map(|member| &member.upstream)
+    }
+
+    /// All upstreams, leaving or not, in the order of their ids.
+    pub fn iter(&self) -> impl Iterator<Item = &Arc<Upstream>> {
+        self.members.values().map(|member| &member.upstream)
+    }
+
+    /// Upstreams of a service that take new work.
+    pub fn open(&self, service: &str) -> impl Iterator<Item = &Arc<Upstream>> {
+        self.iter().filter(move |upstream| !upstream.is_leaving && *upstream.service == *service)
+    }
+}
--- a/crates/gen/src/settings.rs
+++ b/crates/gen/src/settings.rs
@@ -38,7 +38,11 @@
     Row {
         section: section.to_owned(),
         key: key.to_owned(),
-        kind: if property["type"] == "integer" { "Integer" } else { "Text" },
+        kind: match property["type"].as_str() {
+            Some("integer") => "Integer",
+            Some("number") => "Number",
+            _ => "Text",
+        },
         default,
         help: property["description"].as_str().unwrap_or_default().to_owned(),
     }
@@ -71,6 +75,8 @@
 pub enum SettingKind {
     /// A whole number.
     Integer,
+    /// Any number from 0 on.
+    Number,
     /// Any text.
     Text,
 }
@@ -98,7 +104,8 @@
 pub(crate) fn page(rows: &[Row]) -> String {
     let mut text = String::from(
         "# Settings\n\nGenerated from `schema/settings.json`. An instance reads one INI file; a key without a \
-         default must be given, an unknown key is an error.\n\n| section | key | default | meaning |\n| --- | --- | --- | --- |\n",
+         default must be given, an unknown key is an error. `cowslip-entry` takes all sections but `fleet`; an instance \
+         that serves a declared fleet takes `instance`, `platform`, `authority`, `limits` and `fleet`.\n\n| section | key | default | meaning |\n| --- | --- | --- | --- |\n",
     );
     for Row { section, key, default, help, .. } in rows {
         let shown = match default.as_deref() {
--- a/crates/net/src/body.rs
+++ b/crates/net/src/body.rs
@@ -1,16 +1,20 @@
 //! Bodies of responses and requests.
 
-use std::convert::Infallible;
-
 use async_channel::{Receiver, Sender};
 use bytes::Bytes;
 use http_body_util::{Either, Full, StreamBody};
 use hyper::body::Frame;
+use snafu::Snafu;
 
 /// Chunks that may wait for a slow reader.
 const CHUNKS_IN_FLIGHT: usize = 16;
 
-type Chunk = Result<Frame<Bytes>, Infallible>;
+/// The source of a body broke off; the connection ends without the body's end.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Snafu)]
+#[snafu(display("the source of the body broke off"))]
+pub struct BrokenBody;
+
+type Chunk = Result<Frame<Bytes>, BrokenBody>;
 
 /// A body that is known whole, or comes chunk by chunk.
 pub type Body = Either<Full<Bytes>, StreamBody<Receiver<Chunk>>>;
@@ -25,6 +29,12 @@
         self.0.send(Ok(Frame::data(bytes))).await.is_ok()
     }
 
+    /// Ends the body so that the reader cannot take it for complete.
+    pub async fn fail(&self) {
+        // A reader that is gone needs no sign.
+        let _ = self.0.send(Err(BrokenBody)).await;
+    }
+
     /// Resolves once the reader is gone.
     pub async fn closed(&self) {
         self.0.closed().await;
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -4,7 +4,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use compio::net::TcpStream;
@@ -21,6 +21,9 @@
 
 /// Idle connections kept per address.
 const MAX_IDLE: usize = 64;
+/// Rest of a connection before its next request, so that surplus bytes after an answer are seen
+/// first and end it.
+const REST: Duration = Duration::from_millis(10);
 
 /// How a [`Client`] connects.
 #[derive(Clone, Copy, Debug)]
@@ -44,7 +47,15 @@
 #[derive(Clone, Debug)]
 pub struct Client {
     options: ClientOptions,
-    idle: Rc<RefCell<HashMap<SocketAddr, Vec<SendRequest<Body>>>>>,
+    idle: Rc<RefCell<HashMap<SocketAddr, Vec<Idle>>>>,
+}
+
+/// A connection that waits for its next request.
+#[derive(Debug)]
+struct Idle {
+    sender: SendRequest<Body>,
+    usable_from: Instant,
+    usable_until: Option<Instant>,
 }
 
 /// A single connection that is not shared.
@@ -86,19 +97,32 @@
 
     /// Sends a request over an idle or a new connection and waits for the head of the response.
     ///
+    /// The connection is kept for the next request once the response is read to its end.
+    ///
     /// # Errors
     /// [`Sent`] tells whether a byte can have been sent.
     pub async fn send(
         &self,
         address: SocketAddr,
-        mut request: Request<Body>,
+        request: Request<Body>,
     ) -> Result<Response<Incoming>, Sent> {
+        let (response, exchange) = self.exchange(address, request).await?;
+        self.put_idle(address, exchange, Duration::ZERO, None);
+        Ok(response)
+    }
+
+    /// Like [`Client::send`], but the connection is the asker's to [`Client::keep`] or to drop.
+    ///
+    /// # Errors
+    /// [`Sent`] tells whether a byte can have been sent.
+    pub async fn exchange(
+        &self,
+        address: SocketAddr,
+        mut request: Request<Body>,
+    ) -> Result<(Response<Incoming>, Exchange), Sent> {
         while let Some(mut exchange) = self.take_idle(address) {
             match exchange.try_send(request).await {
-                Ok(response) => {
-                    self.keep(address, exchange);
-                    return Ok(response);
-                }
+                Ok(response) => return Ok((response, exchange)),
                 // An idle connection that the other side had closed: nothing was written.
                 Err((Some(unsent), _)) => request = unsent,
                 Err((None, error)) => return Err(Sent::MayBe(error)),
@@ -106,30 +130,52 @@
         }
         let mut exchange = self.connect(address).await.map_err(Sent::Nothing)?;
         match exchange.try_send(request).await {
-            Ok(response) => {
-                self.keep(address, exchange);
-                Ok(response)
-            }
+            Ok(response) => Ok((response, exchange)),
             Err((Some(_), error)) => Err(Sent::Nothing(error)),
             Err((None, error)) => Err(Sent::MayBe(error)),
         }
     }
 
+    /// Keeps a connection whose response was read to its end, for at most `reuse_for`.
+    pub fn keep(&self, address: SocketAddr, exchange: Exchange, reuse_for: Duration) {
+        self.put_idle(address, exchange, REST, Some(reuse_for));
+    }
+
+    /// Closes the idle connections to an address, and all that are past their time.
+    pub fn forget(&self, address: SocketAddr) {
+        self.idle.borrow_mut().remove(&address);
+    }
+
     fn take_idle(&self, address: SocketAddr) -> Option<Exchange> {
+        let now = Instant::now();
         let mut idle = self.idle.borrow_mut();
-        let senders = idle.get_mut(&address)?;
-        senders.retain(|sender| !sender.is_closed());
-        let index = senders.iter().position(SendRequest::is_ready)?;
-        Some(Exchange { sender: senders.swap_remove(index) })
+        let kept = idle.get_mut(&address)?;
+        kept.retain(|idle| {
+            !idle.sender.is_closed() && idle.usable_until.is_none_or(|until| now < until)
+        });
+        let is_usable = |idle: &Idle| idle.sender.is_ready() && idle.usable_from <= now;
+        // The one that was used last: the others may lapse.
+        let index = kept.iter().rposition(is_usable)?;
+        Some(Exchange { sender: kept.remove(index).sender })
     }
 
-    /// Keeps the connection: it is ready again once the response is read to its end.
-    fn keep(&self, address: SocketAddr, exchange: Exchange) {
+    fn put_idle(
+        &self,
+        address: SocketAddr,
+        exchange: Exchange,
+        rest: Duration,
+        reuse_for: Option<Duration>,
+    ) {
+        let now = Instant::now();
         let mut idle = self.idle.borrow_mut();
-        let senders = idle.entry(address).or_default();
-        senders.retain(|sender| !sender.is_closed());
-        if senders.len() < MAX_IDLE {
-            senders.push(exchange.sender);
+        let kept = idle.entry(address).or_default();
+        kept.retain(|idle| !idle.sender.is_closed());
+        if kept.len() < MAX_IDLE {
+            kept.push(Idle {
+                sender: exchange.sender,
+                usable_from: now + rest,
+                usable_until: reuse_for.map(|time| now + time),
+            });
         }
     }
 }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -8,7 +8,7 @@
 mod peer;
 mod server;
 
-pub use body::{Body, ChunkSender, empty, full, stream};
+pub use body::{Body, BrokenBody, ChunkSender, empty, full, stream};
 pub use client::{Client, ClientOptions, Exchange, Sent, collect};
 pub use error::Error;
 pub use peer::{PeerClient, serve_peers};
--- a/crates/proto/src/generated.rs
+++ b/crates/proto/src/generated.rs
@@ -904,6 +904,133 @@
     pub platform: PlatformSettings,
     pub usage: UsageSettings,
 }
+///What the asker lacks.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "What the asker lacks.",
+///  "type": "object",
+///  "required": [
+///    "declaration",
+///    "roster",
+///    "suspects",
+///    "true_ms"
+///  ],
+///  "properties": {
+///    "declaration": {
+///      "oneOf": [
+///        {
+///          "$ref": "#/definitions/StoredRecord"
+///        },
+///        {
+///          "type": "null"
+///        }
+///      ]
+///    },
+///    "roster": {
+///      "type": "array",
+///      "items": {
+///        "$ref": "#/definitions/StoredRecord"
+///      }
+///    },
+///    "suspects": {
+///      "type": "array",
+///      "items": {
+///        "$ref": "#/definitions/Suspect"
+///      }
+///    },
+///    "true_ms": {
+///      "type": "integer",
+///      "format": "uint64"
+///    }
+///  },
+///  "additionalProperties": false
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct FeedReply {
+    pub declaration: ::std::option::Option<StoredRecord>,
+    pub roster: ::std::vec::Vec<StoredRecord>,
+    pub suspects: ::std::vec::Vec<Suspect>,
+    pub true_ms: u64,
+}
+///What an instance knows, and what it wants to know.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "What an instance knows, and what it wants to know.",
+///  "type": "object",
+///  "required": [
+///    "declaration_offset",
+///    "failure_domain",
+///    "from",
+///    "peer_address",
+///    "roster_after",
+///    "suspects",
+///    "true_ms"
+///  ],
+///  "properties": {
+///    "declaration_offset": {
+///      "description": "Offset of the newest declaration that it has, null for none.",
+///      "type": [
+///        "integer",
+///        "null"
+///      ],
+///      "format": "uint64"
+///    },
+///    "failure_domain": {
+///      "$ref": "#/definitions/Name"
+///    },
+///    "from": {
+///      "$ref": "#/definitions/Holder"
+///    },
+///    "peer_address": {
+///      "type": "string"
+///    },
+///    "roster_after": {
+///      "description": "Wants upstream entries after this offset; null while it reads the store itself.",
+///      "type": [
+///        "integer",
+///        "null"
+///      ],
+///      "format": "uint64"
+///    },
+///    "suspects": {
+///      "type": "array",
+///      "items": {
+///        "$ref": "#/definitions/Suspect"
+///      }
+///    },
+///    "true_ms": {
+///      "description": "Its estimate of the time of day.",
+///      "type": "integer",
+///      "format": "uint64"
+///    }
+///  },
+///  "additionalProperties": false
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct FeedRequest {
+    ///Offset of the newest declaration that it has, null for none.
+    pub declaration_offset: ::std::option::Option<u64>,
+    pub failure_domain: cowslip_name::Name,
+    pub from: Holder,
+    pub peer_address: ::std::string::String,
+    ///Wants upstream entries after this offset; null while it reads the store itself.
+    pub roster_after: ::std::option::Option<u64>,
+    pub suspects: ::std::vec::Vec<Suspect>,
+    ///Its estimate of the time of day.
+    pub true_ms: u64,
+}
 ///Whether an upstream refuses orders with an old fencing number.
 ///
 /// <details><summary>JSON schema</summary>
@@ -981,6 +1108,157 @@
         value.parse()
     }
 }
+///Settings of an instance that serves a declared fleet.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "Settings of an instance that serves a declared fleet.",
+///  "type": "object",
+///  "required": [
+///    "authority",
+///    "fleet",
+///    "instance",
+///    "limits",
+///    "platform"
+///  ],
+///  "properties": {
+///    "authority": {
+///      "$ref": "#/definitions/AuthoritySettings"
+///    },
+///    "fleet": {
+///      "$ref": "#/definitions/FleetSettings"
+///    },
+///    "instance": {
+///      "$ref": "#/definitions/InstanceSettings"
+///    },
+///    "limits": {
+///      "$ref": "#/definitions/LimitSettings"
+///    },
+///    "platform": {
+///      "$ref": "#/definitions/PlatformSettings"
+///    }
+///  },
+///  "additionalProperties": false
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct FleetEntrySettings {
+    pub authority: AuthoritySettings,
+    pub fleet: FleetSettings,
+    pub instance: InstanceSettings,
+    pub limits: LimitSettings,
+    pub platform: PlatformSettings,
+}
+///Serving a declared fleet.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "Serving a declared fleet.",
+///  "type": "object",
+///  "required": [
+///    "duties_address",
+///    "feed_every_ms",
+///    "follow_every_ms",
+///    "ready_address",
+///    "regions",
+///    "repeat_ratio",
+///    "repeat_slack",
+///    "repeat_window_s",
+///    "stop_after_s",
+///    "usage_late_s",
+///    "usage_window_s"
+///  ],
+///  "properties": {
+///    "duties_address": {
+///      "description": "IP address and port of the platform's interface for orders of capacity and usage reports.",
+///      "type": "string"
+///    },
+///    "feed_every_ms": {
+///      "description": "Interval between exchanges with each other instance.",
+///      "type": "integer",
+///      "format": "uint64"
+///    },
+///    "follow_every_ms": {
+///      "description": "Interval between reads of declared configuration and upstream entries; well below the bound on leaving upstreams.",
+///      "type": "integer",
+///      "format": "uint64"
+///    },
+///    "ready_address": {
+///      "description": "IP address and port at which the balancer asks whether new connections may come.",
+///      "type": "string"
+///    },
+///    "regions": {
+///      "description": "Region of each failure domain, as DOMAIN=REGION with commas between.",
+///      "type": "string"
+///    },
+///    "repeat_ratio": {
+///      "description": "Repeated sends as a part of the requests in a window, over all instances.",
+///      "type": "number",
+///      "format": "double"
+///    },
+///    "repeat_slack": {
+///      "description": "Repeated sends beside that in a window, over all instances.",
+///      "type": "number",
+///      "format": "double"
+///    },
+///    "repeat_window_s": {
+///      "description": "Length of such a window.",
+///      "type": "number",
+///      "format": "double"
+///    },
+///    "stop_after_s": {
+///      "description": "Time from the signal to stop until the process is killed.",
+///      "type": "number",
+///      "format": "double"
+///    },
+///    "usage_late_s": {
+///      "description": "Time after its end within which a window is reported.",
+///      "type": "number",
+///      "format": "double"
+///    },
+///    "usage_window_s": {
+///      "description": "Length of a usage window of true time.",
+///      "type": "number",
+///      "format": "double"
+///    }
+///  },
+///  "additionalProperties": false,
+///  "x-section": "fleet"
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct FleetSettings {
+    ///IP address and port of the platform's interface for orders of capacity and usage reports.
+    pub duties_address: ::std::string::String,
+    ///Interval between exchanges with each other instance.
+    pub feed_every_ms: u64,
+    ///Interval between reads of declared configuration and upstream entries; well below the bound on leaving upstreams.
+    pub follow_every_ms: u64,
+    ///IP address and port at which the balancer asks whether new connections may come.
+    pub ready_address: ::std::string::String,
+    ///Region of each failure domain, as DOMAIN=REGION with commas between.
+    pub regions: ::std::string::String,
+    ///Repeated sends as a part of the requests in a window, over all instances.
+    pub repeat_ratio: f64,
+    ///Repeated sends beside that in a window, over all instances.
+    pub repeat_slack: f64,
+    ///Length of such a window.
+    pub repeat_window_s: f64,
+    ///Time from the signal to stop until the process is killed.
+    pub stop_after_s: f64,
+    ///Time after its end within which a window is reported.
+    pub usage_late_s: f64,
+    ///Length of a usage window of true time.
+    pub usage_window_s: f64,
+}
 ///An instance's own report.
 ///
 /// <details><summary>JSON schema</summary>
@@ -1093,6 +1371,47 @@
     pub incarnation: u64,
     pub instance: cowslip_name::Name,
 }
+///An instance's own entry in the store, by which others find it.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "An instance's own entry in the store, by which others find it.",
+///  "type": "object",
+///  "required": [
+///    "failure_domain",
+///    "holder",
+///    "peer_address",
+///    "written_at_ms"
+///  ],
+///  "properties": {
+///    "failure_domain": {
+///      "$ref": "#/definitions/Name"
+///    },
+///    "holder": {
+///      "$ref": "#/definitions/Holder"
+///    },
+///    "peer_address": {
+///      "type": "string"
+///    },
+///    "written_at_ms": {
+///      "type": "integer",
+///      "format": "uint64"
+///    }
+///  },
+///  "additionalProperties": false
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct InstanceEntry {
+    pub failure_domain: cowslip_name::Name,
+    pub holder: Holder,
+    pub peer_address: ::std::string::String,
+    pub written_at_ms: u64,
+}
 ///The platform's lagging list.
 ///
 /// <details><summary>JSON schema</summary>
@@ -1315,6 +1634,42 @@
     pub salt_hex: ::std::string::String,
     pub workspace: cowslip_name::Name,
 }
+///The newest claim, renewal or release of a scope.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "The newest claim, renewal or release of a scope.",
+///  "type": "object",
+///  "required": [
+///    "holder",
+///    "nonce",
+///    "released"
+///  ],
+///  "properties": {
+///    "holder": {
+///      "$ref": "#/definitions/Holder"
+///    },
+///    "nonce": {
+///      "type": "integer",
+///      "format": "uint64"
+///    },
+///    "released": {
+///      "type": "boolean"
+///    }
+///  },
+///  "additionalProperties": false
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct LeaseEntry {
+    pub holder: Holder,
+    pub nonce: u64,
+    pub released: bool,
+}
 ///All bookings of the service stand-in.
 ///
 /// <details><summary>JSON schema</summary>
@@ -3373,6 +3728,99 @@
     pub rows: ::std::vec::Vec<UsageRow>,
     pub window: u64,
 }
+///One instance's own starts in the newest windows, written whole.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "One instance's own starts in the newest windows, written whole.",
+///  "type": "object",
+///  "required": [
+///    "windows"
+///  ],
+///  "properties": {
+///    "windows": {
+///      "type": "array",
+///      "items": {
+///        "$ref": "#/definitions/StartWindow"
+///      }
+///    }
+///  },
+///  "additionalProperties": false
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct StartEntry {
+    pub windows: ::std::vec::Vec<StartWindow>,
+}
+///Requests of a workspace that began to run.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "Requests of a workspace that began to run.",
+///  "type": "object",
+///  "required": [
+///    "starts",
+///    "workspace"
+///  ],
+///  "properties": {
+///    "starts": {
+///      "type": "integer",
+///      "format": "uint64"
+///    },
+///    "workspace": {
+///      "type": "string"
+///    }
+///  },
+///  "additionalProperties": false
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct StartRow {
+    pub starts: u64,
+    pub workspace: ::std::string::String,
+}
+///Starts in one window.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "Starts in one window.",
+///  "type": "object",
+///  "required": [
+///    "rows",
+///    "window"
+///  ],
+///  "properties": {
+///    "rows": {
+///      "type": "array",
+///      "items": {
+///        "$ref": "#/definitions/StartRow"
+///      }
+///    },
+///    "window": {
+///      "type": "integer",
+///      "format": "uint64"
+///    }
+///  },
+///  "additionalProperties": false
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct StartWindow {
+    pub rows: ::std::vec::Vec<StartRow>,
+    pub window: u64,
+}
 ///What one instance knows.
 ///
 /// <details><summary>JSON schema</summary>
@@ -3493,6 +3941,48 @@
     pub content_type: ::std::string::String,
     pub status: u16,
 }
+///A record of a keyed topic as the store holds it.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "A record of a keyed topic as the store holds it.",
+///  "type": "object",
+///  "required": [
+///    "key",
+///    "offset",
+///    "value"
+///  ],
+///  "properties": {
+///    "key": {
+///      "type": "string"
+///    },
+///    "offset": {
+///      "type": "integer",
+///      "format": "uint64"
+///    },
+///    "value": {
+///      "description": "Empty for a removed key.",
+///      "type": "array",
+///      "items": {
+///        "type": "integer",
+///        "format": "uint8"
+///      }
+///    }
+///  },
+///  "additionalProperties": false
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct StoredRecord {
+    pub key: ::std::string::String,
+    pub offset: u64,
+    ///Empty for a removed key.
+    pub value: ::std::vec::Vec<u8>,
+}
 ///A request that was in flight at upstreams when they were lost.
 ///
 /// <details><summary>JSON schema</summary>
--- a/crates/proto/src/setting_table.rs
+++ b/crates/proto/src/setting_table.rs
@@ -6,6 +6,8 @@
 pub enum SettingKind {
     /// A whole number.
     Integer,
+    /// Any number from 0 on.
+    Number,
     /// Any text.
     Text,
 }
@@ -89,6 +91,83 @@
         default: Some("8000"),
         help: "An instance that knows no fresher state for this long, and cannot reach a majority of equally stale instances, stops admitting.",
     },
+    SettingRow {
+        section: "fleet",
+        key: "duties_address",
+        kind: SettingKind::Text,
+        default: None,
+        help: "IP address and port of the platform's interface for orders of capacity and usage reports.",
+    },
+    SettingRow {
+        section: "fleet",
+        key: "feed_every_ms",
+        kind: SettingKind::Integer,
+        default: Some("500"),
+        help: "Interval between exchanges with each other instance.",
+    },
+    SettingRow {
+        section: "fleet",
+        key: "follow_every_ms",
+        kind: SettingKind::Integer,
+        default: Some("700"),
+        help: "Interval between reads of declared configuration and upstream entries; well below the bound on leaving upstreams.",
+    },
+    SettingRow {
+        section: "fleet",
+        key: "ready_address",
+        kind: SettingKind::Text,
+        default: None,
+        help: "IP address and port at which the balancer asks whether new connections may come.",
+    },
+    SettingRow {
+        section: "fleet",
+        key: "regions",
+        kind: SettingKind::Text,
+        default: None,
+        help: "Region of each failure domain, as DOMAIN=REGION with commas between.",
+    },
+    SettingRow {
+        section: "fleet",
+        key: "repeat_ratio",
+        kind: SettingKind::Number,
+        default: Some("0.2"),
+        help: "Repeated sends as a part of the requests in a window, over all instances.",
+    },
+    SettingRow {
+        section: "fleet",
+        key: "repeat_slack",
+        kind: SettingKind::Number,
+        default: Some("50"),
+        help: "Repeated sends beside that in a window, over all instances.",
+    },
+    SettingRow {
+        section: "fleet",
+        key: "repeat_window_s",
+        kind: SettingKind::Number,
+        default: Some("10"),
+        help: "Length of such a window.",
+    },
+    SettingRow {
+        section: "fleet",
+        key: "stop_after_s",
+        kind: SettingKind::Number,
+        default: Some("8"),
+        help: "Time from the signal to stop until the process is killed.",
+    },
+    SettingRow {
+        section: "fleet",
+        key: "usage_late_s",
+        kind: SettingKind::Number,
+        default: Some("10"),
+        help: "Time after its end within which a window is reported.",
+    },
+    SettingRow {
+        section: "fleet",
+        key: "usage_window_s",
+        kind: SettingKind::Number,
+        default: Some("5"),
+        help: "Length of a usage window of true time.",
+    },
     SettingRow {
         section: "instance",
         key: "caller_address",
--- a/crates/usage/src/lib.rs
+++ b/crates/usage/src/lib.rs
@@ -5,7 +5,9 @@
 mod figures;
 mod fold;
 mod meter;
+mod starts;
 
 pub use figures::{Figures, Usage};
 pub use fold::{Seen, UsageFold};
 pub use meter::{Batch, Meter};
+pub use starts::{StartCounter, StartRows, WindowTimes, total};
