--- a/crates/authority/src/register.rs
+++ b/crates/authority/src/register.rs
@@ -225,9 +225,20 @@
     /// The fencing number under which this process may act at `now_ms`.
     #[must_use]
     pub fn fence(&self, now_ms: u64) -> Option<Term> {
+        self.held(now_ms).map(|(fence, _)| fence)
+    }
+
+    /// The same with the time until which it may.
+    #[must_use]
+    pub fn held(&self, now_ms: u64) -> Option<(Term, u64)> {
         self.held
             .filter(|held| now_ms < held.until_ms && held.acts_from_ms <= now_ms)
-            .map(|held| held.fence)
+            .map(|held| (held.fence, held.until_ms))
+    }
+
+    /// Makes the next renewal due now.
+    pub fn hasten(&mut self) {
+        self.renewed_at_ms = 0;
     }
 
     /// A target refused the fencing number, since it has seen a higher one.
--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -35,8 +35,6 @@
     pub is_leaving: bool,
     /// What it does, for an engine.
     pub role: Option<EngineRole>,
-    /// Number of orders that it has accepted.
-    pub orders: u64,
     /// Whether it may be reclaimed at short notice.
     pub is_reclaimable: bool,
 }
--- a/crates/gen/src/schema.rs
+++ b/crates/gen/src/schema.rs
@@ -11,8 +11,17 @@
 /// Definitions by type name, merged from all files.
 pub(crate) type Definitions = Map<String, Value>;
 
+/// Whose messages a folder declares.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Owner {
+    /// Ours: every field is there and no other.
+    Own,
+    /// Another system's: what is not listed as required may be missing, and more may come.
+    Other,
+}
+
 /// Reads every `*.json` in `folder` in name order.
-pub(crate) fn load(folder: &Path) -> Result<Definitions, Error> {
+pub(crate) fn load(folder: &Path, owner: Owner) -> Result<Definitions, Error> {
     let mut paths: Vec<_> = fs::read_dir(folder)
         .context(FileSnafu { path: folder })?
         .filter_map(|entry| entry.ok().map(|entry| entry.path()))
@@ -23,8 +32,10 @@
     for path in paths {
         merge(&mut merged, &path)?;
     }
-    merged.insert("Name".to_owned(), json!({ "type": "string" }));
-    merged.values_mut().for_each(complete);
+    if owner == Owner::Own {
+        merged.insert("Name".to_owned(), json!({ "type": "string" }));
+        merged.values_mut().for_each(complete);
+    }
     Ok(merged)
 }
 
--- /dev/null
+++ b/crates/serve/src/caller/exchange.rs
@@ -0,0 +1,176 @@
+//! One exchange with an upstream, and what it shows.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use cowslip_fleet::{Outcome, Upstream};
+use cowslip_net::{Client, Exchange, Sent, collect};
+use http::response::Parts;
+use hyper::body::Incoming;
+
+use crate::edge::{AnswerHead, Call, Edge, Outgoing, Work};
+use crate::events::{Event, event};
+
+/// Reuse of a connection where the upstream does not say how long it keeps one.
+const DEFAULT_KEEP_MS: u64 = 2_000;
+/// Part of the time that an upstream keeps a connection in which it is reused: a request must not
+/// cross the upstream's close.
+const KEEP_PART_PERCENT: u64 = 60;
+/// Largest whole answer, in bytes.
+const MAX_ANSWER_BYTES: usize = 16_777_216; // far above what plain services send
+
+/// Why an upstream gave no answer to the request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Failure {
+    /// No byte of the request was sent.
+    NotArrived,
+    /// The upstream stated that the request was not run.
+    NotRun,
+    /// The connection broke: the request may have run, and the upstream may be lost.
+    Broken,
+    /// The answer is not one to this request, or not whole: the request may have run.
+    Spoilt,
+}
+
+impl Failure {
+    fn outcome(self) -> Outcome {
+        match self {
+            Self::NotArrived | Self::Broken => Outcome::Broken,
+            Self::NotRun | Self::Spoilt => Outcome::Failed,
+        }
+    }
+}
+
+/// An answer whose body is still to be read.
+pub(super) struct Reply {
+    pub(super) parts: Parts,
+    pub(super) body: Incoming,
+    connection: Connection,
+}
+
+/// The connection of an answer.
+pub(super) struct Connection {
+    address: std::net::SocketAddr,
+    exchange: Exchange,
+    keep_for: Option<Duration>,
+}
+
+impl Connection {
+    /// Keeps the connection after its answer was read to the end.
+    pub(super) fn keep(self, client: &Client) {
+        if let Some(keep_for) = self.keep_for {
+            client.keep(self.address, self.exchange, keep_for);
+        }
+    }
+}
+
+impl Reply {
+    /// Parts the answer from its connection.
+    pub(super) fn split(self) -> (Parts, Incoming, Connection) {
+        (self.parts, self.body, self.connection)
+    }
+}
+
+/// Sends a request and waits for the head of its answer.
+pub(super) async fn exchange<E>(
+    edge: &E,
+    client: &Client,
+    call: &Call,
+    outgoing: &Outgoing<'_>,
+) -> Result<Reply, Failure>
+where
+    E: Edge,
+{
+    let upstream = outgoing.upstream;
+    let request = edge.outgoing(call, outgoing).map_err(|error| {
+        note(call, upstream, Failure::NotArrived, &error.to_string());
+        Failure::NotArrived
+    })?;
+    let sent = client.exchange(upstream.address, request).await;
+    let (response, exchange) = sent.map_err(|sent| {
+        let (failure, error) = match sent {
+            Sent::Nothing(error) => (Failure::NotArrived, error),
+            Sent::MayBe(error) => (Failure::Broken, error),
+        };
+        note(call, upstream, failure, &error.to_string());
+        failure
+    })?;
+    let (parts, body) = response.into_parts();
+    let head = edge.read_answer(&parts);
+    if let Err((failure, why)) = check(call, outgoing.work, &head) {
+        note(call, upstream, failure, why);
+        if failure == Failure::NotRun {
+            // The connection is sound, and its short body is read before the next request.
+            let connection = connection(upstream, exchange, &head);
+            compio::runtime::spawn(drain(body, connection, client.clone())).detach();
+        }
+        return Err(failure);
+    }
+    let connection = connection(upstream, exchange, &head);
+    Ok(Reply { parts, body, connection })
+}
+
+/// Whether an answer is one to this call, and one of an upstream.
+fn check(call: &Call, work: Work<'_>, head: &AnswerHead) -> Result<(), (Failure, &'static str)> {
+    if head.attempt_id.as_deref() != Some(&*call.head.attempt_id) {
+        return Err((Failure::Spoilt, "the answer names another attempt"));
+    }
+    if head.is_not_run {
+        return Err((Failure::NotRun, "the upstream did not run it"));
+    }
+    // Only answers for callers bear the mark.
+    if !head.is_marked && !matches!(work, Work::ReadPrompt) {
+        return Err((Failure::Spoilt, "the answer bears no upstream's mark"));
+    }
+    if head.is_encoded {
+        return Err((Failure::Spoilt, "the answer's body was changed on the way"));
+    }
+    Ok(())
+}
+
+fn connection(upstream: &Upstream, exchange: Exchange, head: &AnswerHead) -> Connection {
+    let keep_ms = head.keep_for_ms.unwrap_or(DEFAULT_KEEP_MS) * KEEP_PART_PERCENT / 100;
+    let keep_for = (!head.is_last).then(|| Duration::from_millis(keep_ms));
+    Connection { address: upstream.address, exchange, keep_for }
+}
+
+async fn drain(body: Incoming, connection: Connection, client: Client) {
+    if collect(body, MAX_ANSWER_BYTES).await.is_ok() {
+        connection.keep(&client);
+    }
+}
+
+/// Reads a whole answer.
+pub(super) async fn read_whole(
+    call: &Call,
+    upstream: &Upstream,
+    client: &Client,
+    reply: Reply,
+) -> Result<(Parts, Bytes), Failure> {
+    let (parts, body, connection) = reply.split();
+    match collect(body, MAX_ANSWER_BYTES).await {
+        Ok(bytes) => {
+            connection.keep(client);
+            Ok((parts, bytes))
+        }
+        Err(error) => {
+            note(call, upstream, Failure::Spoilt, &error.to_string());
+            Err(Failure::Spoilt)
+        }
+    }
+}
+
+fn note(call: &Call, upstream: &Upstream, failure: Failure, why: &str) {
+    event!(
+        Event::SendFailed,
+        request = call.head.attempt_id,
+        upstream = upstream.id,
+        outcome = format_args!("{failure:?}"),
+        why = why
+    );
+}
+
+/// What a failure says of the upstream.
+pub(super) fn outcome(failure: Failure) -> Outcome {
+    failure.outcome()
+}
--- /dev/null
+++ b/crates/serve/src/caller/job.rs
@@ -0,0 +1,149 @@
+//! A request under way: its grant, its time, and what may have run.
+
+use std::cell::Cell;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cowslip_fleet::{Allowed, Outcome, Upstream};
+
+use super::exchange::{Failure, outcome};
+use super::server::CallerServer;
+use crate::edge::{Call, Edge, Outgoing, Refused, Work};
+use crate::events::{Event, event};
+use crate::hub::{Again, HubMessage, Refusal};
+
+/// A request that was granted; dropping it gives the grant back.
+pub(super) struct Job<E>
+where
+    E: Edge,
+{
+    pub(super) server: CallerServer<E>,
+    pub(super) call: Call,
+    pub(super) allowed: Allowed,
+    pub(super) started_ms: u64,
+    pub(super) deadline_ms: u64,
+    pub(super) grant: u64,
+    may_have_run: Cell<bool>,
+}
+
+impl<E> Job<E>
+where
+    E: Edge,
+{
+    pub(super) fn new(
+        server: CallerServer<E>,
+        call: Call,
+        allowed: Allowed,
+        started_ms: u64,
+        deadline_ms: u64,
+        grant: u64,
+    ) -> Self {
+        let may_have_run = Cell::new(false);
+        Self { server, call, allowed, started_ms, deadline_ms, grant, may_have_run }
+    }
+
+    /// Time that is left.
+    pub(super) fn left(&self) -> Duration {
+        Duration::from_millis(self.deadline_ms.saturating_sub(self.server.clock.now_ms()))
+    }
+
+    /// How the request is sent to an upstream now.
+    pub(super) fn outgoing<'a>(&'a self, upstream: &'a Upstream, work: Work<'a>) -> Outgoing<'a> {
+        Outgoing {
+            upstream,
+            workspace: self.allowed.workspace.as_deref(),
+            rank: self.allowed.rank,
+            left_ms: u64::try_from(self.left().as_millis()).unwrap_or(u64::MAX),
+            work,
+        }
+    }
+
+    /// From now on the request may run.
+    pub(super) fn on_sending(&self) {
+        self.may_have_run.set(true);
+    }
+
+    /// Whether an upstream may have run it.
+    pub(super) fn may_have_run(&self) -> bool {
+        self.may_have_run.get()
+    }
+
+    /// Notes a failed send of the request itself; `may_have_run` is as before the send, if it
+    /// shows that nothing ran.
+    pub(super) async fn on_failure(&self, upstream: &Upstream, failure: Failure, ran_before: bool) {
+        if matches!(failure, Failure::NotArrived | Failure::NotRun) {
+            self.may_have_run.set(ran_before);
+        }
+        if failure == Failure::Broken {
+            let upstream = upstream.id.clone();
+            self.tell(HubMessage::Lost { grant: self.grant, upstream }).await;
+        }
+        if failure != Failure::NotRun {
+            self.on_outcome(upstream, outcome(failure)).await;
+        }
+    }
+
+    /// Notes what became of a send.
+    pub(super) async fn on_outcome(&self, upstream: &Upstream, outcome: Outcome) {
+        let label = match outcome {
+            Outcome::Answered => "answered",
+            Outcome::Failed => "failed",
+            Outcome::Broken => "broken",
+        };
+        self.server.metrics.sends.with_label_values(&[label]).inc();
+        self.tell(HubMessage::Outcome { upstream: upstream.id.clone(), outcome }).await;
+    }
+
+    /// Another upstream for the request, after this failure.
+    pub(super) async fn again(&self, failure: Failure) -> Result<Arc<Upstream>, Refusal> {
+        let why = match failure {
+            Failure::NotArrived => Again::NotArrived,
+            Failure::NotRun => Again::NotRun,
+            Failure::Broken | Failure::Spoilt => Again::MayHaveRun,
+        };
+        let grant = self.grant;
+        let hub = &self.server.hub;
+        hub.ask(|reply| HubMessage::Again { grant, why, reply })
+            .await
+            .unwrap_or(Err(Refusal::NotReady))
+    }
+
+    pub(super) async fn tell(&self, message: HubMessage) {
+        self.server.hub.tell(message).await;
+    }
+
+    /// The answer when the time is over.
+    pub(super) fn out_of_time(&self) -> Refused {
+        if self.may_have_run() { Refused::TIMED_OUT } else { Refused::NOT_RUN_IN_TIME }
+    }
+
+    /// The last answer when no upstream is left to be tried.
+    pub(super) fn out_of_upstreams(&self, refusal: Refusal) -> Refused {
+        Refused::final_answer(refusal, self.may_have_run())
+    }
+
+    /// Logs and counts the end of the request.
+    pub(super) fn on_refused(&self, refused: &Refused) {
+        let elapsed_ms = self.server.clock.now_ms().saturating_sub(self.started_ms);
+        let is_not_run = !self.may_have_run();
+        let what = if is_not_run { Event::RequestRefused } else { Event::RequestFailed };
+        event!(
+            what,
+            request = self.call.head.attempt_id,
+            reason = refused.reason,
+            status = refused.status.as_u16(),
+            elapsed_ms = elapsed_ms
+        );
+        let end = if is_not_run { "refused" } else { "failed" };
+        self.server.metrics.requests.with_label_values(&[end]).inc();
+    }
+}
+
+impl<E> Drop for Job<E>
+where
+    E: Edge,
+{
+    fn drop(&mut self) {
+        self.server.hub.tell_later(HubMessage::End { grant: self.grant });
+    }
+}
--- /dev/null
+++ b/crates/serve/src/caller/stream.rs
@@ -0,0 +1,173 @@
+//! Streams up to their first byte: the prompt is read, then an engine answers.
+
+use std::sync::Arc;
+
+use cowslip_fleet::{Outcome, Upstream};
+use cowslip_net::{Body, Client, collect, stream};
+use http::Response;
+
+use super::exchange::{Failure, Reply, exchange, read_whole};
+use super::job::Job;
+use super::relay::Relay;
+use super::whole::answered;
+use crate::edge::{Edge, Prepared, Refused, Work};
+use crate::hub::HubMessage;
+
+/// Time for an engine to free a prompt that nobody takes.
+const FREE_TIMEOUT: std::time::Duration = std::time::Duration::from_secs(1);
+/// Largest answer to a prompt that was read, in bytes.
+const MAX_PREPARED_BYTES: usize = 65_536;
+
+/// Serves a stream.
+pub(super) async fn serve<E>(
+    job: Job<E>,
+    reader: Option<Arc<Upstream>>,
+    answerer: Arc<Upstream>,
+) -> Response<Body>
+where
+    E: Edge,
+{
+    let opening = open(&job, reader, answerer);
+    let opened = compio::time::timeout(job.left(), opening).await;
+    match opened.unwrap_or_else(|_| Err(job.out_of_time())) {
+        Ok((upstream, reply)) if reply.parts.status.is_success() => {
+            let (parts, incoming, connection) = reply.split();
+            let head = job.server.edge.answer_head(parts);
+            let (sender, body) = stream();
+            let refusal = job.server.edge.clone();
+            let relay = Relay::new(job, upstream, connection, sender);
+            compio::runtime::spawn(relay.run(incoming)).detach();
+            head.body(body).unwrap_or_else(|_| refusal.refusal(&Refused::OUTCOME_UNKNOWN))
+        }
+        Ok((upstream, reply)) => {
+            let client = &job.server.client;
+            match read_whole(&job.call, &upstream, client, reply).await {
+                Ok((parts, body)) => answered(&job, parts, body),
+                Err(_) => refuse(&job, &Refused::OUTCOME_UNKNOWN),
+            }
+        }
+        Err(refused) => refuse(&job, &refused),
+    }
+}
+
+fn refuse<E>(job: &Job<E>, refused: &Refused) -> Response<Body>
+where
+    E: Edge,
+{
+    job.on_refused(refused);
+    job.server.edge.refusal(refused)
+}
+
+/// Has the prompt read, if that is apart, and sends the request until an engine answers.
+async fn open<E>(
+    job: &Job<E>,
+    reader: Option<Arc<Upstream>>,
+    mut upstream: Arc<Upstream>,
+) -> Result<(Arc<Upstream>, Reply), Refused>
+where
+    E: Edge,
+{
+    let mut prepared = match reader {
+        Some(reader) => read_prompt(job, &reader).await,
+        None => None,
+    };
+    loop {
+        let ran_before = job.may_have_run();
+        job.on_sending();
+        let work = Work::Answer {
+            prepared: prepared.as_ref().map(|kept| &kept.prepared),
+            after_event: None,
+        };
+        let (edge, client) = (&job.server.edge, &job.server.client);
+        let sent = exchange(edge, client, &job.call, &job.outgoing(&upstream, work)).await;
+        let failure = match sent {
+            Ok(reply) => {
+                if let Some(kept) = &mut prepared {
+                    kept.is_taken = true;
+                }
+                return Ok((upstream, reply));
+            }
+            Err(failure) => failure,
+        };
+        job.on_failure(&upstream, failure, ran_before).await;
+        match failure {
+            Failure::NotArrived => {}
+            // Whoever holds the prompt now, it cannot be counted on: the next engine reads it.
+            Failure::NotRun | Failure::Broken | Failure::Spoilt => prepared = None,
+        }
+        upstream = job.again(failure).await.map_err(|refusal| job.out_of_upstreams(refusal))?;
+    }
+}
+
+/// A prompt that was read; freed when dropped, unless an engine has taken it.
+struct Kept<E>
+where
+    E: Edge,
+{
+    prepared: Prepared,
+    is_taken: bool,
+    edge: E,
+    client: Client,
+}
+
+impl<E> Drop for Kept<E>
+where
+    E: Edge,
+{
+    fn drop(&mut self) {
+        if self.is_taken {
+            return;
+        }
+        let request = self.edge.free_prepared(&self.prepared);
+        let (client, address) = (self.client.clone(), self.prepared.address);
+        compio::runtime::spawn(async move {
+            let freeing = async {
+                if let Ok(response) = client.send(address, request).await {
+                    // The connection is used again only after its answer was read.
+                    let _ = collect(response.into_body(), MAX_PREPARED_BYTES).await;
+                }
+            };
+            // What is not freed lapses by itself.
+            let _ = compio::time::timeout(FREE_TIMEOUT, freeing).await;
+        })
+        .detach();
+    }
+}
+
+/// Has an engine read the prompt; `None` when it does not, and the answering engine has to.
+async fn read_prompt<E>(job: &Job<E>, reader: &Upstream) -> Option<Kept<E>>
+where
+    E: Edge,
+{
+    let (edge, client) = (&job.server.edge, &job.server.client);
+    let outgoing = job.outgoing(reader, Work::ReadPrompt);
+    let reading = async {
+        let reply = exchange(edge, client, &job.call, &outgoing).await?;
+        read_whole(&job.call, reader, client, reply).await
+    };
+    let read = reading.await;
+    job.tell(HubMessage::PromptRead { grant: job.grant }).await;
+    match read {
+        Ok((parts, body)) if parts.status.is_success() => {
+            job.on_outcome(reader, Outcome::Answered).await;
+            let prepared = edge.read_prepared(reader, &body)?;
+            let (edge, client) = (edge.clone(), client.clone());
+            Some(Kept { prepared, is_taken: false, edge, client })
+        }
+        Ok(_) => {
+            job.on_outcome(reader, Outcome::Failed).await;
+            None
+        }
+        Err(failure) => {
+            // Reading a prompt runs nothing, so only a break says something of the upstream.
+            if failure != Failure::NotRun {
+                job.on_outcome(reader, super::exchange::outcome(failure)).await;
+            }
+            if failure == Failure::Broken {
+                let upstream = reader.id.clone();
+                job.tell(HubMessage::Lost { grant: job.grant, upstream }).await;
+            }
+            None
+        }
+    }
+}
--- /dev/null
+++ b/crates/serve/src/caller/whole.rs
@@ -0,0 +1,93 @@
+//! Requests whose answer is given whole.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use cowslip_fleet::{CallKind, Outcome, Upstream};
+use cowslip_net::{Body, full};
+use http::Response;
+use http::response::Parts;
+
+use super::exchange::{Failure, exchange, read_whole};
+use super::job::Job;
+use crate::edge::{Edge, Refused, Work};
+use crate::hub::HubMessage;
+
+/// Sends the request until an upstream answers it or no further send is allowed.
+pub(super) async fn serve<E>(job: Job<E>, answerer: Arc<Upstream>) -> Response<Body>
+where
+    E: Edge,
+{
+    let sending = send_until_answered(&job, answerer);
+    let ended = compio::time::timeout(job.left(), sending).await;
+    match ended.unwrap_or_else(|_| Err(job.out_of_time())) {
+        Ok((parts, body)) => answered(&job, parts, body),
+        Err(refused) => {
+            job.on_refused(&refused);
+            job.server.edge.refusal(&refused)
+        }
+    }
+}
+
+async fn send_until_answered<E>(
+    job: &Job<E>,
+    mut upstream: Arc<Upstream>,
+) -> Result<(Parts, Bytes), Refused>
+where
+    E: Edge,
+{
+    let mut failed_answer = None;
+    loop {
+        let failure = match send(job, &upstream).await {
+            Ok((parts, body)) => {
+                job.tell(HubMessage::Started { grant: job.grant }).await;
+                let is_failure = parts.status.is_server_error();
+                let outcome = if is_failure { Outcome::Failed } else { Outcome::Answered };
+                job.on_outcome(&upstream, outcome).await;
+                if !is_failure || job.allowed.route.kind != CallKind::Idempotent {
+                    return Ok((parts, body));
+                }
+                failed_answer = Some((parts, body));
+                Failure::Spoilt
+            }
+            Err(failure) => failure,
+        };
+        match job.again(failure).await {
+            Ok(next) => upstream = next,
+            Err(refusal) => return failed_answer.ok_or_else(|| job.out_of_upstreams(refusal)),
+        }
+    }
+}
+
+async fn send<E>(job: &Job<E>, upstream: &Upstream) -> Result<(Parts, Bytes), Failure>
+where
+    E: Edge,
+{
+    let ran_before = job.may_have_run();
+    job.on_sending();
+    let (edge, client) = (&job.server.edge, &job.server.client);
+    let work = Work::Answer { prepared: None, after_event: None };
+    let reply = exchange(edge, client, &job.call, &job.outgoing(upstream, work)).await;
+    let answer = match reply {
+        Ok(reply) => read_whole(&job.call, upstream, client, reply).await,
+        Err(failure) => Err(failure),
+    };
+    if let Err(failure) = answer {
+        job.on_failure(upstream, failure, ran_before).await;
+    }
+    answer
+}
+
+/// Hands an upstream's whole answer to the caller.
+pub(super) fn answered<E>(job: &Job<E>, parts: Parts, body: Bytes) -> Response<Body>
+where
+    E: Edge,
+{
+    let elapsed_ms = job.server.clock.now_ms().saturating_sub(job.started_ms);
+    job.server.metrics.answer_s.observe(elapsed_ms as f64 / 1_000.0);
+    job.server.metrics.requests.with_label_values(&["answered"]).inc();
+    let edge = &job.server.edge;
+    edge.answer_head(parts)
+        .body(full(body))
+        .unwrap_or_else(|_| edge.refusal(&Refused::OUTCOME_UNKNOWN))
+}
--- /dev/null
+++ b/crates/serve/src/hub/message.rs
@@ -0,0 +1,142 @@
+//! Messages to the hub.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use async_channel::Sender;
+use cowslip_fleet::{Allowed, CapacityOrder, Outcome, Prompt, RoleOrder, Upstream};
+use cowslip_poison::Fingerprint;
+use cowslip_proto as proto;
+
+use crate::edge::{Page, Topic};
+
+/// Where one answer goes; the channel holds one message.
+pub(crate) type Reply<T> = Sender<T>;
+
+/// Everything that the owner of the state is told or asked.
+#[derive(Debug)]
+pub(crate) enum HubMessage {
+    /// Time passes.
+    Tick,
+    /// May this request run?
+    Admit { question: Question, reply: Reply<Result<Admitted, Refusal>> },
+    /// Where does it run?
+    Begin { wanted: Box<Wanted>, reply: Reply<Result<Grant, Refusal>> },
+    /// It needs another upstream.
+    Again { grant: u64, why: Again, reply: Reply<Result<Arc<Upstream>, Refusal>> },
+    /// Its prompt is read, or will not be.
+    PromptRead { grant: u64 },
+    /// It has begun to run.
+    Started { grant: u64 },
+    /// It is over.
+    End { grant: u64 },
+    /// What became of a send.
+    Outcome { upstream: Arc<str>, outcome: Outcome },
+    /// An upstream was lost while it ran the request.
+    Lost { grant: u64, upstream: Arc<str> },
+    /// Records of a topic; a list holds the newest one of every key.
+    Records { topic: Topic, page: Page, is_list: bool },
+    /// Whether a topic can be read.
+    StoreState { topic: Topic, is_up: bool },
+    /// What this instance tells and asks another.
+    OwnFeed { reply: Reply<proto::FeedRequest> },
+    /// Another instance asks.
+    Feed { request: Box<proto::FeedRequest>, reply: Reply<proto::FeedReply> },
+    /// Another instance's answer.
+    FeedAnswer { answer: Box<proto::FeedReply> },
+    /// The fencing number under which this instance may act until a time.
+    Authority { fence: Option<Held> },
+    /// Asks for that fencing number.
+    Fence { reply: Reply<Option<u64>> },
+    /// What is to be ordered?
+    Plan { reply: Reply<Plans> },
+    /// Starts to be written, if any changed.
+    TakeStarts { reply: Reply<Option<StartWindows>> },
+    /// They were not written.
+    StartsFailed,
+    /// Estimate of the time of day.
+    TrueTime { reply: Reply<u64> },
+    /// Whether new connections may come.
+    Ready { reply: Reply<bool> },
+    /// Shutdown began.
+    Stop,
+}
+
+/// Starts by window and workspace.
+pub(crate) type StartWindows = BTreeMap<u64, BTreeMap<Arc<str>, u64>>;
+
+/// A request as far as its head tells.
+#[derive(Clone, Debug)]
+pub(crate) struct Question {
+    pub(crate) host: String,
+    pub(crate) path: String,
+    pub(crate) key: Option<String>,
+}
+
+/// A request that may run.
+#[derive(Clone, Debug)]
+pub(crate) struct Admitted {
+    pub(crate) allowed: Allowed,
+    pub(crate) max_body_bytes: usize,
+}
+
+/// A request before it is placed.
+#[derive(Clone, Debug)]
+pub(crate) struct Wanted {
+    pub(crate) attempt_id: Arc<str>,
+    pub(crate) allowed: Allowed,
+    pub(crate) prompt: Option<Prompt>,
+    pub(crate) fingerprint: Fingerprint,
+}
+
+/// The right to run a request.
+#[derive(Clone, Debug)]
+pub(crate) struct Grant {
+    pub(crate) id: u64,
+    /// Reads the prompt first, if that is apart.
+    pub(crate) reader: Option<Arc<Upstream>>,
+    /// Answers.
+    pub(crate) answerer: Arc<Upstream>,
+}
+
+/// Why a request needs another upstream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Again {
+    /// The request did not arrive.
+    NotArrived,
+    /// The upstream stated that it was not run.
+    NotRun,
+    /// It may have run, and may run again.
+    MayHaveRun,
+}
+
+/// Why a request is not run, or not any further.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Refusal {
+    /// No configuration is known yet.
+    NotReady,
+    /// No route has this host and path.
+    NoRoute,
+    /// No workspace holds the key.
+    BadKey,
+    /// No upstream takes work.
+    NoUpstream,
+    /// Too many upstreams were lost with it.
+    Poison,
+    /// It was sent as often as its route allows, or the shared budget is used up.
+    NoRepeat,
+}
+
+/// Authority as the hub tells it on.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct Held {
+    pub(crate) fence: u64,
+    pub(crate) until_ms: u64,
+}
+
+/// What the holder orders.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Plans {
+    pub(crate) capacity: Vec<CapacityOrder>,
+    pub(crate) roles: Vec<RoleOrder>,
+}
--- /dev/null
+++ b/crates/serve/src/hub/requests.rs
@@ -0,0 +1,212 @@
+//! Requests: whether they may run, where, and how often.
+
+use std::sync::Arc;
+
+use cowslip_fleet::{Allowed, CallKind, Demand, Denial, Load, Placement, Upstream, place};
+use cowslip_name::Name;
+use cowslip_poison::Fingerprint;
+
+use super::{Admitted, Again, Grant, Hub, Question, Refusal, Wanted};
+use crate::edge::Edge;
+use crate::events::{Event, event};
+
+/// This instance's own work at an upstream.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct OwnLoad {
+    answers: u32,
+    reads: u32,
+}
+
+/// A request that was placed.
+#[derive(Debug)]
+pub(super) struct Running {
+    attempt_id: Arc<str>,
+    allowed: Allowed,
+    service: Arc<str>,
+    fingerprint: Fingerprint,
+    reader: Option<Arc<str>>,
+    answerer: Arc<Upstream>,
+    /// Upstreams that it was sent to.
+    tried: Vec<Arc<str>>,
+    /// Upstreams that may have run it, the present one included.
+    runs: u32,
+    is_started: bool,
+}
+
+impl<E> Hub<E>
+where
+    E: Edge,
+{
+    pub(super) fn admit(&self, question: &Question) -> Result<Admitted, Refusal> {
+        let deployment = self.deployment.as_ref().ok_or(Refusal::NotReady)?;
+        let key = question.key.as_deref();
+        let allowed =
+            deployment.allow(&question.host, &question.path, key).map_err(
+                |denial| match denial {
+                    Denial::NoRoute => Refusal::NoRoute,
+                    Denial::BadKey => Refusal::BadKey,
+                },
+            )?;
+        Ok(Admitted { allowed, max_body_bytes: deployment.limits.max_body_bytes })
+    }
+
+    pub(super) fn begin(&mut self, wanted: Wanted) -> Result<Grant, Refusal> {
+        if self.suspects.is_refused(&wanted.fingerprint) {
+            return Err(Refusal::Poison);
+        }
+        let service =
+            wanted.allowed.route.service(fastrand::u64(..)).ok_or(Refusal::NoUpstream)?.clone();
+        let now_ms = self.clock.now_ms();
+        self.budget.on_request(now_ms, &service);
+        let placement =
+            self.choose(&service, wanted.prompt.as_ref(), &[]).ok_or(Refusal::NoUpstream)?;
+        let Placement { reader, answerer } = placement;
+        let id = self.next_grant;
+        self.next_grant += 1;
+        event!(
+            Event::RequestPlaced,
+            request = wanted.attempt_id,
+            workspace = wanted.allowed.workspace.as_deref().unwrap_or(""),
+            route = wanted.allowed.route.name,
+            reader = reader.as_ref().map_or("", |up| &up.id),
+            upstream = answerer.id,
+            own_answers = self.loads.get(&answerer.id).map_or(0, |load| load.answers),
+            deployment = self.deployment.as_ref().map_or(0, |deployment| deployment.version)
+        );
+        if let Some(reader) = &reader {
+            self.loads.entry(reader.id.clone()).or_default().reads += 1;
+        }
+        self.loads.entry(answerer.id.clone()).or_default().answers += 1;
+        let running = Running {
+            attempt_id: wanted.attempt_id,
+            allowed: wanted.allowed,
+            service,
+            fingerprint: wanted.fingerprint,
+            reader: reader.as_ref().map(|up| up.id.clone()),
+            tried: vec![answerer.id.clone()],
+            answerer: answerer.clone(),
+            runs: 1,
+            is_started: false,
+        };
+        self.running.insert(id, running);
+        Ok(Grant { id, reader, answerer })
+    }
+
+    /// Chooses among the upstreams of a service that take work; those that were tried or are
+    /// paused only when there is no other.
+    fn choose(
+        &self,
+        service: &str,
+        prompt: Option<&cowslip_fleet::Prompt>,
+        tried: &[Arc<str>],
+    ) -> Option<Placement> {
+        let now_ms = self.clock.now_ms();
+        let all: Vec<&Arc<Upstream>> = self.roster.open(service).collect();
+        let untried = |up: &&Arc<Upstream>| !tried.contains(&up.id);
+        let fresh = |up: &&Arc<Upstream>| !self.health.is_paused(now_ms, &up.id) && untried(up);
+        let demand = Demand { prompt, may_split: tried.is_empty(), draw: fastrand::u64(..) };
+        let among = |open: Vec<&Arc<Upstream>>| {
+            place(&demand, &open, &self.config.site, |up| self.load(up))
+        };
+        among(all.iter().copied().filter(fresh).collect())
+            .or_else(|| among(all.iter().copied().filter(untried).collect()))
+    }
+
+    fn load(&self, upstream: &Upstream) -> Load {
+        let own = self.loads.get(&upstream.id).copied().unwrap_or_default();
+        Load {
+            answers: own.answers,
+            reads: own.reads,
+            failure_mean: self.health.failure_mean(&upstream.id),
+        }
+    }
+
+    pub(super) fn again(&mut self, grant: u64, why: Again) -> Result<Arc<Upstream>, Refusal> {
+        let running = self.running.get(&grant).ok_or(Refusal::NoRepeat)?;
+        let now_ms = self.clock.now_ms();
+        let max_attempts = running.allowed.route.max_attempts;
+        let may_repeat = match running.allowed.route.kind {
+            CallKind::Idempotent | CallKind::Stream { is_resumable: true } => true,
+            CallKind::Once | CallKind::Stream { is_resumable: false } => false,
+        };
+        if why == Again::MayHaveRun && (!may_repeat || running.runs >= max_attempts) {
+            return Err(Refusal::NoRepeat);
+        }
+        if self.suspects.is_refused(&running.fingerprint) {
+            return Err(Refusal::Poison);
+        }
+        let service = running.service.clone();
+        let chosen = self.choose(&service, None, &running.tried).ok_or(Refusal::NoUpstream)?;
+        let instances = self.instances.count();
+        if why != Again::NotArrived && !self.budget.take(now_ms, &service, instances) {
+            return Err(Refusal::NoRepeat);
+        }
+        let answerer = chosen.answerer;
+        let Some(running) = self.running.get_mut(&grant) else { return Err(Refusal::NoRepeat) };
+        event!(
+            Event::RequestMoved,
+            request = running.attempt_id,
+            from = running.answerer.id,
+            upstream = answerer.id,
+            why = format_args!("{why:?}"),
+            runs = running.runs
+        );
+        let former = std::mem::replace(&mut running.answerer, answerer.clone());
+        running.tried.push(answerer.id.clone());
+        running.runs += u32::from(why == Again::MayHaveRun);
+        self.metrics.moves.inc();
+        self.release_answer(&former.id);
+        self.loads.entry(answerer.id.clone()).or_default().answers += 1;
+        Ok(answerer)
+    }
+
+    pub(super) fn on_prompt_read(&mut self, grant: u64) {
+        let reader = self.running.get_mut(&grant).and_then(|running| running.reader.take());
+        if let Some(reader) = reader {
+            self.release_read(&reader);
+        }
+    }
+
+    pub(super) fn on_started(&mut self, grant: u64) {
+        let window = self.window_times.window_of(self.true_ms());
+        let Some(running) = self.running.get_mut(&grant) else { return };
+        if std::mem::replace(&mut running.is_started, true) {
+            return;
+        }
+        if let Some(workspace) = &running.allowed.workspace {
+            self.starts.count(window, workspace);
+        }
+    }
+
+    pub(super) fn on_end(&mut self, grant: u64) {
+        let Some(running) = self.running.remove(&grant) else { return };
+        if let Some(reader) = &running.reader {
+            self.release_read(reader);
+        }
+        self.release_answer(&running.answerer.id);
+    }
+
+    pub(super) fn on_lost(&mut self, grant: u64, upstream: &Arc<str>) {
+        let Some(running) = self.running.get(&grant) else { return };
+        event!(Event::RequestSuspected, request = running.attempt_id, upstream = upstream);
+        // An id that is no name cannot be shared; its upstream is only suspected here.
+        if let Ok(name) = Name::new(upstream) {
+            self.suspects.on_loss(running.fingerprint, name);
+        }
+    }
+
+    fn release_read(&mut self, id: &str) {
+        if let Some(load) = self.loads.get_mut(id) {
+            load.reads = load.reads.saturating_sub(1);
+        }
+    }
+
+    fn release_answer(&mut self, id: &str) {
+        if let Some(load) = self.loads.get_mut(id) {
+            load.answers = load.answers.saturating_sub(1);
+            if load.answers == 0 && load.reads == 0 {
+                self.loads.remove(id);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/serve/src/metrics.rs
@@ -0,0 +1,108 @@
+//! Counters and latencies, served as text.
+
+use prometheus::{
+    Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+};
+use snafu::ResultExt;
+
+use crate::error::{Error, MetricsSnafu};
+
+/// Bounds of the latency histograms, in seconds: from a short look-up to the longest objective.
+const LATENCY_BOUNDS_S: &[f64] =
+    &[0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 0.8, 1.0, 1.5, 2.0, 3.0, 5.0, 8.0];
+
+/// Names of all metrics.
+pub const METRIC_NAMES: &[&str] = &[
+    "cowslip_requests_total",
+    "cowslip_sends_total",
+    "cowslip_moves_total",
+    "cowslip_store_calls_total",
+    "cowslip_duty_calls_total",
+    "cowslip_answer_seconds",
+    "cowslip_first_event_seconds",
+    "cowslip_in_flight",
+    "cowslip_deployment_version",
+    "cowslip_upstreams",
+    "cowslip_is_holder",
+];
+
+/// The metrics of this instance.
+#[derive(Clone, Debug)]
+pub(crate) struct Metrics {
+    registry: Registry,
+    /// Requests by how they ended: `answered`, `refused`, `failed`, `left`.
+    pub(crate) requests: IntCounterVec,
+    /// Sends to upstreams by outcome.
+    pub(crate) sends: IntCounterVec,
+    /// Requests that were sent to another upstream.
+    pub(crate) moves: IntCounter,
+    /// Calls of the store by outcome.
+    pub(crate) store_calls: IntCounterVec,
+    /// Calls of duties by outcome.
+    pub(crate) duty_calls: IntCounterVec,
+    /// From the head of a request to the end of a whole answer.
+    pub(crate) answer_s: Histogram,
+    /// From the head of a request to the first event of its stream.
+    pub(crate) first_event_s: Histogram,
+    /// Requests in flight.
+    pub(crate) in_flight: IntGauge,
+    /// Version of the configuration in force.
+    pub(crate) deployment_version: IntGauge,
+    /// Upstreams that take work.
+    pub(crate) upstreams: IntGauge,
+    /// 1 while this instance holds the lease.
+    pub(crate) is_holder: IntGauge,
+}
+
+impl Metrics {
+    pub(crate) fn new() -> Result<Self, Error> {
+        Self::registered().context(MetricsSnafu)
+    }
+
+    fn registered() -> Result<Self, prometheus::Error> {
+        let registry = Registry::new();
+        let by =
+            |name: &str, help: &str, label: &str| -> Result<IntCounterVec, prometheus::Error> {
+                let counter = IntCounterVec::new(Opts::new(name, help), &[label])?;
+                registry.register(Box::new(counter.clone()))?;
+                Ok(counter)
+            };
+        let histogram = |name: &str, help: &str| -> Result<Histogram, prometheus::Error> {
+            let options = HistogramOpts::new(name, help).buckets(LATENCY_BOUNDS_S.to_vec());
+            let histogram = Histogram::with_opts(options)?;
+            registry.register(Box::new(histogram.clone()))?;
+            Ok(histogram)
+        };
+        let gauge = |name: &str, help: &str| -> Result<IntGauge, prometheus::Error> {
+            let gauge = IntGauge::new(name, help)?;
+            registry.register(Box::new(gauge.clone()))?;
+            Ok(gauge)
+        };
+        let moves =
+            IntCounter::new("cowslip_moves_total", "Requests that were sent to another upstream")?;
+        registry.register(Box::new(moves.clone()))?;
+        Ok(Self {
+            requests: by("cowslip_requests_total", "Requests by how they ended", "end")?,
+            sends: by("cowslip_sends_total", "Sends to upstreams by outcome", "outcome")?,
+            moves,
+            store_calls: by("cowslip_store_calls_total", "Calls of the store", "outcome")?,
+            duty_calls: by("cowslip_duty_calls_total", "Calls of duties", "outcome")?,
+            answer_s: histogram("cowslip_answer_seconds", "Time to a whole answer")?,
+            first_event_s: histogram("cowslip_first_event_seconds", "Time to the first event")?,
+            in_flight: gauge("cowslip_in_flight", "Requests in flight")?,
+            deployment_version: gauge("cowslip_deployment_version", "Configuration in force")?,
+            upstreams: gauge("cowslip_upstreams", "Upstreams that take work")?,
+            is_holder: gauge("cowslip_is_holder", "1 while this instance holds the lease")?,
+            registry,
+        })
+    }
+
+    /// All metrics as text.
+    pub(crate) fn text(&self) -> String {
+        let mut text = String::new();
+        if let Err(error) = TextEncoder::new().encode_utf8(&self.registry.gather(), &mut text) {
+            log::warn!("metrics cannot be written: {error}");
+        }
+        text
+    }
+}
--- /dev/null
+++ b/crates/serve/src/tasks/authority.rs
@@ -0,0 +1,226 @@
+//! Holds the lease in the store, and fixes usage windows under it.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_channel::{Receiver, Sender};
+use bytes::Bytes;
+use cowslip_authority::{
+    Holder, LeaseTimes, Register, RegisterRecord, RegisterStep, RegisterView, WriteResult,
+};
+use cowslip_border::{from_json, to_json};
+use cowslip_clock::Clock;
+use cowslip_proto as proto;
+use cowslip_usage::StartRows;
+use futures_util::FutureExt;
+
+use super::HubHandle;
+use crate::edge::{Edge, Page, StoreError, Topic};
+use crate::events::{Event, event};
+use crate::hub::{Held, HubMessage};
+
+const TICK: Duration = Duration::from_millis(100);
+/// Key of the lease's record.
+const LEASE_KEY: &str = "lease";
+/// Beginning of the keys of fixed windows.
+const WINDOW_KEY: &str = "window/";
+/// Fixed windows that are kept for a new holder; older ones are removed.
+const KEPT_WINDOWS: u64 = 24; // two minutes at the users' 5 s a window
+
+/// What the task is asked.
+#[derive(Debug)]
+pub(crate) enum AuthorityJob {
+    /// Fixes the figures of a window, unless they are fixed; the reply is what is fixed.
+    Fix { window: u64, rows: StartRows, reply: Sender<Option<StartRows>> },
+    /// A target has seen a higher fencing number.
+    Fenced(u64),
+    /// Gives the lease up; the reply comes when that is written or was given up.
+    Retire { reply: Sender<Retired> },
+}
+
+/// The lease is given up.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Retired;
+
+struct Task<E> {
+    edge: E,
+    hub: HubHandle,
+    clock: Clock,
+    register: Register,
+    fixed: BTreeMap<u64, StartRows>,
+    is_holder: bool,
+}
+
+/// Keeps or seeks the lease until it is retired.
+pub(crate) async fn run_authority<E>(
+    edge: E,
+    hub: HubHandle,
+    clock: Clock,
+    me: Holder,
+    times: LeaseTimes,
+    jobs: Receiver<AuthorityJob>,
+) where
+    E: Edge,
+{
+    let register = Register::new(me, times, clock.now_ms());
+    let mut task = Task { edge, hub, clock, register, fixed: BTreeMap::new(), is_holder: false };
+    loop {
+        task.step(None).await;
+        let job = compio::time::timeout(TICK, jobs.recv().fuse()).await;
+        match job {
+            // Nothing was asked.
+            Err(_) => {}
+            Ok(Ok(AuthorityJob::Fix { window, rows, reply })) => {
+                let fixed = task.fix(window, rows).await;
+                let _ = reply.try_send(fixed);
+            }
+            Ok(Ok(AuthorityJob::Fenced(fence))) => task.register.on_refused(fence),
+            Ok(Ok(AuthorityJob::Retire { reply })) => {
+                task.register.retire();
+                task.step(None).await;
+                task.tell().await;
+                let _ = reply.try_send(Retired);
+                return;
+            }
+            Ok(Err(_)) => return,
+        }
+    }
+}
+
+impl<E> Task<E>
+where
+    E: Edge,
+{
+    /// Carries out what is due; `window` goes into the store with the next record of the lease.
+    async fn step(&mut self, window: Option<(u64, &StartRows)>) {
+        let now_ms = self.clock.now_ms();
+        match self.register.next_step(now_ms) {
+            RegisterStep::Wait => {}
+            RegisterStep::Read => self.read(now_ms).await,
+            RegisterStep::Write { at, record } => self.write(at, record, window).await,
+        }
+        self.tell().await;
+    }
+
+    async fn read(&mut self, sent_at_ms: u64) {
+        match self.edge.newest(Topic::Lease).await {
+            Ok(page) => {
+                let view = self.view(&page);
+                self.register.on_view(self.clock.now_ms(), sent_at_ms, view);
+            }
+            Err(error) => {
+                event!(Event::StoreLost, topic = "Lease", why = format_args!("{error:?}"));
+                compio::time::sleep(TICK * 4).await;
+            }
+        }
+    }
+
+    fn view(&mut self, page: &Page) -> RegisterView {
+        let mut newest = None;
+        for record in page.records.iter().filter(|record| !record.value.is_empty()) {
+            if let Some(number) = record.key.strip_prefix(WINDOW_KEY) {
+                let rows = from_json::<proto::StartWindow>(&record.value).map(rows_from_proto);
+                match (number.parse(), rows) {
+                    (Ok(window), Ok(rows)) => {
+                        self.fixed.insert(window, rows);
+                    }
+                    _ => event!(Event::RecordBad, topic = "Lease", key = record.key),
+                }
+            } else if &*record.key == LEASE_KEY {
+                match from_json::<proto::LeaseEntry>(&record.value) {
+                    Ok(entry) => newest = Some((record.offset, from_proto(entry))),
+                    Err(error) => event!(Event::RecordBad, topic = "Lease", why = error),
+                }
+            }
+        }
+        RegisterView { end: page.next, newest }
+    }
+
+    async fn write(&mut self, at: u64, record: RegisterRecord, window: Option<(u64, &StartRows)>) {
+        let mut records = vec![(LEASE_KEY.to_owned(), Bytes::from(to_json(&to_proto(&record))))];
+        if let Some((window, rows)) = window {
+            let entry = window_to_proto(window, rows);
+            records.push((format!("{WINDOW_KEY}{window}"), Bytes::from(to_json(&entry))));
+            if let Some(old) = window.checked_sub(KEPT_WINDOWS) {
+                records.push((format!("{WINDOW_KEY}{old}"), Bytes::new()));
+                self.fixed = self.fixed.split_off(&old);
+            }
+        }
+        let result = match self.edge.append(Topic::Lease, Some(at), &records).await {
+            Ok(appended) => {
+                if let Some((window, rows)) = window {
+                    self.fixed.insert(window, rows.clone());
+                }
+                WriteResult::Appended { offset: appended.offset, end: appended.end }
+            }
+            Err(StoreError::Outdated) => WriteResult::Outdated,
+            Err(error) => {
+                event!(Event::AppendFailed, topic = "Lease", why = format_args!("{error:?}"));
+                compio::time::sleep(TICK * 2).await;
+                WriteResult::Unknown
+            }
+        };
+        self.register.on_written(self.clock.now_ms(), record, result);
+    }
+
+    /// A window is fixed by the first record of it that is appended under the lease.
+    async fn fix(&mut self, window: u64, rows: StartRows) -> Option<StartRows> {
+        if self.register.fence(self.clock.now_ms()).is_none() {
+            return None;
+        }
+        if !self.fixed.contains_key(&window) {
+            self.register.hasten();
+            self.step(Some((window, &rows))).await;
+        }
+        self.fixed.get(&window).cloned()
+    }
+
+    async fn tell(&mut self) {
+        let now_ms = self.clock.now_ms();
+        let fence = self.register.held(now_ms).map(|(fence, until_ms)| Held { fence, until_ms });
+        let is_holder = self.register.is_holder(now_ms);
+        if is_holder != self.is_holder {
+            self.is_holder = is_holder;
+            if is_holder {
+                event!(Event::LeaseGained, fence = fence.map_or(0, |held| held.fence));
+            } else {
+                let holder = self.register.holder().map_or("", |name| name.as_str());
+                event!(Event::LeaseLost, holder = holder);
+            }
+        }
+        self.hub.tell(HubMessage::Authority { fence }).await;
+    }
+}
+
+fn to_proto(record: &RegisterRecord) -> proto::LeaseEntry {
+    proto::LeaseEntry {
+        holder: proto::Holder {
+            instance: record.holder.instance.clone(),
+            incarnation: record.holder.incarnation,
+        },
+        nonce: record.nonce,
+        released: record.is_released,
+    }
+}
+
+fn from_proto(entry: proto::LeaseEntry) -> RegisterRecord {
+    RegisterRecord {
+        holder: Holder { instance: entry.holder.instance, incarnation: entry.holder.incarnation },
+        nonce: entry.nonce,
+        is_released: entry.released,
+    }
+}
+
+fn window_to_proto(window: u64, rows: &StartRows) -> proto::StartWindow {
+    let rows = rows.iter().map(|(workspace, starts)| proto::StartRow {
+        workspace: workspace.to_string(),
+        starts: *starts,
+    });
+    proto::StartWindow { window, rows: rows.collect() }
+}
+
+/// Rows of a window by workspace.
+pub(super) fn rows_from_proto(window: proto::StartWindow) -> StartRows {
+    window.rows.into_iter().map(|row| (Arc::from(row.workspace), row.starts)).collect()
+}
--- /dev/null
+++ b/crates/serve/src/tasks/follow.rs
@@ -0,0 +1,76 @@
+//! Follows a topic of the store.
+
+use std::time::Duration;
+
+use super::HubHandle;
+use crate::edge::{Edge, Page, StoreError, Topic};
+use crate::events::{Event, event};
+use crate::hub::HubMessage;
+use crate::metrics::Metrics;
+
+/// Pause after a read that failed; the store counts refused calls too.
+const RETRY: Duration = Duration::from_millis(400);
+
+/// How often a topic is read.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Pace {
+    /// Pause between two reads.
+    pub(crate) pause: Duration,
+    /// How long the store may hold a read until there is a record.
+    pub(crate) wait_ms: u64,
+}
+
+/// Reads until the process ends: first the newest record of each key, then what follows.
+pub(crate) async fn run_follower<E>(
+    edge: E,
+    hub: HubHandle,
+    metrics: Metrics,
+    topic: Topic,
+    pace: Pace,
+) where
+    E: Edge,
+{
+    let mut next = None;
+    let mut is_up = true;
+    loop {
+        let read = match next {
+            None => edge.newest(topic).await,
+            Some(from) => edge.read(topic, from, pace.wait_ms).await,
+        };
+        let outcome = if read.is_ok() { "ok" } else { "failed" };
+        metrics.store_calls.with_label_values(&[outcome]).inc();
+        match read {
+            Ok(page) => {
+                if !is_up {
+                    event!(Event::StoreBack, topic = format_args!("{topic:?}"));
+                    is_up = true;
+                    hub.tell(HubMessage::StoreState { topic, is_up }).await;
+                }
+                let is_list = next.is_none();
+                next = Some(page.next);
+                tell(&hub, topic, page, is_list).await;
+                compio::time::sleep(pace.pause).await;
+            }
+            // What lies between is gone: only a list tells what is there now.
+            Err(StoreError::Expired) => next = None,
+            Err(error) => {
+                if is_up {
+                    event!(
+                        Event::StoreLost,
+                        topic = format_args!("{topic:?}"),
+                        why = format_args!("{error:?}")
+                    );
+                    is_up = false;
+                    hub.tell(HubMessage::StoreState { topic, is_up }).await;
+                }
+                compio::time::sleep(RETRY).await;
+            }
+        }
+    }
+}
+
+async fn tell(hub: &HubHandle, topic: Topic, page: Page, is_list: bool) {
+    if is_list || !page.records.is_empty() || page.skipped > 0 {
+        hub.tell(HubMessage::Records { topic, page, is_list }).await;
+    }
+}
--- /dev/null
+++ b/crates/serve/src/tasks/links.rs
@@ -0,0 +1,110 @@
+//! One link to each other instance, over which it is told and asked.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use async_channel::Receiver;
+use bytes::Bytes;
+use compio::runtime::JoinHandle;
+use cowslip_border::{MAX_PEER_BYTES, decode_peer, encode_peer};
+use cowslip_name::Name;
+use cowslip_net::PeerClient;
+use cowslip_proto as proto;
+
+use super::HubHandle;
+use super::peer_server::FEED_PATH;
+use crate::events::{Event, event};
+use crate::hub::HubMessage;
+
+/// Longest wait for an answer: instances in one region answer within milliseconds, in others
+/// within some dozen; a slow one must not hold the link for long.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Most failures in a row that lengthen the pause.
+const MAX_BACKOFF: u32 = 3;
+
+/// Another instance.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) struct Peer {
+    pub(crate) name: Name,
+    pub(crate) address: SocketAddr,
+}
+
+/// The newest list of other instances.
+#[derive(Debug)]
+pub(crate) struct LinkCommand {
+    pub(crate) peers: Vec<Peer>,
+}
+
+/// A running link; dropping it ends the link.
+struct Running {
+    peer: Peer,
+    _task: JoinHandle<()>,
+}
+
+/// Keeps a link to each other instance until the process ends.
+pub(crate) async fn run_links(hub: HubHandle, every: Duration, commands: Receiver<LinkCommand>) {
+    let mut links: BTreeMap<Name, Running> = BTreeMap::new();
+    while let Ok(LinkCommand { peers }) = commands.recv().await {
+        links.retain(|_, link| peers.contains(&link.peer));
+        for peer in peers {
+            links.entry(peer.name.clone()).or_insert_with(|| {
+                let link =
+                    Link { peer: peer.clone(), hub: hub.clone(), every, client: None, failures: 0 };
+                Running { peer, _task: compio::runtime::spawn(link.run()) }
+            });
+        }
+    }
+}
+
+struct Link {
+    peer: Peer,
+    hub: HubHandle,
+    every: Duration,
+    client: Option<PeerClient>,
+    failures: u32,
+}
+
+impl Link {
+    async fn run(mut self) {
+        loop {
+            match self.exchange().await {
+                Ok(()) => {
+                    if self.failures > 0 {
+                        event!(Event::PeerBack, peer = self.peer.name, failures = self.failures);
+                    }
+                    self.failures = 0;
+                }
+                Err(why) => {
+                    self.client = None;
+                    if self.failures == 0 {
+                        event!(Event::PeerLost, peer = self.peer.name, why = why);
+                    }
+                    self.failures += 1;
+                }
+            }
+            let pause = self.every * (1 << self.failures.min(MAX_BACKOFF));
+            compio::time::sleep(pause).await;
+        }
+    }
+
+    async fn exchange(&mut self) -> Result<(), String> {
+        let feed = self.hub.ask(|reply| HubMessage::OwnFeed { reply }).await;
+        let feed = feed.ok_or("the hub has ended")?;
+        let body = encode_peer(&feed).map_err(|error| error.to_string())?;
+        let client = match self.client.take() {
+            Some(client) => client,
+            None => PeerClient::connect(self.peer.address, ANSWER_TIMEOUT)
+                .await
+                .map_err(|error| error.to_string())?,
+        };
+        let answer = client
+            .call(FEED_PATH, Bytes::from(body), MAX_PEER_BYTES)
+            .await
+            .map_err(|error| error.to_string())?;
+        self.client = Some(client);
+        let answer: proto::FeedReply = decode_peer(&answer).map_err(|error| error.to_string())?;
+        self.hub.tell(HubMessage::FeedAnswer { answer: Box::new(answer) }).await;
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/serve/src/tasks/peer_server.rs
@@ -0,0 +1,39 @@
+//! Answers other instances.
+
+use async_channel::Receiver;
+use bytes::Bytes;
+use compio::net::TcpListener;
+use cowslip_border::{MAX_PEER_BYTES, decode_peer, encode_peer};
+use cowslip_net::serve_peers;
+use http::StatusCode;
+
+use super::HubHandle;
+use crate::events::{Event, event};
+use crate::hub::HubMessage;
+
+/// Path of feeds; it names the version of the messages.
+pub(super) const FEED_PATH: &str = "/feed/v1";
+
+/// Answers until `stop` closes.
+pub(crate) async fn run_peer_server(listener: TcpListener, hub: HubHandle, stop: Receiver<()>) {
+    let handler = move |path: String, body: Bytes| {
+        let hub = hub.clone();
+        async move { answer(&hub, &path, &body).await }
+    };
+    serve_peers(listener, MAX_PEER_BYTES, stop, handler).await;
+}
+
+async fn answer(hub: &HubHandle, path: &str, body: &[u8]) -> Result<Bytes, StatusCode> {
+    if path != FEED_PATH {
+        return Err(StatusCode::NOT_FOUND);
+    }
+    let request = decode_peer(body).map_err(|error| {
+        event!(Event::PeerBad, why = error);
+        StatusCode::BAD_REQUEST
+    })?;
+    let reply = hub
+        .ask(|reply| HubMessage::Feed { request: Box::new(request), reply })
+        .await
+        .ok_or(StatusCode::SERVICE_UNAVAILABLE)?;
+    encode_peer(&reply).map(Bytes::from).map_err(|_| StatusCode::INTERNAL_SERVER_ERROR)
+}
--- /dev/null
+++ b/crates/serve/src/tasks/presence.rs
@@ -0,0 +1,46 @@
+//! This instance's own entry in the store, by which others find it.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use cowslip_border::to_json;
+use cowslip_proto as proto;
+
+use super::HubHandle;
+use crate::edge::{Edge, Topic};
+use crate::events::{Event, event};
+use crate::hub::HubMessage;
+
+/// Interval between writes of the entry; readers ignore one that is three times as old.
+const WRITE_EVERY: Duration = Duration::from_secs(20);
+const RETRY: Duration = Duration::from_secs(1);
+
+/// Writes the entry until the process ends.
+pub(crate) async fn run_presence<E>(edge: E, hub: HubHandle, mut entry: proto::InstanceEntry)
+where
+    E: Edge,
+{
+    let key = entry.holder.instance.to_string();
+    loop {
+        if let Some(true_ms) = hub.ask(|reply| HubMessage::TrueTime { reply }).await {
+            entry.written_at_ms = true_ms;
+        }
+        let record = (key.clone(), Bytes::from(to_json(&entry)));
+        let written = edge.append(Topic::Instances, None, &[record]).await;
+        if let Err(error) = &written {
+            event!(Event::AppendFailed, topic = "Instances", why = format_args!("{error:?}"));
+        }
+        compio::time::sleep(if written.is_ok() { WRITE_EVERY } else { RETRY }).await;
+    }
+}
+
+/// Removes the entry.
+pub(crate) async fn withdraw<E>(edge: &E, name: &str)
+where
+    E: Edge,
+{
+    let record = (name.to_owned(), Bytes::new());
+    if let Err(error) = edge.append(Topic::Instances, None, &[record]).await {
+        event!(Event::AppendFailed, topic = "Instances", why = format_args!("{error:?}"));
+    }
+}
