Balance ordinary and reclaimable engines each for themselves

Also orders of capacity were repeated without end, since more was wanted than the domain's maximum. Ruled out: late roster (312 follows the order by 3 s, the change itself).

--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -31,8 +31,8 @@
     pub role: EngineRole,
 }
 
-/// All reclaimable upstreams that each domain can have, where they are cheaper; ordinary ones are
-/// kept, as reclaimable ones may be gone at any moment.
+/// As many reclaimable upstreams as each domain can have beside its ordinary ones, where they are
+/// cheaper; ordinary ones are kept, as reclaimable ones may be gone at any moment.
 #[must_use]
 pub fn plan_capacity(deployment: &Deployment, roster: &Roster) -> Vec<CapacityOrder> {
     let mut orders = Vec::new();
@@ -42,10 +42,14 @@
             continue;
         }
         for domain in &capacity.domains {
-            let present =
-                roster.open(service).filter(|up| up.domain == *domain && up.is_reclaimable).count();
-            let wanted = capacity.max.saturating_sub(1);
-            if (present as u64) < u64::from(wanted) {
+            let count = |is_reclaimable: bool| {
+                let of_kind = roster
+                    .open(service)
+                    .filter(|up| up.domain == *domain && up.is_reclaimable == is_reclaimable);
+                u32::try_from(of_kind.count()).unwrap_or(u32::MAX)
+            };
+            let wanted = capacity.max.saturating_sub(count(false));
+            if count(true) < wanted {
                 orders.push(CapacityOrder {
                     service: service.clone(),
                     domain: domain.clone(),
@@ -60,8 +64,9 @@
 
 /// Changes that bring each domain's engines to the wanted part of readers.
 ///
-/// An engine is changed only when the part is off by a whole engine, so that a single one that
-/// comes or goes causes no order.
+/// Ordinary and reclaimable engines are balanced each for themselves, so that those that remain
+/// after a reclaim need no change. An engine is changed only when the part is off by a whole
+/// engine, so that a single one that comes or goes causes no order.
 #[must_use]
 pub fn plan_roles(deployment: &Deployment, roster: &Roster) -> Vec<RoleOrder> {
     let mut orders = Vec::new();
@@ -69,11 +74,12 @@
         if !spec.is_engine {
             continue;
         }
-        let mut domains: BTreeMap<&Arc<str>, Vec<&Arc<Upstream>>> = BTreeMap::new();
+        let mut groups: BTreeMap<(&Arc<str>, bool), Vec<&Arc<Upstream>>> = BTreeMap::new();
         for upstream in roster.open(service) {
-            domains.entry(&upstream.domain).or_default().push(upstream);
+            let group = (&upstream.domain, upstream.is_reclaimable);
+            groups.entry(group).or_default().push(upstream);
         }
-        domains.values().for_each(|engines| orders.extend(balance(engines)));
+        groups.values().for_each(|engines| orders.extend(balance(engines)));
     }
     orders
 }
