--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -6,8 +6,9 @@
 use crate::deployment::Deployment;
 use crate::roster::{EngineRole, Roster, Upstream};
 
-/// Part of a domain's engines that read prompts (docs/MEASUREMENTS.md: 0.4 and 0.6 were worse).
-const READER_PART: f64 = 0.5;
+/// Part of the engines that read prompts: reading is what requests wait for, while the engines
+/// that answer batch many at once (docs/MEASUREMENTS.md).
+const READER_PART: f64 = 0.67;
 
 /// A wish for a number of upstreams.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -65,8 +66,7 @@
 /// Changes that bring each domain's engines to the wanted part of readers.
 ///
 /// Ordinary and reclaimable engines are balanced each for themselves, so that those that remain
-/// after a reclaim need no change. An engine is changed only when the part is off by a whole
-/// engine, so that a single one that comes or goes causes no order.
+/// after a reclaim need no change.
 #[must_use]
 pub fn plan_roles(deployment: &Deployment, roster: &Roster) -> Vec<RoleOrder> {
     let mut orders = Vec::new();
@@ -87,19 +87,20 @@
 fn balance(engines: &[&Arc<Upstream>]) -> Vec<RoleOrder> {
     let of_role = |role| engines.iter().filter(move |up| up.role == Some(role));
     let readers = of_role(EngineRole::Prefill).count();
-    let wanted = READER_PART * engines.len() as f64;
-    let off = wanted - readers as f64;
-    let (from, role) = if off > 0.0 {
+    let wanted = wanted_readers(engines.len());
+    let (from, role) = if readers < wanted {
         (EngineRole::Decode, EngineRole::Prefill)
     } else {
         (EngineRole::Prefill, EngineRole::Decode)
     };
-    if off.abs() < 1.0 {
-        return Vec::new();
-    }
-    // An engine that answers must remain, whatever the part.
-    let keeps = usize::from(from == EngineRole::Decode);
-    let available = of_role(from).count().saturating_sub(keeps);
-    let wishes = (off.abs().floor() as usize).min(available);
-    of_role(from).take(wishes).map(|up| RoleOrder { upstream: Arc::clone(up), role }).collect()
+    of_role(from)
+        .take(readers.abs_diff(wanted))
+        .map(|up| RoleOrder { upstream: Arc::clone(up), role })
+        .collect()
+}
+
+/// The nearest whole number of readers that leaves an engine that answers.
+fn wanted_readers(engines: usize) -> usize {
+    let wanted = (READER_PART * engines as f64).round() as usize;
+    wanted.min(engines.saturating_sub(1))
 }
--- a/crates/serve/src/caller/relay.rs
+++ b/crates/serve/src/caller/relay.rs
@@ -142,6 +142,13 @@
         job.tell(HubMessage::Started { grant: job.grant }).await;
         let elapsed_ms = job.server.clock.now_ms().saturating_sub(job.started_ms);
         job.server.metrics.first_event_s.observe(elapsed_ms as f64 / 1_000.0);
+        event!(
+            Event::StreamBegun,
+            request = job.call.head.attempt_id,
+            upstream = self.upstream.id,
+            elapsed_ms = elapsed_ms,
+            objective_ms = job.allowed.route.objective_ms
+        );
     }
 
     /// Lets another upstream go on after the newest whole event.
--- a/crates/serve/src/caller/stream.rs
+++ b/crates/serve/src/caller/stream.rs
@@ -11,6 +11,7 @@
 use super::relay::Relay;
 use super::whole::answered;
 use crate::edge::{Edge, Prepared, Refused, Work};
+use crate::events::{Event, event};
 use crate::hub::HubMessage;
 
 /// Time for an engine to free a prompt that nobody takes.
@@ -145,7 +146,16 @@
         let reply = exchange(edge, client, &job.call, &outgoing).await?;
         read_whole(&job.call, reader, client, reply).await
     };
+    let began_ms = job.server.clock.now_ms();
     let read = reading.await;
+    event!(
+        Event::PromptRead,
+        request = job.call.head.attempt_id,
+        upstream = reader.id,
+        took_ms = job.server.clock.now_ms().saturating_sub(began_ms),
+        tokens = job.call.head.prompt.as_ref().map_or(0, |prompt| prompt.tokens),
+        is_read = read.is_ok()
+    );
     job.tell(HubMessage::PromptRead { grant: job.grant }).await;
     match read {
         Ok((parts, body)) if parts.status.is_success() => {
--- a/crates/serve/src/events.rs
+++ b/crates/serve/src/events.rs
@@ -51,6 +51,8 @@
     RequestFailed = 503, Warn, "a request ends without an answer, it may have run";
     SendFailed = 504, Warn, "an upstream did not answer as it should";
     RequestSuspected = 505, Warn, "a request was in flight at an upstream that was lost";
+    PromptRead = 506, Info, "an engine has read a prompt for another";
+    StreamBegun = 507, Info, "the first event of a stream has come";
     PeerLost = 600, Warn, "another instance cannot be reached";
     PeerBack = 601, Info, "another instance can be reached again";
     PeerBad = 602, Warn, "another instance sent a malformed message";
--- a/crates/serve/src/hub/requests.rs
+++ b/crates/serve/src/hub/requests.rs
@@ -13,7 +13,9 @@
 /// This instance's own work at an upstream.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct OwnLoad {
-    answers: u32,
+    /// Requests that were sent to it and have not begun.
+    waiting: u32,
+    /// Prompts that it reads for others.
     reads: u32,
 }
 
@@ -30,7 +32,10 @@
     tried: Vec<Arc<str>>,
     /// Upstreams that may have run it, the present one included.
     runs: u32,
-    is_started: bool,
+    /// When it was sent to the present upstream.
+    sent_at_ms: u64,
+    is_waiting: bool,
+    is_counted: bool,
 }
 
 impl<E> Hub<E>
@@ -70,13 +75,14 @@
             route = wanted.allowed.route.name,
             reader = reader.as_ref().map_or("", |up| &up.id),
             upstream = answerer.id,
-            own_answers = self.loads.get(&answerer.id).map_or(0, |load| load.answers),
+            own_waiting = self.loads.get(&answerer.id).map_or(0, |load| load.waiting),
+            start_ms = self.health.start_ms(now_ms, &answerer.id).unwrap_or(0.0).round(),
             deployment = self.deployment.as_ref().map_or(0, |deployment| deployment.version)
         );
         if let Some(reader) = &reader {
             self.loads.entry(reader.id.clone()).or_default().reads += 1;
         }
-        self.loads.entry(answerer.id.clone()).or_default().answers += 1;
+        self.loads.entry(answerer.id.clone()).or_default().waiting += 1;
         let running = Running {
             attempt_id: wanted.attempt_id,
             allowed: wanted.allowed,
@@ -86,7 +92,9 @@
             tried: vec![answerer.id.clone()],
             answerer: answerer.clone(),
             runs: 1,
-            is_started: false,
+            sent_at_ms: now_ms,
+            is_waiting: true,
+            is_counted: false,
         };
         self.running.insert(id, running);
         Ok(Grant { id, reader, answerer })
@@ -115,7 +123,8 @@
     fn load(&self, upstream: &Upstream) -> Load {
         let own = self.loads.get(&upstream.id).copied().unwrap_or_default();
         Load {
-            answers: own.answers,
+            waiting: own.waiting,
+            start_ms: self.health.start_ms(self.clock.now_ms(), &upstream.id).unwrap_or(0.0),
             reads: own.reads,
             failure_mean: self.health.failure_mean(&upstream.id),
         }
@@ -155,27 +164,39 @@
         running.tried.push(answerer.id.clone());
         running.runs += u32::from(why == Again::MayHaveRun);
         self.metrics.moves.inc();
-        self.release_answer(&former.id);
-        self.loads.entry(answerer.id.clone()).or_default().answers += 1;
+        let was_waiting = std::mem::replace(&mut running.is_waiting, true);
+        running.sent_at_ms = now_ms;
+        if was_waiting {
+            self.release_waiting(&former.id);
+        }
+        self.loads.entry(answerer.id.clone()).or_default().waiting += 1;
         Ok(answerer)
     }
 
     pub(super) fn on_prompt_read(&mut self, grant: u64) {
-        let reader = self.running.get_mut(&grant).and_then(|running| running.reader.take());
-        if let Some(reader) = reader {
+        let now_ms = self.clock.now_ms();
+        let Some(running) = self.running.get_mut(&grant) else { return };
+        running.sent_at_ms = now_ms;
+        if let Some(reader) = running.reader.take() {
             self.release_read(&reader);
         }
     }
 
     pub(super) fn on_started(&mut self, grant: u64) {
+        let now_ms = self.clock.now_ms();
         let window = self.window_times.window_of(self.true_ms());
         let Some(running) = self.running.get_mut(&grant) else { return };
-        if std::mem::replace(&mut running.is_started, true) {
-            return;
-        }
-        if let Some(workspace) = &running.allowed.workspace {
+        if !std::mem::replace(&mut running.is_counted, true)
+            && let Some(workspace) = &running.allowed.workspace
+        {
             self.starts.count(window, workspace);
         }
+        if std::mem::replace(&mut running.is_waiting, false) {
+            let upstream = running.answerer.id.clone();
+            let took_ms = now_ms.saturating_sub(running.sent_at_ms);
+            self.health.on_start(now_ms, &upstream, took_ms);
+            self.release_waiting(&upstream);
+        }
     }
 
     pub(super) fn on_end(&mut self, grant: u64) {
@@ -183,7 +204,9 @@
         if let Some(reader) = &running.reader {
             self.release_read(reader);
         }
-        self.release_answer(&running.answerer.id);
+        if running.is_waiting {
+            self.release_waiting(&running.answerer.id);
+        }
     }
 
     pub(super) fn on_lost(&mut self, grant: u64, upstream: &Arc<str>) {
@@ -201,10 +224,10 @@
         }
     }
 
-    fn release_answer(&mut self, id: &str) {
+    fn release_waiting(&mut self, id: &str) {
         if let Some(load) = self.loads.get_mut(id) {
-            load.answers = load.answers.saturating_sub(1);
-            if load.answers == 0 && load.reads == 0 {
+            load.waiting = load.waiting.saturating_sub(1);
+            if load.waiting == 0 && load.reads == 0 {
                 self.loads.remove(id);
             }
         }
