--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -6,6 +6,9 @@
 
 /// How long entries that lapsed while the store was away may take to come back after its return.
 pub const RETURN_GRACE_MS: u64 = 2_000; // the users' letter: "about two seconds"
+/// Longest time without work for an upstream whose entry seems to be old: a change of role takes
+/// three seconds, and the next entry more than one.
+const DOUBT_MS: u64 = 4_500;
 
 /// What an engine does with a request.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
@@ -64,6 +67,8 @@
     upstream: Arc<Upstream>,
     /// When it is dropped unless its entry comes back.
     lapses_at_ms: Option<u64>,
+    /// Until when it gets no work, as it has refused what its entry says that it does.
+    doubted_until_ms: u64,
 }
 
 /// Upstreams by id.
@@ -84,6 +89,7 @@
     pub fn on_entry(&mut self, entry: Upstream) -> Vec<Change> {
         let id = entry.id.clone();
         let mut changes = Vec::new();
+        let mut doubted_until_ms = 0;
         match self.members.get(&id) {
             Some(known) if known.upstream.born_ms > entry.born_ms => return changes,
             Some(known) if known.upstream.born_ms == entry.born_ms => {
@@ -96,6 +102,8 @@
                 }
                 if known.upstream.role != entry.role {
                     changes.push(Change::Role(id.clone(), entry.role));
+                } else {
+                    doubted_until_ms = known.doubted_until_ms;
                 }
             }
             Some(_) => {
@@ -104,7 +112,8 @@
             }
             None => changes.push(Change::Joined(id.clone())),
         }
-        self.members.insert(id, Member { upstream: Arc::new(entry), lapses_at_ms: None });
+        let upstream = Arc::new(entry);
+        self.members.insert(id, Member { upstream, lapses_at_ms: None, doubted_until_ms });
         changes
     }
 
@@ -158,7 +167,23 @@
         self.members.values().map(|member| &member.upstream)
     }
 
-    /// Upstreams of a service that take new work.
+    /// The upstream has refused what its entry says that it does.
+    pub fn on_misdirected(&mut self, now_ms: u64, id: &str) {
+        if let Some(member) = self.members.get_mut(id) {
+            member.doubted_until_ms = now_ms + DOUBT_MS;
+        }
+    }
+
+    /// Upstreams of a service that take new work and are what their entries say.
+    pub fn usable(&self, now_ms: u64, service: &str) -> impl Iterator<Item = &Arc<Upstream>> {
+        self.members
+            .values()
+            .filter(move |member| member.doubted_until_ms <= now_ms)
+            .map(|member| &member.upstream)
+            .filter(move |upstream| !upstream.is_leaving && *upstream.service == *service)
+    }
+
+    /// Upstreams of a service that are not about to leave.
     pub fn open(&self, service: &str) -> impl Iterator<Item = &Arc<Upstream>> {
         self.iter().filter(move |upstream| !upstream.is_leaving && *upstream.service == *service)
     }
--- a/crates/serve/src/caller/exchange.rs
+++ b/crates/serve/src/caller/exchange.rs
@@ -26,6 +26,8 @@
     NotArrived,
     /// The upstream stated that the request was not run.
     NotRun,
+    /// The same, since it is another upstream or has another role.
+    Misdirected,
     /// The connection broke: the request may have run, and the upstream may be lost.
     Broken,
     /// The answer is not one to this request, or not whole: the request may have run.
@@ -33,10 +35,15 @@
 }
 
 impl Failure {
+    /// Whether the upstream is known not to have run the request.
+    pub(super) fn is_not_run(self) -> bool {
+        matches!(self, Self::NotArrived | Self::NotRun | Self::Misdirected)
+    }
+
     fn outcome(self) -> Outcome {
         match self {
             Self::NotArrived | Self::Broken => Outcome::Broken,
-            Self::NotRun | Self::Spoilt => Outcome::Failed,
+            Self::NotRun | Self::Misdirected | Self::Spoilt => Outcome::Failed,
         }
     }
 }
@@ -99,7 +106,7 @@
     let head = edge.read_answer(&parts);
     if let Err((failure, why)) = check(call, outgoing.work, &head) {
         note(call, upstream, failure, why);
-        if failure == Failure::NotRun {
+        if matches!(failure, Failure::NotRun | Failure::Misdirected) {
             // The connection is sound, and its short body is read before the next request.
             let connection = connection(upstream, exchange, &head);
             compio::runtime::spawn(drain(body, connection, client.clone())).detach();
@@ -115,6 +122,9 @@
     if head.attempt_id.as_deref() != Some(&*call.head.attempt_id) {
         return Err((Failure::Spoilt, "the answer names another attempt"));
     }
+    if head.is_misdirected {
+        return Err((Failure::Misdirected, "another upstream or role was expected"));
+    }
     if head.is_not_run {
         return Err((Failure::NotRun, "the upstream did not run it"));
     }
--- a/crates/serve/src/caller/job.rs
+++ b/crates/serve/src/caller/job.rs
@@ -71,14 +71,23 @@
     /// Notes a failed send of the request itself; `may_have_run` is as before the send, if it
     /// shows that nothing ran.
     pub(super) async fn on_failure(&self, upstream: &Upstream, failure: Failure, ran_before: bool) {
-        if matches!(failure, Failure::NotArrived | Failure::NotRun) {
+        if failure.is_not_run() {
             self.may_have_run.set(ran_before);
         }
-        if failure == Failure::Broken {
-            let upstream = upstream.id.clone();
-            self.tell(HubMessage::Lost { grant: self.grant, upstream }).await;
+        self.note_failure(upstream, failure).await;
+    }
+
+    /// Notes what a failed send says of the upstream.
+    pub(super) async fn note_failure(&self, upstream: &Upstream, failure: Failure) {
+        let id = upstream.id.clone();
+        match failure {
+            Failure::Broken => {
+                self.tell(HubMessage::Lost { grant: self.grant, upstream: id }).await;
+            }
+            Failure::Misdirected => self.tell(HubMessage::Misdirected { upstream: id }).await,
+            Failure::NotArrived | Failure::NotRun | Failure::Spoilt => {}
         }
-        if failure != Failure::NotRun {
+        if !matches!(failure, Failure::NotRun | Failure::Misdirected) {
             self.on_outcome(upstream, outcome(failure)).await;
         }
     }
@@ -98,7 +107,7 @@
     pub(super) async fn again(&self, failure: Failure) -> Result<Arc<Upstream>, Refusal> {
         let why = match failure {
             Failure::NotArrived => Again::NotArrived,
-            Failure::NotRun => Again::NotRun,
+            Failure::NotRun | Failure::Misdirected => Again::NotRun,
             Failure::Broken | Failure::Spoilt => Again::MayHaveRun,
         };
         let grant = self.grant;
@@ -108,6 +117,18 @@
             .unwrap_or(Err(Refusal::NotReady))
     }
 
+    /// Whether the answering engine may read the prompt, after another did not. What that one got
+    /// counts as a send, so the request itself is a repeat of it.
+    pub(super) async fn after_unread(&self, failure: Failure) -> Result<(), Refused> {
+        if failure == Failure::NotArrived {
+            return Ok(());
+        }
+        let grant = self.grant;
+        let hub = &self.server.hub;
+        let is_left = hub.ask(|reply| HubMessage::TakeRepeat { grant, reply }).await;
+        if is_left == Some(true) { Ok(()) } else { Err(Refused::from_refusal(Refusal::NoRepeat)) }
+    }
+
     pub(super) async fn tell(&self, message: HubMessage) {
         self.server.hub.tell(message).await;
     }
--- a/crates/serve/src/caller/stream.rs
+++ b/crates/serve/src/caller/stream.rs
@@ -68,10 +68,13 @@
 where
     E: Edge,
 {
-    let mut prepared = match reader {
-        Some(reader) => read_prompt(job, &reader).await,
-        None => None,
-    };
+    let mut prepared = None;
+    if let Some(reader) = reader {
+        match read_prompt(job, &reader).await {
+            Ok(kept) => prepared = Some(kept),
+            Err(failure) => job.after_unread(failure).await?,
+        }
+    }
     loop {
         let ran_before = job.may_have_run();
         job.on_sending();
@@ -94,7 +97,9 @@
         match failure {
             Failure::NotArrived => {}
             // Whoever holds the prompt now, it cannot be counted on: the next engine reads it.
-            Failure::NotRun | Failure::Broken | Failure::Spoilt => prepared = None,
+            Failure::NotRun | Failure::Misdirected | Failure::Broken | Failure::Spoilt => {
+                prepared = None;
+            }
         }
         upstream = job.again(failure).await.map_err(|refusal| job.out_of_upstreams(refusal))?;
     }
@@ -135,8 +140,8 @@
     }
 }
 
-/// Has an engine read the prompt; `None` when it does not, and the answering engine has to.
-async fn read_prompt<E>(job: &Job<E>, reader: &Upstream) -> Option<Kept<E>>
+/// Has an engine read the prompt.
+async fn read_prompt<E>(job: &Job<E>, reader: &Upstream) -> Result<Kept<E>, Failure>
 where
     E: Edge,
 {
@@ -147,37 +152,28 @@
         read_whole(&job.call, reader, client, reply).await
     };
     let began_ms = job.server.clock.now_ms();
-    let read = reading.await;
+    let read = reading.await.and_then(|(parts, body)| {
+        let prepared = parts.status.is_success().then(|| edge.read_prepared(reader, &body));
+        prepared.flatten().ok_or(Failure::Spoilt)
+    });
     event!(
         Event::PromptRead,
         request = job.call.head.attempt_id,
         upstream = reader.id,
         took_ms = job.server.clock.now_ms().saturating_sub(began_ms),
         tokens = job.call.head.prompt.as_ref().map_or(0, |prompt| prompt.tokens),
-        is_read = read.is_ok()
+        outcome = format_args!("{:?}", read.as_ref().err())
     );
     job.tell(HubMessage::PromptRead { grant: job.grant }).await;
     match read {
-        Ok((parts, body)) if parts.status.is_success() => {
+        Ok(prepared) => {
             job.on_outcome(reader, Outcome::Answered).await;
-            let prepared = edge.read_prepared(reader, &body)?;
             let (edge, client) = (edge.clone(), client.clone());
-            Some(Kept { prepared, is_taken: false, edge, client })
-        }
-        Ok(_) => {
-            job.on_outcome(reader, Outcome::Failed).await;
-            None
+            Ok(Kept { prepared, is_taken: false, edge, client })
         }
         Err(failure) => {
-            // Reading a prompt runs nothing, so only a break says something of the upstream.
-            if failure != Failure::NotRun {
-                job.on_outcome(reader, super::exchange::outcome(failure)).await;
-            }
-            if failure == Failure::Broken {
-                let upstream = reader.id.clone();
-                job.tell(HubMessage::Lost { grant: job.grant, upstream }).await;
-            }
-            None
+            job.note_failure(reader, failure).await;
+            Err(failure)
         }
     }
 }
--- a/crates/serve/src/edge.rs
+++ b/crates/serve/src/edge.rs
@@ -265,6 +265,8 @@
     pub attempt_id: Option<Arc<str>>,
     /// Whether it states that the request was not run.
     pub is_not_run: bool,
+    /// Whether it states that another upstream, or one in another role, was meant.
+    pub is_misdirected: bool,
     /// Whether it carries the mark of an upstream.
     pub is_marked: bool,
     /// Whether its body was changed on the way.
--- a/crates/serve/src/hub/message.rs
+++ b/crates/serve/src/hub/message.rs
@@ -24,6 +24,8 @@
     Begin { wanted: Box<Wanted>, reply: Reply<Result<Grant, Refusal>> },
     /// It needs another upstream.
     Again { grant: u64, why: Again, reply: Reply<Result<Arc<Upstream>, Refusal>> },
+    /// Takes a repeat for it, if the shared budget has one.
+    TakeRepeat { grant: u64, reply: Reply<bool> },
     /// Its prompt is read, or will not be.
     PromptRead { grant: u64 },
     /// It has begun to run.
@@ -34,6 +36,8 @@
     Outcome { upstream: Arc<str>, outcome: Outcome },
     /// An upstream was lost while it ran the request.
     Lost { grant: u64, upstream: Arc<str> },
+    /// An upstream is not what its entry says.
+    Misdirected { upstream: Arc<str> },
     /// Records of a topic; a list holds the newest one of every key.
     Records { topic: Topic, page: Page, is_list: bool },
     /// Whether a topic can be read.
--- a/crates/serve/src/hub/mod.rs
+++ b/crates/serve/src/hub/mod.rs
@@ -118,6 +118,10 @@
             HubMessage::Admit { question, reply } => answer(&reply, self.admit(&question)),
             HubMessage::Begin { wanted, reply } => answer(&reply, self.begin(*wanted)),
             HubMessage::Again { grant, why, reply } => answer(&reply, self.again(grant, why)),
+            HubMessage::TakeRepeat { grant, reply } => answer(&reply, self.take_repeat(grant)),
+            HubMessage::Misdirected { upstream } => {
+                self.roster.on_misdirected(self.clock.now_ms(), &upstream);
+            }
             HubMessage::PromptRead { grant } => self.on_prompt_read(grant),
             HubMessage::Started { grant } => self.on_started(grant),
             HubMessage::End { grant } => self.on_end(grant),
--- a/crates/serve/src/hub/requests.rs
+++ b/crates/serve/src/hub/requests.rs
@@ -109,7 +109,7 @@
         tried: &[Arc<str>],
     ) -> Option<Placement> {
         let now_ms = self.clock.now_ms();
-        let all: Vec<&Arc<Upstream>> = self.roster.open(service).collect();
+        let all: Vec<&Arc<Upstream>> = self.roster.usable(now_ms, service).collect();
         let untried = |up: &&Arc<Upstream>| !tried.contains(&up.id);
         let fresh = |up: &&Arc<Upstream>| !self.health.is_paused(now_ms, &up.id) && untried(up);
         let demand = Demand { prompt, may_split: tried.is_empty(), draw: fastrand::u64(..) };
@@ -173,6 +173,12 @@
         Ok(answerer)
     }
 
+    pub(super) fn take_repeat(&mut self, grant: u64) -> bool {
+        let Some(running) = self.running.get(&grant) else { return false };
+        let instances = self.instances.count();
+        self.budget.take(self.clock.now_ms(), &running.service, instances)
+    }
+
     pub(super) fn on_prompt_read(&mut self, grant: u64) {
         let now_ms = self.clock.now_ms();
         let Some(running) = self.running.get_mut(&grant) else { return };
--- a/crates/serve/src/tasks/duties.rs
+++ b/crates/serve/src/tasks/duties.rs
@@ -27,6 +27,9 @@
 const REFUSED_MS: u64 = 2_500;
 /// Pause after an order of a role: longer than the change and the engine's next entry take.
 const ROLE_MS: u64 = 6_000;
+/// How long a role must be wished before it is ordered: entries of engines that come together
+/// differ by the interval at which they are written.
+const ROLE_SETTLE_MS: u64 = 1_500;
 
 /// The holder's work.
 pub(crate) struct Duties<E> {
@@ -40,6 +43,7 @@
     reported: BTreeSet<u64>,
     capacity_due_ms: HashMap<(Arc<str>, Arc<str>, bool), u64>,
     role_due_ms: HashMap<Arc<str>, u64>,
+    role_wished_ms: HashMap<Arc<str>, u64>,
 }
 
 /// Works whenever this instance holds the lease, until the process ends.
@@ -65,6 +69,7 @@
         reported: BTreeSet::new(),
         capacity_due_ms: HashMap::new(),
         role_due_ms: HashMap::new(),
+        role_wished_ms: HashMap::new(),
     };
     loop {
         compio::time::sleep(TICK).await;
@@ -91,8 +96,13 @@
         for order in capacity {
             self.order_capacity(&order).await;
         }
+        let now_ms = self.clock.now_ms();
+        self.role_wished_ms.retain(|id, _| roles.iter().any(|order| order.upstream.id == *id));
         for order in roles {
-            self.order_role(&order).await;
+            let wished_ms = *self.role_wished_ms.entry(order.upstream.id.clone()).or_insert(now_ms);
+            if now_ms.saturating_sub(wished_ms) >= ROLE_SETTLE_MS {
+                self.order_role(&order).await;
+            }
         }
     }
 
