--- a/crates/fleet/src/place.rs
+++ b/crates/fleet/src/place.rs
@@ -7,7 +7,7 @@
 
 /// A prompt shorter than this is read by the engine that answers it: moving its cache and a second
 /// exchange cost more than the reading (docs/MEASUREMENTS.md).
-const DIRECT_TOKENS: u64 = 0;
+const DIRECT_TOKENS: u64 = 2_500;
 /// Requests of this instance that an engine reads prompts for at once before the next in the
 /// order of affinity is taken.
 const READS_BEFORE_NEXT: u32 = 3;
--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -8,7 +8,7 @@
 
 /// Part of the engines that read prompts: reading is what requests wait for, while the engines
 /// that answer batch many at once (docs/MEASUREMENTS.md).
-const READER_PART: f64 = 0.67;
+const READER_PART: f64 = 0.5;
 
 /// A wish for a number of upstreams.
 #[derive(Clone, Debug, Eq, PartialEq)]
