--- a/crates/harness/src/process.rs
+++ b/crates/harness/src/process.rs
@@ -23,17 +23,30 @@
         args: &[String],
         log_path: &std::path::Path,
     ) -> Result<Self, Error> {
-        let path = binary_folder()?.join(program);
         let log = std::fs::OpenOptions::new()
             .create(true)
             .append(true)
             .open(log_path)
             .context(IoSnafu)?;
+        let out = log.try_clone().context(IoSnafu)?;
+        Self::spawn(program, args, out.into(), log.into())
+    }
+
+    /// Starts a program whose standard output is a pipe that nobody reads.
+    ///
+    /// # Errors
+    /// Returns an error when the program was not built.
+    pub fn start_with_blocked_output(program: &str, args: &[String]) -> Result<Self, Error> {
+        Self::spawn(program, args, Stdio::piped(), Stdio::null())
+    }
+
+    fn spawn(program: &str, args: &[String], out: Stdio, errors: Stdio) -> Result<Self, Error> {
+        let path = binary_folder()?.join(program);
         let child = Command::new(&path)
             .args(args)
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .stderr(log)
+            .stdout(out)
+            .stderr(errors)
             .spawn()
             .context(StartSnafu { path })?;
         Ok(Self { child })
--- a/crates/serve/src/hub/feed.rs
+++ b/crates/serve/src/hub/feed.rs
@@ -38,6 +38,21 @@
         self.entries.insert(entry.holder.instance.clone(), entry);
     }
 
+    /// Takes note of an instance that asks; tells whether it was not known.
+    fn on_asker(&mut self, request: &proto::FeedRequest) -> bool {
+        let name = &request.from.instance;
+        let is_known = self.entries.get(name).is_some_and(|entry| entry.holder == request.from);
+        if !is_known {
+            self.on_entry(proto::InstanceEntry {
+                holder: request.from.clone(),
+                peer_address: request.peer_address.clone(),
+                failure_domain: request.failure_domain.clone(),
+                written_at_ms: request.true_ms,
+            });
+        }
+        !is_known
+    }
+
     pub(super) fn on_removed(&mut self, key: &str) {
         self.entries.retain(|name, _| name.as_str() != key);
     }
@@ -118,6 +133,9 @@
 
     pub(super) fn on_feed(&mut self, request: &proto::FeedRequest) -> proto::FeedReply {
         self.on_suspects(&request.suspects);
+        if self.instances.on_asker(request) {
+            self.tell_links();
+        }
         let declaration = self
             .declaration
             .as_ref()
@@ -176,6 +194,7 @@
                 Some(Peer { name: entry.holder.instance.clone(), address })
             })
             .collect();
+        self.metrics.peers.set(i64::try_from(peers.len()).unwrap_or(i64::MAX));
         // When full, a newer list follows with the next read of the entries.
         let _ = self.links.try_send(LinkCommand { peers });
     }
--- a/crates/serve/src/metrics.rs
+++ b/crates/serve/src/metrics.rs
@@ -24,6 +24,7 @@
     "cowslip_deployment_version",
     "cowslip_upstreams",
     "cowslip_is_holder",
+    "cowslip_peers",
 ];
 
 /// The metrics of this instance.
@@ -52,6 +53,8 @@
     pub(crate) upstreams: IntGauge,
     /// 1 while this instance holds the lease.
     pub(crate) is_holder: IntGauge,
+    /// Other instances to which there are links.
+    pub(crate) peers: IntGauge,
 }
 
 impl Metrics {
@@ -93,6 +96,7 @@
             deployment_version: gauge("cowslip_deployment_version", "Configuration in force")?,
             upstreams: gauge("cowslip_upstreams", "Upstreams that take work")?,
             is_holder: gauge("cowslip_is_holder", "1 while this instance holds the lease")?,
+            peers: gauge("cowslip_peers", "Other instances to which there are links")?,
             registry,
         })
     }
--- a/crates/serve/src/run.rs
+++ b/crates/serve/src/run.rs
@@ -37,8 +37,10 @@
 /// How long a read of the declaration waits at the store: changes come at once, and a quiet topic
 /// costs few calls.
 const DECLARATION_WAIT_MS: u64 = 2_000;
-/// Interval between reads of the instances' entries.
-const INSTANCES_EVERY: Duration = Duration::from_secs(4);
+/// The same for the instances' entries: an instance must know the others before it needs them.
+const INSTANCES_WAIT_MS: u64 = 4_000;
+/// Pause between two such reads, so that entries that are written together come in one.
+const INSTANCES_PAUSE: Duration = Duration::from_millis(200);
 /// Connections at the addresses of the balancer and of operators.
 const CONTROL_CONNECTIONS: usize = 64;
 const CONTROL_IDLE: Duration = Duration::from_secs(30);
@@ -116,7 +118,9 @@
     let left = config.stop_after().saturating_sub(passed).saturating_sub(LAST_WRITES);
     let is_finished = compio::time::timeout(left, callers).await.is_ok();
     let last_writes = async {
-        write_starts(&edge, &hub, &starts_key(&me)).await;
+        if let Some(Err(error)) = write_starts(&edge, &hub, &starts_key(&me)).await {
+            event!(Event::AppendFailed, topic = "Starts", why = format_args!("{error:?}"));
+        }
         withdraw(&edge, instance.as_str()).await;
     };
     // The platform ends the process when the time is over.
@@ -178,7 +182,7 @@
             run_ticker(hub.clone()).boxed_local(),
             follow(Topic::Declaration, Duration::ZERO, DECLARATION_WAIT_MS),
             follow(Topic::Roster, config.follow_every(), 0),
-            follow(Topic::Instances, INSTANCES_EVERY, 0),
+            follow(Topic::Instances, INSTANCES_PAUSE, INSTANCES_WAIT_MS),
             run_links(hub.clone(), config.feed_every(), link_commands).boxed_local(),
             run_presence(edge.clone(), hub.clone(), entry).boxed_local(),
             run_starts(edge.clone(), hub.clone(), starts_key(me)).boxed_local(),
--- a/crates/serve/src/tasks/authority.rs
+++ b/crates/serve/src/tasks/authority.rs
@@ -16,6 +16,7 @@
 use futures_util::FutureExt;
 
 use super::HubHandle;
+use super::dependency::Dependency;
 use crate::edge::{Edge, Page, StoreError, Topic};
 use crate::events::{Event, event};
 use crate::hub::{Held, HubMessage};
@@ -50,6 +51,7 @@
     register: Register,
     fixed: BTreeMap<u64, StartRows>,
     is_holder: bool,
+    store: Dependency,
 }
 
 /// Keeps or seeks the lease until it is retired.
@@ -64,7 +66,9 @@
     E: Edge,
 {
     let register = Register::new(me, times, clock.now_ms());
-    let mut task = Task { edge, hub, clock, register, fixed: BTreeMap::new(), is_holder: false };
+    let store = Dependency::new(Topic::Lease, "the lease");
+    let fixed = BTreeMap::new();
+    let mut task = Task { edge, hub, clock, register, fixed, is_holder: false, store };
     loop {
         task.step(None).await;
         let job = compio::time::timeout(TICK, jobs.recv().fuse()).await;
@@ -104,15 +108,14 @@
     }
 
     async fn read(&mut self, sent_at_ms: u64) {
-        match self.edge.newest(Topic::Lease).await {
+        let read = self.edge.newest(Topic::Lease).await;
+        self.store.note(&read);
+        match read {
             Ok(page) => {
                 let view = self.view(&page);
                 self.register.on_view(self.clock.now_ms(), sent_at_ms, view);
             }
-            Err(error) => {
-                event!(Event::StoreLost, topic = "Lease", why = format_args!("{error:?}"));
-                compio::time::sleep(TICK * 4).await;
-            }
+            Err(_) => compio::time::sleep(TICK * 4).await,
         }
     }
 
@@ -147,7 +150,9 @@
                 self.fixed = self.fixed.split_off(&old);
             }
         }
-        let result = match self.edge.append(Topic::Lease, Some(at), &records).await {
+        let written = self.edge.append(Topic::Lease, Some(at), &records).await;
+        self.store.note(&written);
+        let result = match written {
             Ok(appended) => {
                 if let Some((window, rows)) = window {
                     self.fixed.insert(window, rows.clone());
@@ -155,8 +160,7 @@
                 WriteResult::Appended { offset: appended.offset, end: appended.end }
             }
             Err(StoreError::Outdated) => WriteResult::Outdated,
-            Err(error) => {
-                event!(Event::AppendFailed, topic = "Lease", why = format_args!("{error:?}"));
+            Err(_) => {
                 compio::time::sleep(TICK * 2).await;
                 WriteResult::Unknown
             }
--- a/crates/serve/src/tasks/follow.rs
+++ b/crates/serve/src/tasks/follow.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use super::HubHandle;
+use super::dependency::Dependency;
 use crate::edge::{Edge, Page, StoreError, Topic};
-use crate::events::{Event, event};
 use crate::hub::HubMessage;
 use crate::metrics::Metrics;
 
@@ -31,7 +31,7 @@
     E: Edge,
 {
     let mut next = None;
-    let mut is_up = true;
+    let mut store = Dependency::new(topic, "reading");
     loop {
         let read = match next {
             None => edge.newest(topic).await,
@@ -39,13 +39,13 @@
         };
         let outcome = if read.is_ok() { "ok" } else { "failed" };
         metrics.store_calls.with_label_values(&[outcome]).inc();
+        if store.note(&read) {
+            let is_up =
+                read.is_ok() || read.as_ref().is_err_and(|error| *error == StoreError::Expired);
+            hub.tell(HubMessage::StoreState { topic, is_up }).await;
+        }
         match read {
             Ok(page) => {
-                if !is_up {
-                    event!(Event::StoreBack, topic = format_args!("{topic:?}"));
-                    is_up = true;
-                    hub.tell(HubMessage::StoreState { topic, is_up }).await;
-                }
                 let is_list = next.is_none();
                 next = Some(page.next);
                 tell(&hub, topic, page, is_list).await;
@@ -53,18 +53,7 @@
             }
             // What lies between is gone: only a list tells what is there now.
             Err(StoreError::Expired) => next = None,
-            Err(error) => {
-                if is_up {
-                    event!(
-                        Event::StoreLost,
-                        topic = format_args!("{topic:?}"),
-                        why = format_args!("{error:?}")
-                    );
-                    is_up = false;
-                    hub.tell(HubMessage::StoreState { topic, is_up }).await;
-                }
-                compio::time::sleep(RETRY).await;
-            }
+            Err(_) => compio::time::sleep(RETRY).await,
         }
     }
 }
--- a/crates/serve/src/tasks/mod.rs
+++ b/crates/serve/src/tasks/mod.rs
@@ -1,6 +1,7 @@
 //! Tasks around the hub, each the owner of its sockets.
 
 mod authority;
+mod dependency;
 mod duties;
 mod follow;
 mod links;
--- a/crates/serve/src/tasks/presence.rs
+++ b/crates/serve/src/tasks/presence.rs
@@ -7,6 +7,7 @@
 use cowslip_proto as proto;
 
 use super::HubHandle;
+use super::dependency::Dependency;
 use crate::edge::{Edge, Topic};
 use crate::events::{Event, event};
 use crate::hub::HubMessage;
@@ -21,15 +22,14 @@
     E: Edge,
 {
     let key = entry.holder.instance.to_string();
+    let mut store = Dependency::new(Topic::Instances, "writing");
     loop {
         if let Some(true_ms) = hub.ask(|reply| HubMessage::TrueTime { reply }).await {
             entry.written_at_ms = true_ms;
         }
         let record = (key.clone(), Bytes::from(to_json(&entry)));
         let written = edge.append(Topic::Instances, None, &[record]).await;
-        if let Err(error) = &written {
-            event!(Event::AppendFailed, topic = "Instances", why = format_args!("{error:?}"));
-        }
+        store.note(&written);
         compio::time::sleep(if written.is_ok() { WRITE_EVERY } else { RETRY }).await;
     }
 }
--- a/crates/serve/src/tasks/starts.rs
+++ b/crates/serve/src/tasks/starts.rs
@@ -7,8 +7,8 @@
 use cowslip_proto as proto;
 
 use super::HubHandle;
-use crate::edge::{Edge, Topic};
-use crate::events::{Event, event};
+use super::dependency::Dependency;
+use crate::edge::{Appended, Edge, StoreError, Topic};
 use crate::hub::{HubMessage, StartWindows};
 
 /// Interval between writes: what is lost with a killed instance is at most this much.
@@ -19,25 +19,33 @@
 where
     E: Edge,
 {
+    let mut store = Dependency::new(Topic::Starts, "writing");
     loop {
         compio::time::sleep(WRITE_EVERY).await;
-        write_starts(&edge, &hub, &key).await;
+        if let Some(written) = write_starts(&edge, &hub, &key).await {
+            store.note(&written);
+        }
     }
 }
 
-/// Writes what has changed since the last write.
-pub(crate) async fn write_starts<E>(edge: &E, hub: &HubHandle, key: &str)
+/// Writes what has changed since the last write, if anything has.
+pub(crate) async fn write_starts<E>(
+    edge: &E,
+    hub: &HubHandle,
+    key: &str,
+) -> Option<Result<Appended, StoreError>>
 where
     E: Edge,
 {
     let taken = hub.ask(|reply| HubMessage::TakeStarts { reply }).await;
-    let Some(windows) = taken.flatten() else { return };
+    let windows = taken.flatten()?;
     let entry = proto::StartEntry { windows: windows_to_proto(&windows) };
     let record = (key.to_owned(), Bytes::from(to_json(&entry)));
-    if let Err(error) = edge.append(Topic::Starts, None, &[record]).await {
-        event!(Event::AppendFailed, topic = "Starts", why = format_args!("{error:?}"));
+    let written = edge.append(Topic::Starts, None, &[record]).await;
+    if written.is_err() {
         hub.tell(HubMessage::StartsFailed).await;
     }
+    Some(written)
 }
 
 fn windows_to_proto(windows: &StartWindows) -> Vec<proto::StartWindow> {
