--- a/crates/fleet/src/place.rs
+++ b/crates/fleet/src/place.rs
@@ -11,18 +11,11 @@
 /// Requests of this instance that an engine reads prompts for at once before the next in the
 /// order of affinity is taken.
 const READS_BEFORE_NEXT: u32 = 3;
-/// Least time that an upstream is taken to need for a start, so that one that nothing is known of
-/// is not taken for infinitely quick.
-const LEAST_START_MS: f64 = 30.0;
-/// Part of a start's time that each request adds which waits at the upstream already.
-const WAITING_WEIGHT: f64 = 0.35;
-/// Time that a step of distance costs a request whose prompt's cache has to be moved over it, the
-/// price of the move included.
-const CACHE_STEP_MS: f64 = 60.0;
-/// The same for one that only has its request and answer carried; starts include the way itself.
-const STEP_MS: f64 = 8.0;
-/// Time that an upstream's failures count for, if all of its recent answers were failures.
-const FAILURE_MS: f64 = 600.0;
+/// Load, as a part of an upstream's slots, that makes a nearer one equal to one a step away: a step
+/// costs a caller some dozen milliseconds, and its bytes and moved caches are billed.
+const DISTANCE_STEP: f64 = 0.25;
+/// Load that an upstream's failures count for, if all of its recent answers were failures.
+const FAILURE_WEIGHT: f64 = 3.0;
 
 /// One part of a prompt; requests share parts.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -57,8 +50,6 @@
 pub struct Load {
     /// Requests of this instance that were sent to it and have not begun.
     pub waiting: u32,
-    /// Time that its requests have taken to begin lately, 0 where nothing is known.
-    pub start_ms: f64,
     /// Requests of this instance whose prompts it reads for others.
     pub reads: u32,
     /// Part of its recent answers that were failures, 0 to 1.
@@ -127,11 +118,9 @@
         .prompt
         .filter(|prompt| demand.may_split && prompt.tokens >= DIRECT_TOKENS && !readers.is_empty());
     let reader = prompt.and_then(|prompt| choose_reader(prompt, demand.draw, &readers, &load));
-    let way = match reader {
-        Some(reader) => Way { from: &reader.domain, step_ms: CACHE_STEP_MS },
-        None => Way { from: &site.domain, step_ms: STEP_MS },
-    };
-    let answerer = cheapest(&answerers, way, site, demand.draw, &load)?;
+    // The prompt's cache is moved from the reader to the answerer.
+    let near = reader.map_or(&site.domain, |reader| &reader.domain);
+    let answerer = cheapest(&answerers, near, site, demand.draw, &load)?;
     Some(Placement { reader: reader.cloned(), answerer: answerer.clone() })
 }
 
@@ -168,16 +157,9 @@
     u64::from_le_bytes([a, b, c, d, e, f, g, h])
 }
 
-/// What is carried to an answering upstream.
-#[derive(Clone, Copy)]
-struct Way<'a> {
-    from: &'a str,
-    step_ms: f64,
-}
-
 fn cheapest<'a, F>(
     candidates: &[&'a Arc<Upstream>],
-    way: Way<'_>,
+    near: &str,
     site: &Site,
     draw: u64,
     load: &F,
@@ -185,15 +167,14 @@
 where
     F: Fn(&Upstream) -> Load,
 {
-    let cost_ms = |up: &Upstream| {
+    let cost = |up: &Upstream| {
         let load = load(up);
-        let start_ms = load.start_ms.max(LEAST_START_MS);
-        start_ms * (1.0 + WAITING_WEIGHT * f64::from(load.waiting))
-            + way.step_ms * f64::from(site.steps(way.from, &up.domain))
-            + FAILURE_MS * load.failure_mean
+        (f64::from(load.waiting) + 1.0) / f64::from(up.slots.max(1))
+            + DISTANCE_STEP * f64::from(site.steps(near, &up.domain))
+            + FAILURE_WEIGHT * load.failure_mean
     };
-    let best = candidates.iter().map(|up| cost_ms(up)).min_by(f64::total_cmp)?;
-    let equals: Vec<_> = candidates.iter().filter(|up| cost_ms(up) <= best).collect();
+    let best = candidates.iter().map(|up| cost(up)).min_by(f64::total_cmp)?;
+    let equals: Vec<_> = candidates.iter().filter(|up| cost(up) <= best).collect();
     let pick = usize::try_from(draw % equals.len() as u64).ok()?;
     equals.get(pick).map(|up| **up)
 }
--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -32,8 +32,13 @@
     pub role: EngineRole,
 }
 
-/// As many reclaimable upstreams as each domain can have beside its ordinary ones, where they are
-/// cheaper; ordinary ones are kept, as reclaimable ones may be gone at any moment.
+/// Part of a domain's most upstreams that is kept ordinary, since reclaimable ones may be gone at
+/// any moment.
+const ORDINARY_PART: f64 = 0.375;
+
+/// The ordinary upstreams that each domain keeps, and as many reclaimable ones as it can have beside
+/// them, where those are cheaper. Ordinary ones are given back only while reclaimable ones are
+/// there in their place.
 #[must_use]
 pub fn plan_capacity(deployment: &Deployment, roster: &Roster) -> Vec<CapacityOrder> {
     let mut orders = Vec::new();
@@ -49,14 +54,21 @@
                     .filter(|up| up.domain == *domain && up.is_reclaimable == is_reclaimable);
                 u32::try_from(of_kind.count()).unwrap_or(u32::MAX)
             };
-            let wanted = capacity.max.saturating_sub(count(false));
-            if count(true) < wanted {
-                orders.push(CapacityOrder {
-                    service: service.clone(),
-                    domain: domain.clone(),
-                    wanted,
-                    is_reclaimable: true,
-                });
+            let (ordinary, reclaimable) = (count(false), count(true));
+            let kept = (f64::from(capacity.max) * ORDINARY_PART).ceil() as u32;
+            let kept = kept.clamp(capacity.min, capacity.max);
+            let order = |wanted: u32, is_reclaimable: bool| CapacityOrder {
+                service: service.clone(),
+                domain: domain.clone(),
+                wanted,
+                is_reclaimable,
+            };
+            if ordinary > kept && reclaimable + kept >= ordinary {
+                orders.push(order(kept, false));
+            }
+            let wanted = capacity.max.saturating_sub(ordinary);
+            if reclaimable < wanted {
+                orders.push(order(wanted, true));
             }
         }
     }
--- a/crates/serve/src/hub/requests.rs
+++ b/crates/serve/src/hub/requests.rs
@@ -32,8 +32,6 @@
     tried: Vec<Arc<str>>,
     /// Upstreams that may have run it, the present one included.
     runs: u32,
-    /// When it was sent to the present upstream.
-    sent_at_ms: u64,
     is_waiting: bool,
     is_counted: bool,
 }
@@ -76,7 +74,6 @@
             reader = reader.as_ref().map_or("", |up| &up.id),
             upstream = answerer.id,
             own_waiting = self.loads.get(&answerer.id).map_or(0, |load| load.waiting),
-            start_ms = self.health.start_ms(now_ms, &answerer.id).unwrap_or(0.0).round(),
             deployment = self.deployment.as_ref().map_or(0, |deployment| deployment.version)
         );
         if let Some(reader) = &reader {
@@ -92,7 +89,6 @@
             tried: vec![answerer.id.clone()],
             answerer: answerer.clone(),
             runs: 1,
-            sent_at_ms: now_ms,
             is_waiting: true,
             is_counted: false,
         };
@@ -124,7 +120,6 @@
         let own = self.loads.get(&upstream.id).copied().unwrap_or_default();
         Load {
             waiting: own.waiting,
-            start_ms: self.health.start_ms(self.clock.now_ms(), &upstream.id).unwrap_or(0.0),
             reads: own.reads,
             failure_mean: self.health.failure_mean(&upstream.id),
         }
@@ -165,7 +160,6 @@
         running.runs += u32::from(why == Again::MayHaveRun);
         self.metrics.moves.inc();
         let was_waiting = std::mem::replace(&mut running.is_waiting, true);
-        running.sent_at_ms = now_ms;
         if was_waiting {
             self.release_waiting(&former.id);
         }
@@ -180,16 +174,13 @@
     }
 
     pub(super) fn on_prompt_read(&mut self, grant: u64) {
-        let now_ms = self.clock.now_ms();
         let Some(running) = self.running.get_mut(&grant) else { return };
-        running.sent_at_ms = now_ms;
         if let Some(reader) = running.reader.take() {
             self.release_read(&reader);
         }
     }
 
     pub(super) fn on_started(&mut self, grant: u64) {
-        let now_ms = self.clock.now_ms();
         let window = self.window_times.window_of(self.true_ms());
         let Some(running) = self.running.get_mut(&grant) else { return };
         if !std::mem::replace(&mut running.is_counted, true)
@@ -199,8 +190,6 @@
         }
         if std::mem::replace(&mut running.is_waiting, false) {
             let upstream = running.answerer.id.clone();
-            let took_ms = now_ms.saturating_sub(running.sent_at_ms);
-            self.health.on_start(now_ms, &upstream, took_ms);
             self.release_waiting(&upstream);
         }
     }
