--- a/crates/authority/src/register.rs
+++ b/crates/authority/src/register.rs
@@ -87,6 +87,8 @@
     /// When the newest record was last seen to be another's.
     other_seen_at_ms: Option<u64>,
     held: Option<Held>,
+    /// The highest fencing number that a target has refused.
+    refused: Option<Term>,
     renewed_at_ms: u64,
     read_at_ms: u64,
     is_retired: bool,
@@ -112,6 +114,7 @@
             sent: None,
             other_seen_at_ms: None,
             held: None,
+            refused: None,
             renewed_at_ms: now_ms,
             read_at_ms: 0,
             is_retired: false,
@@ -204,7 +207,7 @@
     }
 
     fn hold(&mut self, offset: u64, is_released: bool, sent: Sent) {
-        if is_released {
+        if is_released || self.is_retired || self.refused.is_some_and(|refused| offset <= refused) {
             self.held = None;
             return;
         }
@@ -241,11 +244,14 @@
         self.renewed_at_ms = 0;
     }
 
-    /// A target refused the fencing number, since it has seen a higher one.
+    /// A target refused the fencing number, since it has seen a higher one. It is not used again;
+    /// if the scope is still this process's, the next record gives another.
     pub fn on_refused(&mut self, fence: Term) {
-        if self.held.is_some_and(|held| held.fence == fence) {
+        self.refused = self.refused.max(Some(fence));
+        if self.held.is_some_and(|held| held.fence <= fence) {
             self.held = None;
             self.is_view_old = true;
+            self.hasten();
         }
     }
 
--- /dev/null
+++ b/crates/fleet/tests/deployment.rs
@@ -0,0 +1,99 @@
+//! What a declared configuration allows.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use cowslip_fleet::{CallKind, Denial, Deployment, KeyHolder, Route, ServiceShare};
+
+fn route(host: &str, path_prefix: &str, is_open: bool) -> Arc<Route> {
+    Arc::new(Route {
+        name: Arc::from(path_prefix),
+        host: Arc::from(host),
+        path_prefix: Arc::from(path_prefix),
+        kind: CallKind::Idempotent,
+        timeout_ms: 1_000,
+        objective_ms: 300,
+        rank: 2,
+        shares: vec![
+            ServiceShare { service: Arc::from("old"), weight: 90 },
+            ServiceShare { service: Arc::from("new"), weight: 10 },
+        ],
+        max_attempts: 1,
+        is_open,
+    })
+}
+
+fn deployment() -> Deployment {
+    let holder = |rank| KeyHolder { workspace: Arc::from("alpha"), rank };
+    Deployment {
+        version: 1,
+        routes: vec![
+            route("a.example", "/", false),
+            route("a.example", "/deep/", false),
+            route("a.example", "/open/", true),
+            route("b.example", "/", false),
+        ],
+        keys: Some(HashMap::from([
+            (Arc::from("k1"), holder(None)),
+            (Arc::from("k2"), holder(Some(0))),
+        ])),
+        ..Deployment::default()
+    }
+}
+
+#[test]
+fn host_path_and_key_decide() {
+    struct Case {
+        host: &'static str,
+        path: &'static str,
+        key: Option<&'static str>,
+        expected: Result<(&'static str, Option<&'static str>, u8), Denial>,
+    }
+    let alpha = Some("alpha");
+    let cases = [
+        Case { host: "a.example", path: "/x", key: Some("k1"), expected: Ok(("/", alpha, 2)) },
+        Case { host: "A.Example", path: "/x", key: Some("k1"), expected: Ok(("/", alpha, 2)) },
+        Case {
+            host: "a.example",
+            path: "/deep/x?y=/open/",
+            key: Some("k2"),
+            expected: Ok(("/deep/", alpha, 0)),
+        },
+        Case { host: "a.example", path: "/deep", key: Some("k1"), expected: Ok(("/", alpha, 2)) },
+        Case { host: "a.example", path: "/open/x", key: None, expected: Ok(("/open/", None, 2)) },
+        Case { host: "a.example", path: "/x", key: None, expected: Err(Denial::BadKey) },
+        Case { host: "a.example", path: "/x", key: Some("k3"), expected: Err(Denial::BadKey) },
+        Case { host: "c.example", path: "/x", key: Some("k1"), expected: Err(Denial::NoRoute) },
+        Case {
+            host: "a.example",
+            path: "?/deep/",
+            key: Some("k1"),
+            expected: Err(Denial::NoRoute),
+        },
+    ];
+    let deployment = deployment();
+    for Case { host, path, key, expected } in cases {
+        let allowed = deployment.allow(host, path, key).map(|allowed| {
+            (allowed.route.path_prefix.to_string(), allowed.workspace, allowed.rank)
+        });
+        let expected = expected
+            .map(|(prefix, workspace, rank)| (prefix.to_owned(), workspace.map(Arc::from), rank));
+        assert_eq!(allowed, expected, "{host}{path}");
+    }
+}
+
+#[test]
+fn without_keys_nobody_needs_one() {
+    let deployment = Deployment { keys: None, ..deployment() };
+    assert!(deployment.allow("a.example", "/x", None).is_ok());
+}
+
+#[test]
+fn weights_share_the_requests() {
+    let route = route("a.example", "/", false);
+    let of =
+        |name: &str| (0..1_000).filter(|draw| &**route.service(*draw).unwrap() == name).count();
+    assert_eq!((of("old"), of("new")), (900, 100));
+    let nothing = Route { shares: Vec::new(), ..(*route).clone() };
+    assert_eq!(nothing.service(3), None);
+}
--- /dev/null
+++ b/crates/fleet/tests/place.rs
@@ -0,0 +1,131 @@
+//! Where requests run.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use cowslip_fleet::{Demand, EngineRole, Load, Prompt, PromptPart, Site, Upstream, place};
+use proptest::prelude::*;
+
+fn upstream(id: &str, domain: &str, role: Option<EngineRole>) -> Arc<Upstream> {
+    Arc::new(Upstream {
+        id: Arc::from(id),
+        born_ms: 1,
+        service: Arc::from("models"),
+        address: "10.0.0.1:80".parse().expect("an address"),
+        domain: Arc::from(domain),
+        slots: 8,
+        is_leaving: false,
+        role,
+        is_reclaimable: false,
+    })
+}
+
+fn site() -> Site {
+    let regions = [("d0", "r0"), ("d1", "r0"), ("d2", "r2")];
+    let regions = regions.map(|(domain, region)| (Arc::from(domain), Arc::from(region)));
+    Site { domain: Arc::from("d0"), regions: HashMap::from(regions) }
+}
+
+fn prompt(shared_id: u64, tokens: u64) -> Prompt {
+    let parts = vec![PromptPart { id: shared_id, tokens: 100 }, PromptPart { id: 9, tokens: 50 }];
+    Prompt { tokens, max_output_tokens: 10, parts }
+}
+
+#[test]
+fn load_distance_and_failures_decide_who_answers() {
+    struct Case {
+        name: &'static str,
+        loads: [Load; 3],
+        expected: &'static str,
+    }
+    let idle = Load::default();
+    let busy = |waiting| Load { waiting, ..idle };
+    let failing = Load { failure_mean: 0.5, ..idle };
+    let cases = [
+        Case { name: "the nearest", loads: [idle, idle, idle], expected: "near" },
+        Case {
+            name: "the next when that is busy",
+            loads: [busy(3), idle, idle],
+            expected: "region",
+        },
+        Case { name: "far away when both are", loads: [busy(9), busy(9), idle], expected: "far" },
+        Case { name: "not one that fails", loads: [failing, idle, idle], expected: "region" },
+    ];
+    let open =
+        [upstream("near", "d0", None), upstream("region", "d1", None), upstream("far", "d2", None)];
+    let open: Vec<&Arc<Upstream>> = open.iter().collect();
+    for Case { name, loads, expected } in cases {
+        let load = |up: &Upstream| {
+            loads[open.iter().position(|one| one.id == up.id).expect("one of them")]
+        };
+        let demand = Demand { prompt: None, may_split: true, draw: 5 };
+        let placement = place(&demand, &open, &site(), load).expect("a place");
+        assert_eq!((&*placement.answerer.id, placement.reader), (expected, None), "{name}");
+    }
+}
+
+#[test]
+fn long_prompts_are_read_apart_and_answered_near_by() {
+    struct Case {
+        name: &'static str,
+        tokens: u64,
+        may_split: bool,
+        is_apart: bool,
+    }
+    let cases = [
+        Case { name: "long", tokens: 9_000, may_split: true, is_apart: true },
+        Case { name: "short", tokens: 1_000, may_split: true, is_apart: false },
+        Case { name: "a repeat", tokens: 9_000, may_split: false, is_apart: false },
+    ];
+    let open = [
+        upstream("reader", "d2", Some(EngineRole::Prefill)),
+        upstream("near", "d0", Some(EngineRole::Decode)),
+        upstream("far", "d2", Some(EngineRole::Decode)),
+    ];
+    let open: Vec<&Arc<Upstream>> = open.iter().collect();
+    for Case { name, tokens, may_split, is_apart } in cases {
+        let prompt = prompt(1, tokens);
+        let demand = Demand { prompt: Some(&prompt), may_split, draw: 0 };
+        let placement = place(&demand, &open, &site(), |_| Load::default()).expect("a place");
+        assert_eq!(placement.reader.is_some(), is_apart, "{name}");
+        assert_eq!(&*placement.answerer.id, if is_apart { "far" } else { "near" }, "{name}");
+    }
+}
+
+proptest! {
+    /// Instances that know the same engines send the same shared part to the same reader, as long
+    /// as it is not busy with their own; nothing outside of the open ones is ever chosen.
+    #[test]
+    fn instances_agree_on_the_reader(
+        shared_id in any::<u64>(), readers in 1usize..8, reads in prop::collection::vec(0u32..6, 8), draw in any::<u64>()
+    ) {
+        let engines: Vec<Arc<Upstream>> = (0..readers)
+            .map(|index| upstream(&format!("reader-{index}"), "d1", Some(EngineRole::Prefill)))
+            .chain([upstream("answerer", "d0", Some(EngineRole::Decode))])
+            .collect();
+        let open: Vec<&Arc<Upstream>> = engines.iter().collect();
+        let mut turned: Vec<&Arc<Upstream>> = engines.iter().collect();
+        turned.reverse();
+        let prompt = prompt(shared_id, 9_000);
+        let idle = |_: &Upstream| Load::default();
+        let demand = |draw| Demand { prompt: Some(&prompt), may_split: true, draw };
+        let first = place(&demand(draw), &open, &site(), idle).expect("a place");
+        let second = place(&demand(draw ^ 1), &turned, &site(), idle).expect("a place");
+        prop_assert_eq!(&first.reader, &second.reader);
+        let index = |up: &Upstream| open.iter().position(|one| one.id == up.id).expect("an open one");
+        let busy = |up: &Upstream| Load { reads: reads[index(up) % 8], ..Load::default() };
+        let third = place(&demand(draw), &open, &site(), busy).expect("a place");
+        let reader = third.reader.expect("a reader");
+        let least = (0..readers).map(|index| reads[index % 8]).min().unwrap_or(0);
+        let chosen = reads[index(&reader) % 8];
+        prop_assert!(chosen < 3 || chosen == least);
+    }
+}
+
+#[test]
+fn without_an_answerer_there_is_no_place() {
+    let open = [upstream("reader", "d0", Some(EngineRole::Prefill))];
+    let open: Vec<&Arc<Upstream>> = open.iter().collect();
+    let demand = Demand { prompt: None, may_split: true, draw: 0 };
+    assert_eq!(place(&demand, &open, &site(), |_| Load::default()), None);
+}
