--- a/crates/fleet/src/place.rs
+++ b/crates/fleet/src/place.rs
@@ -11,6 +11,10 @@
 /// Requests of this instance that an engine reads prompts for at once before the next in the
 /// order of affinity is taken.
 const READS_BEFORE_NEXT: u32 = 3;
+/// Engines that read the prompts of one shared part.
+const AFFINE_READERS: usize = 2;
+/// Part of recent answers that were failures from which on an engine is left out.
+const MOSTLY_FAILING: f64 = 0.5;
 /// Load, as a part of an upstream's slots, that makes a nearer one equal to one a step away: a step
 /// costs a caller some dozen milliseconds, and its bytes and moved caches are billed.
 const DISTANCE_STEP: f64 = 0.25;
@@ -86,6 +90,8 @@
     pub prompt: Option<&'a Prompt>,
     /// Whether the prompt may be read at one engine and answered at another.
     pub may_split: bool,
+    /// Failure domain near which it is answered: the reader's, once the prompt is read.
+    pub near: Option<&'a str>,
     /// Decides among equals.
     pub draw: u64,
 }
@@ -119,13 +125,16 @@
         .filter(|prompt| demand.may_split && prompt.tokens >= DIRECT_TOKENS && !readers.is_empty());
     let reader = prompt.and_then(|prompt| choose_reader(prompt, demand.draw, &readers, &load));
     // The prompt's cache is moved from the reader to the answerer.
-    let near = reader.map_or(&site.domain, |reader| &reader.domain);
+    let near = reader.map(|reader| &*reader.domain).or(demand.near).unwrap_or(&site.domain);
     let answerer = cheapest(&answerers, near, site, demand.draw, &load)?;
     Some(Placement { reader: reader.cloned(), answerer: answerer.clone() })
 }
 
-/// The engine that all instances prefer for the prompt's shared part, or the next one after it
-/// that is not busy with this instance's reads.
+/// The engine that all instances prefer for the prompt's shared part, or the second one if the
+/// first is busy with this instance's reads.
+///
+/// Each further engine would have to read the shared part again, which takes more of its time than
+/// the request's own part: so a burst must not spread over all of them.
 fn choose_reader<'a, F>(
     prompt: &Prompt,
     draw: u64,
@@ -139,12 +148,14 @@
     let mut ranked: Vec<(&'a Arc<Upstream>, u64)> =
         readers.iter().map(|up| (*up, affinity(key, &up.id))).collect();
     ranked.sort_by_key(|(_, weight)| std::cmp::Reverse(*weight));
-    let is_free = |up: &Upstream| {
-        let load = load(up);
-        load.reads < READS_BEFORE_NEXT && load.failure_mean < 0.5
-    };
-    let least = ranked.iter().min_by_key(|(up, _)| load(up).reads).map(|(up, _)| *up);
-    ranked.iter().map(|(up, _)| *up).find(|up| is_free(up)).or(least)
+    let sound = |up: &Upstream| load(up).failure_mean < MOSTLY_FAILING;
+    let near: Vec<&'a Arc<Upstream>> =
+        ranked.iter().map(|(up, _)| *up).filter(|up| sound(up)).take(AFFINE_READERS).collect();
+    near.iter()
+        .find(|up| load(up).reads < READS_BEFORE_NEXT)
+        .or_else(|| near.iter().min_by_key(|up| load(up).reads))
+        .or_else(|| ranked.first().map(|(up, _)| up))
+        .copied()
 }
 
 /// Weight of an upstream for a key; the same at every instance.
--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -34,7 +34,7 @@
 
 /// Part of a domain's most upstreams that is kept ordinary, since reclaimable ones may be gone at
 /// any moment.
-const ORDINARY_PART: f64 = 0.375;
+const ORDINARY_PART: f64 = 0.5;
 
 /// The ordinary upstreams that each domain keeps, and as many reclaimable ones as it can have beside
 /// them, where those are cheaper. Ordinary ones are given back only while reclaimable ones are
--- a/crates/serve/src/caller/job.rs
+++ b/crates/serve/src/caller/job.rs
@@ -117,6 +117,16 @@
             .unwrap_or(Err(Refusal::NotReady))
     }
 
+    /// The engine that answers, now that the prompt is read or will not be.
+    pub(super) async fn answerer_after_read(&self) -> Result<Arc<Upstream>, Refused> {
+        let grant = self.grant;
+        let hub = &self.server.hub;
+        hub.ask(|reply| HubMessage::PromptRead { grant, reply })
+            .await
+            .unwrap_or(Err(Refusal::NotReady))
+            .map_err(Refused::from_refusal)
+    }
+
     /// Whether the answering engine may read the prompt, after another did not. What that one got
     /// counts as a send, so the request itself is a repeat of it.
     pub(super) async fn after_unread(&self, failure: Failure) -> Result<(), Refused> {
--- a/crates/serve/src/caller/stream.rs
+++ b/crates/serve/src/caller/stream.rs
@@ -12,7 +12,6 @@
 use super::whole::answered;
 use crate::edge::{Edge, Prepared, Refused, Work};
 use crate::events::{Event, event};
-use crate::hub::HubMessage;
 
 /// Time for an engine to free a prompt that nobody takes.
 const FREE_TIMEOUT: std::time::Duration = std::time::Duration::from_secs(1);
@@ -70,7 +69,9 @@
 {
     let mut prepared = None;
     if let Some(reader) = reader {
-        match read_prompt(job, &reader).await {
+        let read = read_prompt(job, &reader).await;
+        upstream = job.answerer_after_read().await?;
+        match read {
             Ok(kept) => prepared = Some(kept),
             Err(failure) => job.after_unread(failure).await?,
         }
@@ -156,15 +157,15 @@
         let prepared = parts.status.is_success().then(|| edge.read_prepared(reader, &body));
         prepared.flatten().ok_or(Failure::Spoilt)
     });
+    let took_ms = job.server.clock.now_ms().saturating_sub(began_ms);
     event!(
         Event::PromptRead,
         request = job.call.head.attempt_id,
         upstream = reader.id,
-        took_ms = job.server.clock.now_ms().saturating_sub(began_ms),
+        took_ms = took_ms,
         tokens = job.call.head.prompt.as_ref().map_or(0, |prompt| prompt.tokens),
         outcome = format_args!("{:?}", read.as_ref().err())
     );
-    job.tell(HubMessage::PromptRead { grant: job.grant }).await;
     match read {
         Ok(prepared) => {
             job.on_outcome(reader, Outcome::Answered).await;
--- a/crates/serve/src/hub/message.rs
+++ b/crates/serve/src/hub/message.rs
@@ -26,8 +26,8 @@
     Again { grant: u64, why: Again, reply: Reply<Result<Arc<Upstream>, Refusal>> },
     /// Takes a repeat for it, if the shared budget has one.
     TakeRepeat { grant: u64, reply: Reply<bool> },
-    /// Its prompt is read, or will not be.
-    PromptRead { grant: u64 },
+    /// Its prompt is read, or will not be; the reply is who answers now.
+    PromptRead { grant: u64, reply: Reply<Result<Arc<Upstream>, Refusal>> },
     /// It has begun to run.
     Started { grant: u64 },
     /// It is over.
--- a/crates/serve/src/hub/mod.rs
+++ b/crates/serve/src/hub/mod.rs
@@ -122,7 +122,9 @@
             HubMessage::Misdirected { upstream } => {
                 self.roster.on_misdirected(self.clock.now_ms(), &upstream);
             }
-            HubMessage::PromptRead { grant } => self.on_prompt_read(grant),
+            HubMessage::PromptRead { grant, reply } => {
+                answer(&reply, self.on_prompt_read(grant));
+            }
             HubMessage::Started { grant } => self.on_started(grant),
             HubMessage::End { grant } => self.on_end(grant),
             HubMessage::Outcome { upstream, outcome } => {
--- a/crates/serve/src/hub/requests.rs
+++ b/crates/serve/src/hub/requests.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use cowslip_fleet::{Allowed, CallKind, Demand, Denial, Load, Placement, Upstream, place};
+use cowslip_fleet::{Allowed, CallKind, Demand, Denial, Load, Placement, Prompt, Upstream, place};
 use cowslip_name::Name;
 use cowslip_poison::Fingerprint;
 
@@ -62,7 +62,7 @@
         let now_ms = self.clock.now_ms();
         self.budget.on_request(now_ms, &service);
         let placement =
-            self.choose(&service, wanted.prompt.as_ref(), &[]).ok_or(Refusal::NoUpstream)?;
+            self.choose(&service, wanted.prompt.as_ref(), None, &[]).ok_or(Refusal::NoUpstream)?;
         let Placement { reader, answerer } = placement;
         let id = self.next_grant;
         self.next_grant += 1;
@@ -101,14 +101,15 @@
     fn choose(
         &self,
         service: &str,
-        prompt: Option<&cowslip_fleet::Prompt>,
+        prompt: Option<&Prompt>,
+        near: Option<&str>,
         tried: &[Arc<str>],
     ) -> Option<Placement> {
         let now_ms = self.clock.now_ms();
         let all: Vec<&Arc<Upstream>> = self.roster.usable(now_ms, service).collect();
         let untried = |up: &&Arc<Upstream>| !tried.contains(&up.id);
         let fresh = |up: &&Arc<Upstream>| !self.health.is_paused(now_ms, &up.id) && untried(up);
-        let demand = Demand { prompt, may_split: tried.is_empty(), draw: fastrand::u64(..) };
+        let demand = Demand { prompt, may_split: tried.is_empty(), near, draw: fastrand::u64(..) };
         let among = |open: Vec<&Arc<Upstream>>| {
             place(&demand, &open, &self.config.site, |up| self.load(up))
         };
@@ -140,7 +141,8 @@
             return Err(Refusal::Poison);
         }
         let service = running.service.clone();
-        let chosen = self.choose(&service, None, &running.tried).ok_or(Refusal::NoUpstream)?;
+        let chosen =
+            self.choose(&service, None, None, &running.tried).ok_or(Refusal::NoUpstream)?;
         let instances = self.instances.count();
         if why != Again::NotArrived && !self.budget.take(now_ms, &service, instances) {
             return Err(Refusal::NoRepeat);
@@ -173,11 +175,39 @@
         self.budget.take(self.clock.now_ms(), &running.service, instances)
     }
 
-    pub(super) fn on_prompt_read(&mut self, grant: u64) {
-        let Some(running) = self.running.get_mut(&grant) else { return };
-        if let Some(reader) = running.reader.take() {
-            self.release_read(&reader);
+    /// The prompt is read, or will not be. Reading may take longer than an engine takes to leave,
+    /// so the engine that answers is chosen again if it takes no work any more.
+    pub(super) fn on_prompt_read(&mut self, grant: u64) -> Result<Arc<Upstream>, Refusal> {
+        let now_ms = self.clock.now_ms();
+        let running = self.running.get_mut(&grant).ok_or(Refusal::NoUpstream)?;
+        let service = running.service.clone();
+        let answerer = running.answerer.clone();
+        let reader = running.reader.take();
+        if let Some(reader) = &reader {
+            self.release_read(reader);
+        }
+        let is_open = |up: &Arc<Upstream>| up.id == answerer.id && up.born_ms == answerer.born_ms;
+        if self.roster.usable(now_ms, &service).any(is_open) {
+            return Ok(answerer);
+        }
+        let near = reader.and_then(|id| self.roster.get(&id)).map(|up| up.domain.clone());
+        let placement = self.choose(&service, None, near.as_deref(), &[]);
+        let chosen = placement.ok_or(Refusal::NoUpstream)?.answerer;
+        self.release_waiting(&answerer.id);
+        self.loads.entry(chosen.id.clone()).or_default().waiting += 1;
+        if let Some(running) = self.running.get_mut(&grant) {
+            event!(
+                Event::RequestMoved,
+                request = running.attempt_id,
+                from = answerer.id,
+                upstream = chosen.id,
+                why = "it left while the prompt was read",
+                runs = running.runs
+            );
+            running.tried = vec![chosen.id.clone()];
+            running.answerer = chosen.clone();
         }
+        Ok(chosen)
     }
 
     pub(super) fn on_started(&mut self, grant: u64) {
