Report starts of instances that cannot write them

The log shows why: event 200 at two instances from 2.5 s to 11.7 s (the store refused their writes of starts), event 404 with 737 starts at 11.74 s, 0.2 s before the second could write. Ruled out: clocks, killed processes. An instance that cannot write its starts now tells them to the others, and the holder takes the larger of both sums, which only grow. Test failed first (starts never reported), passes now.

--- a/crates/proto/src/generated.rs
+++ b/crates/proto/src/generated.rs
@@ -972,6 +972,7 @@
 ///    "from",
 ///    "peer_address",
 ///    "roster_after",
+///    "starts",
 ///    "suspects",
 ///    "true_ms"
 ///  ],
@@ -1001,6 +1002,13 @@
 ///      ],
 ///      "format": "uint64"
 ///    },
+///    "starts": {
+///      "description": "Its own starts while it cannot write them into the store, else empty.",
+///      "type": "array",
+///      "items": {
+///        "$ref": "#/definitions/StartWindow"
+///      }
+///    },
 ///    "suspects": {
 ///      "type": "array",
 ///      "items": {
@@ -1027,6 +1035,8 @@
     pub peer_address: ::std::string::String,
     ///Wants upstream entries after this offset; null while it reads the store itself.
     pub roster_after: ::std::option::Option<u64>,
+    ///Its own starts while it cannot write them into the store, else empty.
+    pub starts: ::std::vec::Vec<StartWindow>,
     pub suspects: ::std::vec::Vec<Suspect>,
     ///Its estimate of the time of day.
     pub true_ms: u64,
--- a/crates/serve/src/hub/feed.rs
+++ b/crates/serve/src/hub/feed.rs
@@ -11,7 +11,7 @@
 use super::Hub;
 use crate::edge::{Edge, Stored};
 use crate::events::{Event, event};
-use crate::tasks::{LinkCommand, Peer};
+use crate::tasks::{LinkCommand, Peer, starts_key, windows_from_proto, windows_to_proto};
 
 /// Suspicions in one message; the newest ones.
 const TOLD_SUSPECTS: usize = 32;
@@ -76,6 +76,7 @@
             roster_after,
             true_ms: self.true_ms(),
             suspects: self.own_suspects(),
+            starts: self.starts.unwritten().map(windows_to_proto).unwrap_or_default(),
         }
     }
 
@@ -92,6 +93,10 @@
 
     pub(super) fn on_feed(&mut self, request: &proto::FeedRequest) -> proto::FeedReply {
         self.on_suspects(&request.suspects);
+        if !request.starts.is_empty() {
+            let told = windows_from_proto(request.starts.clone());
+            self.told_starts.insert(Arc::from(starts_key(&request.from)), told);
+        }
         if self.instances.on_asker(request) {
             self.tell_links();
         }
--- a/crates/serve/src/hub/message.rs
+++ b/crates/serve/src/hub/message.rs
@@ -56,8 +56,10 @@
     Plan { reply: Reply<Plans> },
     /// Starts to be written, if any changed.
     TakeStarts { reply: Reply<Option<StartWindows>> },
-    /// They were not written.
-    StartsFailed,
+    /// They were written, or not.
+    StartsWritten { is_written: bool },
+    /// Starts that other instances have told, by the key under which they would write them.
+    ToldStarts { reply: Reply<BTreeMap<Arc<str>, StartWindows>> },
     /// Estimate of the time of day.
     TrueTime { reply: Reply<u64> },
     /// Whether new connections may come.
--- a/crates/serve/src/hub/mod.rs
+++ b/crates/serve/src/hub/mod.rs
@@ -59,6 +59,8 @@
     true_time: TrueTime,
     window_times: WindowTimes,
     starts: StartCounter,
+    /// Starts of instances that cannot write them, as they have told.
+    told_starts: BTreeMap<Arc<str>, StartWindows>,
     authority: Option<Held>,
     is_stopping: bool,
 }
@@ -97,6 +99,7 @@
             true_time: TrueTime::new(clock.now_ms(), wall_ms()),
             window_times: config.window_times(),
             starts: StartCounter::default(),
+            told_starts: BTreeMap::new(),
             authority: None,
             is_stopping: false,
             config,
@@ -143,7 +146,8 @@
             HubMessage::Fence { reply } => answer(&reply, self.fence()),
             HubMessage::Plan { reply } => answer(&reply, self.plan()),
             HubMessage::TakeStarts { reply } => answer(&reply, self.take_starts()),
-            HubMessage::StartsFailed => self.starts.on_write_failed(),
+            HubMessage::StartsWritten { is_written } => self.starts.on_write(is_written),
+            HubMessage::ToldStarts { reply } => answer(&reply, self.told_starts.clone()),
             HubMessage::TrueTime { reply } => answer(&reply, self.true_ms()),
             HubMessage::Ready { reply } => answer(&reply, self.is_ready()),
             HubMessage::Stop => self.is_stopping = true,
@@ -182,7 +186,9 @@
 
     fn take_starts(&mut self) -> Option<StartWindows> {
         let window = self.window_times.window_of(self.true_ms());
-        self.starts.forget_before(window.saturating_sub(KEPT_WINDOWS));
+        let oldest = window.saturating_sub(KEPT_WINDOWS);
+        self.starts.forget_before(oldest);
+        self.told_starts.retain(|_, windows| windows.keys().any(|window| *window >= oldest));
         self.starts.take_changed().cloned()
     }
 }
--- a/crates/serve/src/run.rs
+++ b/crates/serve/src/run.rs
@@ -25,7 +25,7 @@
 use crate::metrics::Metrics;
 use crate::tasks::{
     AuthorityJob, HubHandle, Pace, run_authority, run_duties, run_follower, run_links,
-    run_peer_server, run_presence, run_starts, run_ticker, withdraw, write_starts,
+    run_peer_server, run_presence, run_starts, run_ticker, starts_key, withdraw, write_starts,
 };
 
 /// Messages that may wait for the hub; when full, the sender waits.
@@ -118,7 +118,7 @@
     let left = config.stop_after().saturating_sub(passed).saturating_sub(LAST_WRITES);
     let is_finished = compio::time::timeout(left, callers).await.is_ok();
     let last_writes = async {
-        if let Some(Err(error)) = write_starts(&edge, &hub, &starts_key(&me)).await {
+        if let Some(Err(error)) = write_starts(&edge, &hub, &starts_key(&to_proto(&me))).await {
             event!(Event::AppendFailed, topic = "Starts", why = format_args!("{error:?}"));
         }
         withdraw(&edge, instance.as_str()).await;
@@ -131,8 +131,8 @@
     Ok(())
 }
 
-fn starts_key(me: &Holder) -> String {
-    format!("{}/{}", me.instance, me.incarnation)
+fn to_proto(me: &Holder) -> proto::Holder {
+    proto::Holder { instance: me.instance.clone(), incarnation: me.incarnation }
 }
 
 /// What the control tasks are made of.
@@ -185,7 +185,7 @@
             follow(Topic::Instances, INSTANCES_PAUSE, INSTANCES_WAIT_MS),
             run_links(hub.clone(), config.feed_every(), link_commands).boxed_local(),
             run_presence(edge.clone(), hub.clone(), entry).boxed_local(),
-            run_starts(edge.clone(), hub.clone(), starts_key(me)).boxed_local(),
+            run_starts(edge.clone(), hub.clone(), starts_key(&to_proto(me))).boxed_local(),
             run_authority(
                 edge.clone(),
                 hub.clone(),
--- a/crates/serve/src/tasks/duties.rs
+++ b/crates/serve/src/tasks/duties.rs
@@ -10,10 +10,11 @@
 use cowslip_clock::Clock;
 use cowslip_fleet::{CapacityOrder, RoleOrder};
 use cowslip_proto as proto;
-use cowslip_usage::{StartRows, WindowTimes, total};
+use cowslip_usage::{StartRows, WindowTimes, merge, total};
 
 use super::HubHandle;
-use super::authority::{AuthorityJob, rows_from_proto};
+use super::authority::AuthorityJob;
+use super::starts::windows_from_proto;
 use crate::edge::{Authority, DutyResult, Edge, Topic};
 use crate::events::{Event, event};
 use crate::hub::{HubMessage, Plans};
@@ -228,11 +229,7 @@
                     continue;
                 }
             };
-            let windows: BTreeMap<u64, StartRows> = entry
-                .windows
-                .into_iter()
-                .map(|window| (window.window, rows_from_proto(window)))
-                .collect();
+            let windows = windows_from_proto(entry.windows);
             if windows.keys().next_back().is_some_and(|newest| *newest >= oldest) {
                 counters.insert(record.key.clone(), windows);
             } else {
@@ -244,6 +241,11 @@
         {
             event!(Event::AppendFailed, topic = "Starts", why = format_args!("{error:?}"));
         }
+        // What an instance cannot write it tells the others.
+        let told = self.hub.ask(|reply| HubMessage::ToldStarts { reply }).await;
+        for (key, windows) in told.unwrap_or_default() {
+            merge(counters.entry(key).or_default(), &windows);
+        }
         Some(counters)
     }
 }
--- a/crates/serve/src/tasks/starts.rs
+++ b/crates/serve/src/tasks/starts.rs
@@ -7,6 +7,7 @@
 use cowslip_proto as proto;
 
 use super::HubHandle;
+use super::authority::rows_from_proto;
 use super::dependency::Dependency;
 use crate::edge::{Appended, Edge, StoreError, Topic};
 use crate::hub::{HubMessage, StartWindows};
@@ -42,13 +43,16 @@
     let entry = proto::StartEntry { windows: windows_to_proto(&windows) };
     let record = (key.to_owned(), Bytes::from(to_json(&entry)));
     let written = edge.append(Topic::Starts, None, &[record]).await;
-    if written.is_err() {
-        hub.tell(HubMessage::StartsFailed).await;
-    }
+    hub.tell(HubMessage::StartsWritten { is_written: written.is_ok() }).await;
     Some(written)
 }
 
-fn windows_to_proto(windows: &StartWindows) -> Vec<proto::StartWindow> {
+/// Key of an instance's starts: of one life of it, as the next one counts from nothing.
+pub(crate) fn starts_key(holder: &proto::Holder) -> String {
+    format!("{}/{}", holder.instance, holder.incarnation)
+}
+
+pub(crate) fn windows_to_proto(windows: &StartWindows) -> Vec<proto::StartWindow> {
     windows
         .iter()
         .map(|(window, rows)| proto::StartWindow {
@@ -63,3 +67,7 @@
         })
         .collect()
 }
+
+pub(crate) fn windows_from_proto(windows: Vec<proto::StartWindow>) -> StartWindows {
+    windows.into_iter().map(|window| (window.window, rows_from_proto(window))).collect()
+}
--- a/crates/usage/src/starts.rs
+++ b/crates/usage/src/starts.rs
@@ -12,6 +12,7 @@
 pub struct StartCounter {
     windows: BTreeMap<u64, StartRows>,
     is_changed: bool,
+    is_unwritten: bool,
 }
 
 impl StartCounter {
@@ -31,9 +32,16 @@
         std::mem::take(&mut self.is_changed).then_some(&self.windows)
     }
 
-    /// The sums were not written: they are due again.
-    pub fn on_write_failed(&mut self) {
-        self.is_changed = true;
+    /// The sums that were taken were written, or not: then they are due again.
+    pub fn on_write(&mut self, is_written: bool) {
+        self.is_changed |= !is_written;
+        self.is_unwritten = !is_written;
+    }
+
+    /// All sums while the newest write of them has failed.
+    #[must_use]
+    pub fn unwritten(&self) -> Option<&BTreeMap<u64, StartRows>> {
+        self.is_unwritten.then_some(&self.windows)
     }
 }
 
@@ -52,6 +60,18 @@
     sum
 }
 
+/// Takes the larger of two sums of one instance for each window and workspace: sums only grow, so
+/// that is the newer one, whichever way it came.
+pub fn merge(known: &mut BTreeMap<u64, StartRows>, other: &BTreeMap<u64, StartRows>) {
+    for (window, rows) in other {
+        let known = known.entry(*window).or_default();
+        for (workspace, starts) in rows {
+            let known = known.entry(workspace.clone()).or_default();
+            *known = (*known).max(*starts);
+        }
+    }
+}
+
 /// Times of the windows.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct WindowTimes {
--- a/crates/usage/tests/starts.rs
+++ b/crates/usage/tests/starts.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use cowslip_usage::{StartCounter, TrueTime, WindowTimes, total};
+use cowslip_usage::{StartCounter, TrueTime, WindowTimes, merge, total};
 use proptest::prelude::*;
 
 const TIMES: WindowTimes = WindowTimes { window_ms: 5_000, settle_ms: 2_400, late_ms: 9_500 };
@@ -22,10 +22,15 @@
             counters[instance].count(window, &names[name]);
             *naive.entry((window, names[name].clone())).or_default() += 1;
             if is_written && let Some(windows) = counters[instance].take_changed().cloned() {
+                counters[instance].on_write(!is_lost);
                 if is_lost {
-                    counters[instance].on_write_failed();
+                    // Told by another way, and by that one twice.
+                    let told = counters[instance].unwritten().cloned().unwrap_or_default();
+                    let known = stored.entry(instance).or_default();
+                    merge(known, &told);
+                    merge(known, &told);
                 } else {
-                    stored.insert(instance, windows);
+                    merge(stored.entry(instance).or_default(), &windows);
                 }
             }
         }
