--- /dev/null
+++ b/crates/serve/tests/settings.rs
@@ -0,0 +1,56 @@
+//! Settings files: every error at once, none taken silently.
+
+use cowslip_serve::Config;
+
+const GOOD: &str = "[instance]\nname = entry-0\nfailure_domain = d0\nregion = r0\n\
+    caller_address = 127.0.0.1:1\npeer_address = 127.0.0.1:2\noperator_address = 127.0.0.1:3\n\
+    [platform]\naddress = 127.0.0.1:4\n\
+    [fleet]\nready_address = 127.0.0.1:5\nduties_address = 127.0.0.1:6\nregions = d0=r0, d1=r1\n";
+
+#[test]
+fn good_settings_are_taken() {
+    let config = Config::parse(GOOD).expect("good settings");
+    assert_eq!(config.site.steps("d0", "d1"), 2);
+    assert_eq!(config.settings.fleet.repeat_ratio.to_string(), "0.2");
+}
+
+#[test]
+fn wrong_settings_are_told() {
+    struct Case {
+        change: (&'static str, &'static str),
+        errors: &'static [&'static str],
+    }
+    let cases = [
+        Case { change: ("name = entry-0\n", ""), errors: &["[instance] name: must be given"] },
+        Case {
+            change: ("duties_address = 127.0.0.1:6", "duties_address = there"),
+            errors: &["line 12: [fleet] duties_address: \"there\" is not an IP address and port"],
+        },
+        Case {
+            change: ("regions = d0=r0, d1=r1", "regions = d0"),
+            errors: &["[fleet] regions: \"d0\" is not DOMAIN=REGION"],
+        },
+        Case {
+            change: ("[fleet]\n", "[fleet]\nrepeat_ratio = -1\nfolow_every_ms = 3\n"),
+            errors: &[
+                "line 12: [fleet] folow_every_ms: unknown key; did you mean [fleet] follow_every_ms?",
+                "line 11: [fleet] repeat_ratio: \"-1\" is not a number from 0 on",
+            ],
+        },
+        Case {
+            change: ("[fleet]\n", "[authority]\nlease_ms = 1000\nrenew_every_ms = 800\n[fleet]\n"),
+            errors: &["[authority] renew_every_ms: must be at most half a lease"],
+        },
+        Case {
+            change: ("[fleet]\n", "[config]\nheartbeat_ms = 5\n[fleet]\n"),
+            errors: &[
+                "line 11: [config] heartbeat_ms: unknown key; did you mean [authority] lease_ms?",
+            ],
+        },
+    ];
+    for Case { change: (from, to), errors } in cases {
+        let told = Config::parse(&GOOD.replace(from, to)).expect_err(to);
+        let told: Vec<String> = told.iter().map(ToString::to_string).collect();
+        assert_eq!(told, errors, "{to}");
+    }
+}
