Give both daemons one copy of the way to their hub and of the event row

Two copies of the handle, the reply channel and the event row stood in entry and serve; they are now in crates/task. Behaviour is unchanged.

--- a/crates/entry/src/hub/message.rs
+++ b/crates/entry/src/hub/message.rs
@@ -3,16 +3,13 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use async_channel::Sender;
 use cowslip_authority::{Target, TargetView, Term};
 use cowslip_member::Listed;
 use cowslip_name::Name;
 use cowslip_once::{SendResult, Told};
 use cowslip_proto as proto;
 use cowslip_state::OrderAction;
-
-/// Where one answer goes; the channel holds one message.
-pub(crate) type Reply<T> = Sender<T>;
+pub(crate) use cowslip_task::Reply;
 
 /// Everything that the owner of the state is told or asked.
 #[derive(Debug)]
--- a/crates/entry/src/hub/mod.rs
+++ b/crates/entry/src/hub/mod.rs
@@ -23,6 +23,7 @@
 use cowslip_proto as proto;
 use cowslip_route::{Admitter, RetryBudget};
 use cowslip_state::{Assembler, State};
+use cowslip_task::answer;
 
 use crate::config::Config;
 use crate::events::Event;
@@ -249,8 +250,3 @@
         event.emit(&self.me.instance, format_args!("{why}"));
     }
 }
-
-/// Answers a question; one whose asker is gone needs no answer.
-fn answer<T>(reply: &Reply<T>, value: T) {
-    let _ = reply.try_send(value);
-}
--- a/crates/entry/src/tasks/mod.rs
+++ b/crates/entry/src/tasks/mod.rs
@@ -9,11 +9,9 @@
 mod platform;
 mod ticker;
 
-use std::rc::Rc;
+use cowslip_task::Handle;
 
-use async_channel::Sender;
-
-use crate::hub::{HubMessage, Reply};
+use crate::hub::HubMessage;
 
 pub(crate) use errands::run_errands;
 pub(crate) use links::{LinkCommand, run_links};
@@ -25,29 +23,4 @@
 pub(crate) use ticker::run_ticker;
 
 /// The way to the hub; when its inbox is full the sender waits.
-#[derive(Clone, Debug)]
-pub(crate) struct HubHandle {
-    inbox: Rc<Sender<HubMessage>>,
-}
-
-impl HubHandle {
-    pub(crate) fn new(inbox: Sender<HubMessage>) -> Self {
-        Self { inbox: Rc::new(inbox) }
-    }
-
-    /// Tells the hub something.
-    pub(crate) async fn tell(&self, message: HubMessage) {
-        // The inbox closes only when the process ends.
-        let _ = self.inbox.send(message).await;
-    }
-
-    /// Asks the hub something; `None` when it gives no answer.
-    pub(crate) async fn ask<T, F>(&self, question: F) -> Option<T>
-    where
-        F: FnOnce(Reply<T>) -> HubMessage,
-    {
-        let (reply, answer) = async_channel::bounded(1);
-        self.tell(question(reply)).await;
-        answer.recv().await.ok()
-    }
-}
+pub(crate) type HubHandle = Handle<HubMessage>;
--- a/crates/serve/src/events.rs
+++ b/crates/serve/src/events.rs
@@ -1,18 +1,8 @@
 //! Numbered log events, written as one JSON line each.
 
+pub use cowslip_task::EventRow;
 use log::Level;
 
-/// A row of the catalogue in docs/EVENTS.md.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct EventRow {
-    /// Number.
-    pub code: u16,
-    /// Level.
-    pub level: Level,
-    /// What happened.
-    pub summary: &'static str,
-}
-
 macro_rules! events {
     ($($variant:ident = $code:literal, $level:ident, $summary:literal;)*) => {
         /// Kinds of event.
--- a/crates/serve/src/hub/message.rs
+++ b/crates/serve/src/hub/message.rs
@@ -3,16 +3,13 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use async_channel::Sender;
 use cowslip_fleet::{Allowed, CapacityOrder, Outcome, Prompt, RoleOrder, Upstream};
 use cowslip_poison::Fingerprint;
 use cowslip_proto as proto;
+pub(crate) use cowslip_task::Reply;
 
 use crate::edge::{Page, Topic};
 
-/// Where one answer goes; the channel holds one message.
-pub(crate) type Reply<T> = Sender<T>;
-
 /// Everything that the owner of the state is told or asked.
 #[derive(Debug)]
 pub(crate) enum HubMessage {
--- a/crates/serve/src/hub/mod.rs
+++ b/crates/serve/src/hub/mod.rs
@@ -13,6 +13,7 @@
 use cowslip_clock::{Clock, wall_ms};
 use cowslip_fleet::{Deployment, Health, RepeatBudget, Roster, plan_capacity, plan_roles};
 use cowslip_poison::Suspects;
+use cowslip_task::answer;
 use cowslip_usage::{StartCounter, TrueTime, WindowTimes};
 
 use crate::config::Config;
@@ -21,7 +22,7 @@
 use crate::tasks::LinkCommand;
 
 pub(crate) use message::{
-    Admitted, Again, Grant, Held, HubMessage, Plans, Question, Refusal, Reply, StartWindows, Wanted,
+    Admitted, Again, Grant, Held, HubMessage, Plans, Question, Refusal, StartWindows, Wanted,
 };
 
 use feed::Instances;
@@ -192,8 +193,3 @@
         self.starts.take_changed().cloned()
     }
 }
-
-/// Answers a question; one whose asker is gone needs no answer.
-fn answer<T>(reply: &Reply<T>, value: T) {
-    let _ = reply.try_send(value);
-}
--- a/crates/serve/src/tasks/mod.rs
+++ b/crates/serve/src/tasks/mod.rs
@@ -9,12 +9,11 @@
 mod presence;
 mod starts;
 
-use std::rc::Rc;
 use std::time::Duration;
 
-use async_channel::Sender;
+use cowslip_task::Handle;
 
-use crate::hub::{HubMessage, Reply};
+use crate::hub::HubMessage;
 
 pub(crate) use authority::{AuthorityJob, run_authority};
 pub(crate) use duties::run_duties;
@@ -29,40 +28,7 @@
 const TICK: Duration = Duration::from_millis(100);
 
 /// The way to the hub; when its inbox is full the sender waits.
-#[derive(Clone, Debug)]
-pub(crate) struct HubHandle {
-    inbox: Rc<Sender<HubMessage>>,
-}
-
-impl HubHandle {
-    pub(crate) fn new(inbox: Sender<HubMessage>) -> Self {
-        Self { inbox: Rc::new(inbox) }
-    }
-
-    /// Tells the hub something.
-    pub(crate) async fn tell(&self, message: HubMessage) {
-        // The inbox closes only when the process ends.
-        let _ = self.inbox.send(message).await;
-    }
-
-    /// Tells the hub something from where nothing can wait.
-    pub(crate) fn tell_later(&self, message: HubMessage) {
-        if let Err(error) = self.inbox.try_send(message) {
-            let (hub, message) = (self.clone(), error.into_inner());
-            compio::runtime::spawn(async move { hub.tell(message).await }).detach();
-        }
-    }
-
-    /// Asks the hub something; `None` when it gives no answer.
-    pub(crate) async fn ask<T, F>(&self, question: F) -> Option<T>
-    where
-        F: FnOnce(Reply<T>) -> HubMessage,
-    {
-        let (reply, answer) = async_channel::bounded(1);
-        self.tell(question(reply)).await;
-        answer.recv().await.ok()
-    }
-}
+pub(crate) type HubHandle = Handle<HubMessage>;
 
 /// Tells the hub that time passes, until the process ends.
 pub(crate) async fn run_ticker(hub: HubHandle) {
--- /dev/null
+++ b/crates/task/src/lib.rs
@@ -0,0 +1,7 @@
+//! What the daemons' tasks share: the way to the owner of a state, and rows of the event catalogue.
+
+mod event;
+mod handle;
+
+pub use event::EventRow;
+pub use handle::{Handle, Reply, answer};
