Clear requests of suspicion once they are answered; let idle connections of gone upstreams go

An answer to the end now clears it, and what others tell of it does not count any more. Idle connections were kept by address, also of upstreams that are gone. Tests: tables of losses and answers.

--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -58,6 +58,12 @@
     usable_until: Option<Instant>,
 }
 
+impl Idle {
+    fn is_open(&self, now: Instant) -> bool {
+        !self.sender.is_closed() && self.usable_until.is_none_or(|until| now < until)
+    }
+}
+
 /// A single connection that is not shared.
 #[derive(Debug)]
 pub struct Exchange {
@@ -141,18 +147,11 @@
         self.put_idle(address, exchange, REST, Some(reuse_for));
     }
 
-    /// Closes the idle connections to an address, and all that are past their time.
-    pub fn forget(&self, address: SocketAddr) {
-        self.idle.borrow_mut().remove(&address);
-    }
-
     fn take_idle(&self, address: SocketAddr) -> Option<Exchange> {
         let now = Instant::now();
         let mut idle = self.idle.borrow_mut();
         let kept = idle.get_mut(&address)?;
-        kept.retain(|idle| {
-            !idle.sender.is_closed() && idle.usable_until.is_none_or(|until| now < until)
-        });
+        kept.retain(|idle| idle.is_open(now));
         let is_usable = |idle: &Idle| idle.sender.is_ready() && idle.usable_from <= now;
         // The one that was used last: the others may lapse.
         let index = kept.iter().rposition(is_usable)?;
@@ -168,8 +167,15 @@
     ) {
         let now = Instant::now();
         let mut idle = self.idle.borrow_mut();
+        if !idle.contains_key(&address) {
+            // Addresses come and go with upstreams: a new one is the time to let old ones go.
+            idle.retain(|_, kept| {
+                kept.retain(|idle| idle.is_open(now));
+                !kept.is_empty()
+            });
+        }
         let kept = idle.entry(address).or_default();
-        kept.retain(|idle| !idle.sender.is_closed());
+        kept.retain(|idle| idle.is_open(now));
         if kept.len() < MAX_IDLE {
             kept.push(Idle {
                 sender: exchange.sender,
--- a/crates/poison/src/suspects.rs
+++ b/crates/poison/src/suspects.rs
@@ -14,17 +14,28 @@
     capacity: usize,
     lost: BTreeMap<Fingerprint, BTreeSet<Name>>,
     order: VecDeque<Fingerprint>,
+    /// Requests that were suspected and have been answered since, the newest last.
+    innocent: VecDeque<Fingerprint>,
 }
 
 impl Suspects {
     /// A request is refused once `limit` upstreams were lost with it; `capacity` are remembered.
     #[must_use]
     pub fn new(limit: usize, capacity: usize) -> Self {
-        Self { limit, capacity, lost: BTreeMap::new(), order: VecDeque::new() }
+        Self {
+            limit,
+            capacity,
+            lost: BTreeMap::new(),
+            order: VecDeque::new(),
+            innocent: VecDeque::new(),
+        }
     }
 
     /// Notes that an upstream was lost while it ran the request.
     pub fn on_loss(&mut self, fingerprint: Fingerprint, upstream: Name) {
+        if self.innocent.contains(&fingerprint) {
+            return;
+        }
         let known = self.lost.entry(fingerprint).or_default();
         if known.is_empty() {
             self.order.push_back(fingerprint);
@@ -37,6 +48,19 @@
         }
     }
 
+    /// The request ran to its end at an upstream that goes on: it was in flight by chance when
+    /// others were lost, and what others tell of it does not count any more.
+    pub fn on_answer(&mut self, fingerprint: &Fingerprint) {
+        if self.lost.remove(fingerprint).is_none() {
+            return;
+        }
+        self.order.retain(|known| known != fingerprint);
+        self.innocent.push_back(*fingerprint);
+        if self.innocent.len() > self.capacity {
+            self.innocent.pop_front();
+        }
+    }
+
     /// Whether the request may not run any more.
     #[must_use]
     pub fn is_refused(&self, fingerprint: &Fingerprint) -> bool {
--- /dev/null
+++ b/crates/poison/tests/suspects.rs
@@ -0,0 +1,68 @@
+//! Requests under suspicion.
+
+use cowslip_name::Name;
+use cowslip_poison::Suspects;
+
+const REQUEST: [u8; 32] = [7; 32];
+
+enum Step {
+    Loss(&'static str),
+    Answer,
+}
+
+use Step::{Answer, Loss};
+
+#[test]
+fn losses_without_an_answer_between_refuse_a_request() {
+    struct Case {
+        name: &'static str,
+        steps: &'static [Step],
+        is_refused: bool,
+    }
+    let cases = [
+        Case { name: "two losses", steps: &[Loss("a"), Loss("b")], is_refused: false },
+        Case { name: "three losses", steps: &[Loss("a"), Loss("b"), Loss("c")], is_refused: true },
+        Case {
+            name: "one upstream three times",
+            steps: &[Loss("a"), Loss("a"), Loss("a")],
+            is_refused: false,
+        },
+        Case {
+            name: "an answer between",
+            steps: &[Loss("a"), Loss("b"), Answer, Loss("c")],
+            is_refused: false,
+        },
+        Case {
+            name: "told again by others",
+            steps: &[Loss("a"), Answer, Loss("a"), Loss("b"), Loss("c")],
+            is_refused: false,
+        },
+        Case {
+            name: "an answer before all",
+            steps: &[Answer, Loss("a"), Loss("b"), Loss("c")],
+            is_refused: true,
+        },
+    ];
+    for Case { name, steps, is_refused } in cases {
+        let mut suspects = Suspects::new(3, 4);
+        for step in steps {
+            match step {
+                Loss(upstream) => suspects.on_loss(REQUEST, Name::new(upstream).expect("a name")),
+                Answer => suspects.on_answer(&REQUEST),
+            }
+        }
+        assert_eq!(suspects.is_refused(&REQUEST), is_refused, "{name}");
+    }
+}
+
+#[test]
+fn what_is_remembered_is_bounded() {
+    let mut suspects = Suspects::new(3, 4);
+    for number in 0..100 {
+        suspects.on_loss([number; 32], Name::new("a").expect("a name"));
+        if number % 2 == 0 {
+            suspects.on_answer(&[number; 32]);
+        }
+    }
+    assert!(suspects.newest().count() <= 4);
+}
--- a/crates/serve/src/caller/exchange.rs
+++ b/crates/serve/src/caller/exchange.rs
@@ -40,7 +40,8 @@
         matches!(self, Self::NotArrived | Self::NotRun | Self::Misdirected)
     }
 
-    fn outcome(self) -> Outcome {
+    /// What a failure says of the upstream.
+    pub(super) fn outcome(self) -> Outcome {
         match self {
             Self::NotArrived | Self::Broken => Outcome::Broken,
             Self::NotRun | Self::Misdirected | Self::Spoilt => Outcome::Failed,
@@ -176,8 +177,3 @@
         why = why
     );
 }
-
-/// What a failure says of the upstream.
-pub(super) fn outcome(failure: Failure) -> Outcome {
-    failure.outcome()
-}
--- a/crates/serve/src/caller/job.rs
+++ b/crates/serve/src/caller/job.rs
@@ -6,7 +6,7 @@
 
 use cowslip_fleet::{Allowed, Outcome, Upstream};
 
-use super::exchange::{Failure, outcome};
+use super::exchange::Failure;
 use super::server::CallerServer;
 use crate::edge::{Call, Edge, Outgoing, Refused, Work};
 use crate::events::{Event, event};
@@ -88,7 +88,7 @@
             Failure::NotArrived | Failure::NotRun | Failure::Spoilt => {}
         }
         if !matches!(failure, Failure::NotRun | Failure::Misdirected) {
-            self.on_outcome(upstream, outcome(failure)).await;
+            self.on_outcome(upstream, failure.outcome()).await;
         }
     }
 
--- a/crates/serve/src/caller/relay.rs
+++ b/crates/serve/src/caller/relay.rs
@@ -131,6 +131,7 @@
             connection.keep(&self.job.server.client);
         }
         self.job.on_outcome(&self.upstream, Outcome::Answered).await;
+        self.job.tell(HubMessage::Answered { grant: self.job.grant }).await;
         End::Whole
     }
 
--- a/crates/serve/src/caller/whole.rs
+++ b/crates/serve/src/caller/whole.rs
@@ -44,6 +44,9 @@
                 let is_failure = parts.status.is_server_error();
                 let outcome = if is_failure { Outcome::Failed } else { Outcome::Answered };
                 job.on_outcome(&upstream, outcome).await;
+                if !is_failure {
+                    job.tell(HubMessage::Answered { grant: job.grant }).await;
+                }
                 if !is_failure || job.allowed.route.kind != CallKind::Idempotent {
                     return Ok((parts, body));
                 }
--- a/crates/serve/src/hub/message.rs
+++ b/crates/serve/src/hub/message.rs
@@ -27,6 +27,8 @@
     PromptRead { grant: u64, reply: Reply<Result<Arc<Upstream>, Refusal>> },
     /// It has begun to run.
     Started { grant: u64 },
+    /// It was answered well, to the end.
+    Answered { grant: u64 },
     /// It is over.
     End { grant: u64 },
     /// What became of a send.
--- a/crates/serve/src/hub/mod.rs
+++ b/crates/serve/src/hub/mod.rs
@@ -130,6 +130,11 @@
                 answer(&reply, self.on_prompt_read(grant));
             }
             HubMessage::Started { grant } => self.on_started(grant),
+            HubMessage::Answered { grant } => {
+                if let Some(running) = self.running.get(&grant) {
+                    self.suspects.on_answer(&running.fingerprint);
+                }
+            }
             HubMessage::End { grant } => self.on_end(grant),
             HubMessage::Outcome { upstream, outcome } => {
                 self.health.on_outcome(self.clock.now_ms(), &upstream, outcome);
--- a/crates/serve/src/hub/requests.rs
+++ b/crates/serve/src/hub/requests.rs
@@ -25,7 +25,7 @@
     attempt_id: Arc<str>,
     allowed: Allowed,
     service: Arc<str>,
-    fingerprint: Fingerprint,
+    pub(super) fingerprint: Fingerprint,
     reader: Option<Arc<str>>,
     answerer: Arc<Upstream>,
     /// Upstreams that it was sent to.
