Reuse the border's holder, one conversion of windows, one macro of events, one notice of a loss

Ruled out as twins: the cutters of event streams (one gives single events with their token, the other all whole ones with the last id), the errors of the two daemons.

--- a/crates/border/src/lib.rs
+++ b/crates/border/src/lib.rs
@@ -19,7 +19,10 @@
 pub use key::{CallerKey, new_key};
 pub use object::{object_id_to_proto, object_to_proto};
 pub use peer::{listed, order_to_proto, report};
-pub use record::{Logged, figures_to_proto, record_from_proto, record_to_proto};
+pub use record::{
+    Logged, figures_to_proto, holder_from_proto, holder_to_proto, record_from_proto,
+    record_to_proto,
+};
 pub use settings::{ENTRY_SECTIONS, FLEET_SECTIONS, SettingError, load_settings};
 pub use snapshot::{CHUNK_BYTES, restore, snapshot_chunks};
 pub use ticket::{outcome_to_proto, parse_ticket, ticket_from_proto};
--- a/crates/border/src/record.rs
+++ b/crates/border/src/record.rs
@@ -171,11 +171,15 @@
     }
 }
 
-pub(crate) fn holder_from_proto(holder: &proto::Holder) -> Holder {
+/// A life of an instance as the decisions take it.
+#[must_use]
+pub fn holder_from_proto(holder: &proto::Holder) -> Holder {
     Holder { instance: holder.instance.clone(), incarnation: holder.incarnation }
 }
 
-pub(crate) fn holder_to_proto(holder: &Holder) -> proto::Holder {
+/// A life of an instance as messages hold it.
+#[must_use]
+pub fn holder_to_proto(holder: &Holder) -> proto::Holder {
     proto::Holder { instance: holder.instance.clone(), incarnation: holder.incarnation }
 }
 
--- a/crates/entry/src/events.rs
+++ b/crates/entry/src/events.rs
@@ -4,22 +4,8 @@
 
 use cowslip_name::Name;
 pub use cowslip_task::EventRow;
-use log::Level;
 
-macro_rules! events {
-    ($($variant:ident = $code:literal, $level:ident, $summary:literal;)*) => {
-        /// Kinds of event.
-        #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-        pub(crate) enum Event { $($variant,)* }
-
-        /// All events by number.
-        pub const CATALOGUE: &[EventRow] = &[
-            $(EventRow { code: $code, level: Level::$level, summary: $summary },)*
-        ];
-    };
-}
-
-events! {
+cowslip_task::events! {
     Started = 100, Info, "instance started";
     Ready = 101, Info, "configuration is complete, requests are admitted";
     Stopping = 102, Info, "shutdown began, open requests are finished";
@@ -52,10 +38,6 @@
 }
 
 impl Event {
-    fn row(self) -> &'static EventRow {
-        &CATALOGUE[self as usize]
-    }
-
     /// Writes the event with its details to the log.
     pub(crate) fn emit(self, me: &Name, details: fmt::Arguments<'_>) {
         let row = self.row();
--- a/crates/entry/src/hub/peers.rs
+++ b/crates/entry/src/hub/peers.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use cowslip_border::{digest_hex, parse_digest, report};
+use cowslip_border::{digest_hex, holder_to_proto, parse_digest, report};
 use cowslip_member::Listed;
 use cowslip_name::Name;
 use cowslip_proto as proto;
@@ -35,10 +35,7 @@
             }
         });
         proto::Heartbeat {
-            from: proto::Holder {
-                instance: self.me.instance.clone(),
-                incarnation: self.me.incarnation,
-            },
+            from: holder_to_proto(&self.me),
             failure_domain: self.config.settings.instance.failure_domain.clone(),
             next_offset: self.next_offset,
             fresh_age_ms: self.freshness.age_ms(now_ms),
--- a/crates/serve/src/events.rs
+++ b/crates/serve/src/events.rs
@@ -1,22 +1,8 @@
 //! Numbered log events, written as one JSON line each.
 
 pub use cowslip_task::EventRow;
-use log::Level;
 
-macro_rules! events {
-    ($($variant:ident = $code:literal, $level:ident, $summary:literal;)*) => {
-        /// Kinds of event.
-        #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-        pub(crate) enum Event { $($variant,)* }
-
-        /// All events by number.
-        pub const CATALOGUE: &[EventRow] = &[
-            $(EventRow { code: $code, level: Level::$level, summary: $summary },)*
-        ];
-    };
-}
-
-events! {
+cowslip_task::events! {
     Started = 100, Info, "instance started";
     Reloaded = 101, Info, "settings file read again";
     Stopping = 102, Info, "signal to stop, the balancer is told";
@@ -49,12 +35,6 @@
     LinesDropped = 900, Warn, "log lines were dropped to bound the volume";
 }
 
-impl Event {
-    pub(crate) fn row(self) -> &'static EventRow {
-        &CATALOGUE[self as usize]
-    }
-}
-
 /// Logs an event with its fields: `event!(Event::Started, address = text)`.
 macro_rules! event {
     ($event:expr $(, $key:ident = $value:expr)* $(,)?) => {{
--- a/crates/serve/src/hub/feed.rs
+++ b/crates/serve/src/hub/feed.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use cowslip_border::{digest_hex, parse_digest};
+use cowslip_border::{digest_hex, holder_to_proto, parse_digest};
 use cowslip_name::Name;
 use cowslip_proto as proto;
 
@@ -66,10 +66,7 @@
             self.roster_records.values().map(|record| record.offset).max().unwrap_or_default()
         });
         proto::FeedRequest {
-            from: proto::Holder {
-                instance: self.me.instance.clone(),
-                incarnation: self.me.incarnation,
-            },
+            from: holder_to_proto(&self.me),
             peer_address: self.config.peer_address.to_string(),
             failure_domain: self.config.settings.instance.failure_domain.clone(),
             declaration_offset: self.declaration.as_ref().map(|record| record.offset),
--- a/crates/serve/src/run.rs
+++ b/crates/serve/src/run.rs
@@ -8,6 +8,7 @@
 use async_channel::{Receiver, Sender};
 use compio::net::TcpListener;
 use cowslip_authority::Holder;
+use cowslip_border::holder_to_proto;
 use cowslip_clock::Clock;
 use cowslip_net::{Body, ServerLimits, bind, full, serve};
 use cowslip_proto as proto;
@@ -118,7 +119,9 @@
     let left = config.stop_after().saturating_sub(passed).saturating_sub(LAST_WRITES);
     let is_finished = compio::time::timeout(left, callers).await.is_ok();
     let last_writes = async {
-        if let Some(Err(error)) = write_starts(&edge, &hub, &starts_key(&to_proto(&me))).await {
+        if let Some(Err(error)) =
+            write_starts(&edge, &hub, &starts_key(&holder_to_proto(&me))).await
+        {
             event!(Event::AppendFailed, topic = "Starts", why = format_args!("{error:?}"));
         }
         withdraw(&edge, instance.as_str()).await;
@@ -131,10 +134,6 @@
     Ok(())
 }
 
-fn to_proto(me: &Holder) -> proto::Holder {
-    proto::Holder { instance: me.instance.clone(), incarnation: me.incarnation }
-}
-
 /// What the control tasks are made of.
 struct Control<'a, E> {
     edge: &'a E,
@@ -185,7 +184,7 @@
             follow(Topic::Instances, INSTANCES_PAUSE, INSTANCES_WAIT_MS),
             run_links(hub.clone(), config.feed_every(), link_commands).boxed_local(),
             run_presence(edge.clone(), hub.clone(), entry).boxed_local(),
-            run_starts(edge.clone(), hub.clone(), starts_key(&to_proto(me))).boxed_local(),
+            run_starts(edge.clone(), hub.clone(), starts_key(&holder_to_proto(me))).boxed_local(),
             run_authority(
                 edge.clone(),
                 hub.clone(),
--- a/crates/serve/src/tasks/authority.rs
+++ b/crates/serve/src/tasks/authority.rs
@@ -1,7 +1,6 @@
 //! Holds the lease in the store, and fixes usage windows under it.
 
 use std::collections::BTreeMap;
-use std::sync::Arc;
 use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
@@ -9,7 +8,7 @@
 use cowslip_authority::{
     Holder, LeaseTimes, Register, RegisterRecord, RegisterStep, RegisterView, WriteResult,
 };
-use cowslip_border::{from_json, to_json};
+use cowslip_border::{from_json, holder_from_proto, holder_to_proto, to_json};
 use cowslip_clock::Clock;
 use cowslip_proto as proto;
 use cowslip_usage::StartRows;
@@ -17,6 +16,7 @@
 
 use super::HubHandle;
 use super::dependency::Dependency;
+use super::starts::{rows_from_proto, window_to_proto};
 use crate::edge::{Edge, Page, StoreError, Topic};
 use crate::events::{Event, event};
 use crate::hub::{Held, HubMessage};
@@ -83,7 +83,6 @@
             Ok(Ok(AuthorityJob::Retire { reply })) => {
                 task.register.retire();
                 task.step(None).await;
-                task.tell().await;
                 let _ = reply.try_send(Retired);
                 return;
             }
@@ -131,7 +130,7 @@
                 }
             } else if &*record.key == LEASE_KEY {
                 match from_json::<proto::LeaseEntry>(&record.value) {
-                    Ok(entry) => newest = Some((record.offset, from_proto(entry))),
+                    Ok(entry) => newest = Some((record.offset, from_proto(&entry))),
                     Err(error) => event!(Event::RecordBad, topic = "Lease", why = error),
                 }
             }
@@ -196,32 +195,16 @@
 
 fn to_proto(record: &RegisterRecord) -> proto::LeaseEntry {
     proto::LeaseEntry {
-        holder: proto::Holder {
-            instance: record.holder.instance.clone(),
-            incarnation: record.holder.incarnation,
-        },
+        holder: holder_to_proto(&record.holder),
         nonce: record.nonce,
         released: record.is_released,
     }
 }
 
-fn from_proto(entry: proto::LeaseEntry) -> RegisterRecord {
+fn from_proto(entry: &proto::LeaseEntry) -> RegisterRecord {
     RegisterRecord {
-        holder: Holder { instance: entry.holder.instance, incarnation: entry.holder.incarnation },
+        holder: holder_from_proto(&entry.holder),
         nonce: entry.nonce,
         is_released: entry.released,
     }
 }
-
-fn window_to_proto(window: u64, rows: &StartRows) -> proto::StartWindow {
-    let rows = rows.iter().map(|(workspace, starts)| proto::StartRow {
-        workspace: workspace.to_string(),
-        starts: *starts,
-    });
-    proto::StartWindow { window, rows: rows.collect() }
-}
-
-/// Rows of a window by workspace.
-pub(super) fn rows_from_proto(window: proto::StartWindow) -> StartRows {
-    window.rows.into_iter().map(|row| (Arc::from(row.workspace), row.starts)).collect()
-}
--- a/crates/serve/src/tasks/duties.rs
+++ b/crates/serve/src/tasks/duties.rs
@@ -14,6 +14,7 @@
 
 use super::HubHandle;
 use super::authority::AuthorityJob;
+use super::dependency::Dependency;
 use super::starts::windows_from_proto;
 use crate::edge::{Authority, DutyResult, Edge, Topic};
 use crate::events::{Event, event};
@@ -45,6 +46,7 @@
     capacity_due_ms: HashMap<(Arc<str>, Arc<str>, bool), u64>,
     role_due_ms: HashMap<Arc<str>, u64>,
     role_wished_ms: HashMap<Arc<str>, u64>,
+    store: Dependency,
 }
 
 /// Works whenever this instance holds the lease, until the process ends.
@@ -71,6 +73,7 @@
         capacity_due_ms: HashMap::new(),
         role_due_ms: HashMap::new(),
         role_wished_ms: HashMap::new(),
+        store: Dependency::new(Topic::Starts, "reading"),
     };
     loop {
         compio::time::sleep(TICK).await;
@@ -210,14 +213,14 @@
     }
 
     /// Sums of all instances; those that count nothing any more are removed.
-    async fn counters(&self, true_ms: u64) -> Option<BTreeMap<Arc<str>, BTreeMap<u64, StartRows>>> {
-        let page = match self.edge.newest(Topic::Starts).await {
-            Ok(page) => page,
-            Err(error) => {
-                event!(Event::StoreLost, topic = "Starts", why = format_args!("{error:?}"));
-                return None;
-            }
-        };
+    async fn counters(
+        &mut self,
+        true_ms: u64,
+    ) -> Option<BTreeMap<Arc<str>, BTreeMap<u64, StartRows>>> {
+        let read = self.edge.newest(Topic::Starts).await;
+        self.store.note(&read);
+        // The windows are due again with the next tick.
+        let page = read.ok()?;
         let oldest = self.times.window_of(true_ms.saturating_sub(4 * self.times.late_ms));
         let mut counters = BTreeMap::new();
         let mut unused = Vec::new();
--- a/crates/serve/src/tasks/starts.rs
+++ b/crates/serve/src/tasks/starts.rs
@@ -1,13 +1,14 @@
 //! Writes this instance's counted starts into the store.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use cowslip_border::to_json;
 use cowslip_proto as proto;
+use cowslip_usage::StartRows;
 
 use super::HubHandle;
-use super::authority::rows_from_proto;
 use super::dependency::Dependency;
 use crate::edge::{Appended, Edge, StoreError, Topic};
 use crate::hub::{HubMessage, StartWindows};
@@ -52,20 +53,22 @@
     format!("{}/{}", holder.instance, holder.incarnation)
 }
 
+/// Rows of one window as messages and records hold them.
+pub(super) fn window_to_proto(window: u64, rows: &StartRows) -> proto::StartWindow {
+    let rows = rows.iter().map(|(workspace, starts)| proto::StartRow {
+        workspace: workspace.to_string(),
+        starts: *starts,
+    });
+    proto::StartWindow { window, rows: rows.collect() }
+}
+
+/// Rows of a window by workspace.
+pub(super) fn rows_from_proto(window: proto::StartWindow) -> StartRows {
+    window.rows.into_iter().map(|row| (Arc::from(row.workspace), row.starts)).collect()
+}
+
 pub(crate) fn windows_to_proto(windows: &StartWindows) -> Vec<proto::StartWindow> {
-    windows
-        .iter()
-        .map(|(window, rows)| proto::StartWindow {
-            window: *window,
-            rows: rows
-                .iter()
-                .map(|(workspace, starts)| proto::StartRow {
-                    workspace: workspace.to_string(),
-                    starts: *starts,
-                })
-                .collect(),
-        })
-        .collect()
+    windows.iter().map(|(window, rows)| window_to_proto(*window, rows)).collect()
 }
 
 pub(crate) fn windows_from_proto(windows: Vec<proto::StartWindow>) -> StartWindows {
--- a/crates/task/src/lib.rs
+++ b/crates/task/src/lib.rs
@@ -3,5 +3,5 @@
 mod event;
 mod handle;
 
-pub use event::EventRow;
+pub use event::{EventRow, Level};
 pub use handle::{Handle, Reply, answer};
