--- a/crates/entry/src/hub/peers.rs
+++ b/crates/entry/src/hub/peers.rs
@@ -28,12 +28,13 @@
     pub(super) fn own_heartbeat(&self) -> proto::Heartbeat {
         let now_ms = self.clock.now_ms();
         let loads: BTreeMap<&Name, u32> = self.requests.loads();
-        let suspects = self.suspects.newest().take(MAX_SUSPECTS).map(|(fingerprint, upstreams)| {
-            proto::Suspect {
-                digest_hex: digest_hex(fingerprint),
-                upstreams: upstreams.iter().cloned().collect(),
-            }
-        });
+        let suspects =
+            self.suspects.changed_after(0).take(MAX_SUSPECTS).map(|(fingerprint, upstreams)| {
+                proto::Suspect {
+                    digest_hex: digest_hex(fingerprint),
+                    upstreams: upstreams.iter().cloned().collect(),
+                }
+            });
         proto::Heartbeat {
             from: holder_to_proto(&self.me),
             failure_domain: self.config.settings.instance.failure_domain.clone(),
--- a/crates/poison/src/suspects.rs
+++ b/crates/poison/src/suspects.rs
@@ -7,12 +7,20 @@
 /// BLAKE3 of method, path and body of a request.
 pub type Fingerprint = [u8; 32];
 
-/// Requests under suspicion, a bounded number of them.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+struct Suspect {
+    upstreams: BTreeSet<Name>,
+    changed_at: u64,
+}
+
+/// Requests under suspicion, a bounded number of them. Each change has a number, so that others
+/// can be told only what they have not heard.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Suspects {
     limit: usize,
     capacity: usize,
-    lost: BTreeMap<Fingerprint, BTreeSet<Name>>,
+    lost: BTreeMap<Fingerprint, Suspect>,
+    changes: u64,
     order: VecDeque<Fingerprint>,
     /// Requests that were suspected and have been answered since, the newest last.
     innocent: VecDeque<Fingerprint>,
@@ -26,6 +34,7 @@
             limit,
             capacity,
             lost: BTreeMap::new(),
+            changes: 0,
             order: VecDeque::new(),
             innocent: VecDeque::new(),
         }
@@ -37,10 +46,13 @@
             return;
         }
         let known = self.lost.entry(fingerprint).or_default();
-        if known.is_empty() {
+        if known.upstreams.is_empty() {
             self.order.push_back(fingerprint);
         }
-        known.insert(upstream);
+        if known.upstreams.insert(upstream) {
+            self.changes += 1;
+            known.changed_at = self.changes;
+        }
         while self.order.len() > self.capacity {
             if let Some(oldest) = self.order.pop_front() {
                 self.lost.remove(&oldest);
@@ -64,11 +76,25 @@
     /// Whether the request may not run any more.
     #[must_use]
     pub fn is_refused(&self, fingerprint: &Fingerprint) -> bool {
-        self.lost.get(fingerprint).is_some_and(|upstreams| upstreams.len() >= self.limit)
+        self.lost.get(fingerprint).is_some_and(|suspect| suspect.upstreams.len() >= self.limit)
+    }
+
+    /// Number of the newest change.
+    #[must_use]
+    pub fn changes(&self) -> u64 {
+        self.changes
     }
 
-    /// All suspicions to be shared, the newest first.
-    pub fn newest(&self) -> impl Iterator<Item = (&Fingerprint, &BTreeSet<Name>)> {
-        self.order.iter().rev().filter_map(|fingerprint| self.lost.get_key_value(fingerprint))
+    /// Suspicions that changed after this change, the newest request first.
+    pub fn changed_after(
+        &self,
+        change: u64,
+    ) -> impl Iterator<Item = (&Fingerprint, &BTreeSet<Name>)> {
+        self.order
+            .iter()
+            .rev()
+            .filter_map(|fingerprint| self.lost.get_key_value(fingerprint))
+            .filter(move |(_, suspect)| suspect.changed_at > change)
+            .map(|(fingerprint, suspect)| (fingerprint, &suspect.upstreams))
     }
 }
--- a/crates/poison/tests/suspects.rs
+++ b/crates/poison/tests/suspects.rs
@@ -64,5 +64,40 @@
             suspects.on_answer(&[number; 32]);
         }
     }
-    assert!(suspects.newest().count() <= 4);
+    assert!(suspects.changed_after(0).count() <= 4);
+}
+
+#[test]
+fn only_what_changed_is_told_again() {
+    struct Case {
+        name: &'static str,
+        losses: &'static [(u8, &'static str)],
+        told: u64,
+        expected: &'static [u8],
+    }
+    let cases = [
+        Case { name: "nothing", losses: &[], told: 0, expected: &[] },
+        Case { name: "all", losses: &[(1, "a"), (2, "a")], told: 0, expected: &[2, 1] },
+        Case { name: "the newer one", losses: &[(1, "a"), (2, "a")], told: 1, expected: &[2] },
+        Case {
+            name: "the older one, lost again",
+            losses: &[(1, "a"), (2, "a"), (1, "b")],
+            told: 2,
+            expected: &[1],
+        },
+        Case {
+            name: "a loss that was known",
+            losses: &[(1, "a"), (2, "a"), (1, "a")],
+            told: 2,
+            expected: &[],
+        },
+    ];
+    for Case { name, losses, told, expected } in cases {
+        let mut suspects = Suspects::new(3, 4);
+        for (number, upstream) in losses {
+            suspects.on_loss([*number; 32], Name::new(upstream).expect("a name"));
+        }
+        let changed: Vec<u8> = suspects.changed_after(told).map(|(digest, _)| digest[0]).collect();
+        assert_eq!(changed, expected, "{name}");
+    }
 }
--- a/crates/proto/src/generated.rs
+++ b/crates/proto/src/generated.rs
@@ -904,6 +904,56 @@
     pub platform: PlatformSettings,
     pub usage: UsageSettings,
 }
+///How much of what one life of an instance knows another has been told.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "How much of what one life of an instance knows another has been told.",
+///  "type": "object",
+///  "required": [
+///    "incarnation",
+///    "instances",
+///    "roster",
+///    "suspects"
+///  ],
+///  "properties": {
+///    "incarnation": {
+///      "type": "integer",
+///      "format": "uint64"
+///    },
+///    "instances": {
+///      "description": "Changes of the list of instances.",
+///      "type": "integer",
+///      "format": "uint64"
+///    },
+///    "roster": {
+///      "description": "Changes of upstreams' entries.",
+///      "type": "integer",
+///      "format": "uint64"
+///    },
+///    "suspects": {
+///      "description": "Changes of suspicions.",
+///      "type": "integer",
+///      "format": "uint64"
+///    }
+///  },
+///  "additionalProperties": false
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct FeedPlace {
+    pub incarnation: u64,
+    ///Changes of the list of instances.
+    pub instances: u64,
+    ///Changes of upstreams' entries.
+    pub roster: u64,
+    ///Changes of suspicions.
+    pub suspects: u64,
+}
 ///What the asker lacks.
 ///
 /// <details><summary>JSON schema</summary>
@@ -914,6 +964,9 @@
 ///  "type": "object",
 ///  "required": [
 ///    "declaration",
+///    "instances",
+///    "place",
+///    "reads_store",
 ///    "roster",
 ///    "suspects",
 ///    "true_ms"
@@ -929,6 +982,24 @@
 ///        }
 ///      ]
 ///    },
+///    "instances": {
+///      "description": "The list, if it has changed.",
+///      "oneOf": [
+///        {
+///          "$ref": "#/definitions/FeederList"
+///        },
+///        {
+///          "type": "null"
+///        }
+///      ]
+///    },
+///    "place": {
+///      "$ref": "#/definitions/FeedPlace"
+///    },
+///    "reads_store": {
+///      "description": "Whether the answering instance's own reads of the store succeed.",
+///      "type": "boolean"
+///    },
 ///    "roster": {
 ///      "type": "array",
 ///      "items": {
@@ -954,6 +1025,11 @@
 #[serde(deny_unknown_fields)]
 pub struct FeedReply {
     pub declaration: ::std::option::Option<StoredRecord>,
+    ///The list, if it has changed.
+    pub instances: ::std::option::Option<FeederList>,
+    pub place: FeedPlace,
+    ///Whether the answering instance's own reads of the store succeed.
+    pub reads_store: bool,
     pub roster: ::std::vec::Vec<StoredRecord>,
     pub suspects: ::std::vec::Vec<Suspect>,
     pub true_ms: u64,
@@ -971,10 +1047,13 @@
 ///    "failure_domain",
 ///    "from",
 ///    "peer_address",
-///    "roster_after",
+///    "reads_store",
+///    "seen",
 ///    "starts",
 ///    "suspects",
-///    "true_ms"
+///    "true_ms",
+///    "wants_instances",
+///    "wants_roster"
 ///  ],
 ///  "properties": {
 ///    "declaration_offset": {
@@ -994,22 +1073,30 @@
 ///    "peer_address": {
 ///      "type": "string"
 ///    },
-///    "roster_after": {
-///      "description": "Wants upstream entries after this offset; null while it reads the store itself.",
-///      "type": [
-///        "integer",
-///        "null"
-///      ],
-///      "format": "uint64"
+///    "reads_store": {
+///      "description": "Whether its own reads of the store succeed.",
+///      "type": "boolean"
+///    },
+///    "seen": {
+///      "description": "What it has been told by the instance that it asks, null for nothing.",
+///      "oneOf": [
+///        {
+///          "$ref": "#/definitions/FeedPlace"
+///        },
+///        {
+///          "type": "null"
+///        }
+///      ]
 ///    },
 ///    "starts": {
-///      "description": "Its own starts while it cannot write them into the store, else empty.",
+///      "description": "Starts that it does not write into the store itself, or could not write, since the last exchange.",
 ///      "type": "array",
 ///      "items": {
-///        "$ref": "#/definitions/StartWindow"
+///        "$ref": "#/definitions/InstanceStarts"
 ///      }
 ///    },
 ///    "suspects": {
+///      "description": "Suspicions that have changed since the last exchange.",
 ///      "type": "array",
 ///      "items": {
 ///        "$ref": "#/definitions/Suspect"
@@ -1019,6 +1106,14 @@
 ///      "description": "Its estimate of the time of day.",
 ///      "type": "integer",
 ///      "format": "uint64"
+///    },
+///    "wants_instances": {
+///      "description": "Whether it wants the list of instances.",
+///      "type": "boolean"
+///    },
+///    "wants_roster": {
+///      "description": "Whether it wants the upstreams' entries.",
+///      "type": "boolean"
 ///    }
 ///  },
 ///  "additionalProperties": false
@@ -1033,13 +1128,58 @@
     pub failure_domain: cowslip_name::Name,
     pub from: Holder,
     pub peer_address: ::std::string::String,
-    ///Wants upstream entries after this offset; null while it reads the store itself.
-    pub roster_after: ::std::option::Option<u64>,
-    ///Its own starts while it cannot write them into the store, else empty.
-    pub starts: ::std::vec::Vec<StartWindow>,
+    ///Whether its own reads of the store succeed.
+    pub reads_store: bool,
+    ///What it has been told by the instance that it asks, null for nothing.
+    pub seen: ::std::option::Option<FeedPlace>,
+    ///Starts that it does not write into the store itself, or could not write, since the last exchange.
+    pub starts: ::std::vec::Vec<InstanceStarts>,
+    ///Suspicions that have changed since the last exchange.
     pub suspects: ::std::vec::Vec<Suspect>,
     ///Its estimate of the time of day.
     pub true_ms: u64,
+    ///Whether it wants the list of instances.
+    pub wants_instances: bool,
+    ///Whether it wants the upstreams' entries.
+    pub wants_roster: bool,
+}
+///Instances, for those that do not read their entries.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "Instances, for those that do not read their entries.",
+///  "type": "object",
+///  "required": [
+///    "count",
+///    "feeders"
+///  ],
+///  "properties": {
+///    "count": {
+///      "description": "Number of all instances.",
+///      "type": "integer",
+///      "format": "uint32"
+///    },
+///    "feeders": {
+///      "description": "Those that read the store for others.",
+///      "type": "array",
+///      "items": {
+///        "$ref": "#/definitions/InstanceEntry"
+///      }
+///    }
+///  },
+///  "additionalProperties": false
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct FeederList {
+    ///Number of all instances.
+    pub count: u32,
+    ///Those that read the store for others.
+    pub feeders: ::std::vec::Vec<InstanceEntry>,
 }
 ///Whether an upstream refuses orders with an old fencing number.
 ///
@@ -1507,6 +1647,41 @@
     pub peer_address: ::std::string::String,
     pub region: cowslip_name::Name,
 }
+///Starts of one life of an instance, in windows that have changed.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "Starts of one life of an instance, in windows that have changed.",
+///  "type": "object",
+///  "required": [
+///    "key",
+///    "windows"
+///  ],
+///  "properties": {
+///    "key": {
+///      "description": "Key under which they stand in the store.",
+///      "type": "string"
+///    },
+///    "windows": {
+///      "type": "array",
+///      "items": {
+///        "$ref": "#/definitions/StartWindow"
+///      }
+///    }
+///  },
+///  "additionalProperties": false
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct InstanceStarts {
+    ///Key under which they stand in the store.
+    pub key: ::std::string::String,
+    pub windows: ::std::vec::Vec<StartWindow>,
+}
 ///One instance as seen by the one that answers.
 ///
 /// <details><summary>JSON schema</summary>
--- a/crates/serve/src/events.rs
+++ b/crates/serve/src/events.rs
@@ -32,6 +32,8 @@
     PeerLost = 600, Warn, "another instance cannot be reached";
     PeerBack = 601, Info, "another instance can be reached again";
     PeerBad = 602, Warn, "another instance sent a malformed message";
+    ReadingBegun = 603, Info, "this instance reads the store itself";
+    ReadingEnded = 604, Info, "feeders read the store for this instance";
     LinesDropped = 900, Warn, "log lines were dropped to bound the volume";
 }
 
--- a/crates/serve/src/hub/feed.rs
+++ b/crates/serve/src/hub/feed.rs
@@ -1,85 +1,60 @@
-//! What instances tell each other, and how they know of each other.
+//! What instances tell each other.
 
-use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::sync::Arc;
 
 use cowslip_border::{digest_hex, holder_to_proto, parse_digest};
 use cowslip_name::Name;
 use cowslip_proto as proto;
 
-use super::Hub;
+use super::{Hub, LinkState};
 use crate::edge::{Edge, Stored};
 use crate::events::{Event, event};
-use crate::tasks::{LinkCommand, Peer, starts_key, windows_from_proto, windows_to_proto};
+use crate::tasks::{windows_from_proto, windows_to_proto};
 
 /// Suspicions in one message; the newest ones.
-const TOLD_SUSPECTS: usize = 32;
-/// Entries of instances that were not written again for this long are ignored.
-const ENTRY_LIFE_MS: u64 = 60_000; // three times the interval between writes
-/// The system's instances as their own entries say.
-#[derive(Debug, Default)]
-pub(super) struct Instances {
-    entries: BTreeMap<Name, proto::InstanceEntry>,
-}
-
-impl Instances {
-    pub(super) fn begin_list(&mut self) {
-        self.entries.clear();
-    }
-
-    pub(super) fn on_entry(&mut self, entry: proto::InstanceEntry) {
-        self.entries.insert(entry.holder.instance.clone(), entry);
-    }
-
-    /// Takes note of an instance that asks; tells whether it was not known.
-    fn on_asker(&mut self, request: &proto::FeedRequest) -> bool {
-        let name = &request.from.instance;
-        let is_known = self.entries.get(name).is_some_and(|entry| entry.holder == request.from);
-        if !is_known {
-            self.on_entry(proto::InstanceEntry {
-                holder: request.from.clone(),
-                peer_address: request.peer_address.clone(),
-                failure_domain: request.failure_domain.clone(),
-                written_at_ms: request.true_ms,
-            });
-        }
-        !is_known
-    }
-
-    pub(super) fn on_removed(&mut self, key: &str) {
-        self.entries.retain(|name, _| name.as_str() != key);
-    }
-
-    /// Number of instances, this one included whether it has an entry or not.
-    pub(super) fn count(&self) -> usize {
-        self.entries.len().max(1)
-    }
-}
+const TOLD_SUSPECTS: usize = 64;
+/// Pauses between two reads of the upstreams' entries after which reading counts as failed.
+const MISSED_READS: u32 = 3;
 
 impl<E> Hub<E>
 where
     E: Edge,
 {
-    pub(super) fn own_feed(&self) -> proto::FeedRequest {
-        let roster_after = (!self.is_roster_readable || !self.is_roster_known).then(|| {
-            self.roster_records.values().map(|record| record.offset).max().unwrap_or_default()
-        });
-        proto::FeedRequest {
+    /// Whether this instance's own reads of the upstreams' entries succeed.
+    pub(super) fn reads_store(&self, now_ms: u64) -> bool {
+        let limit = self.config.follow_every() * MISSED_READS;
+        self.roster_reads.succeed(now_ms, limit)
+    }
+
+    pub(super) fn own_feed(&self, link: &LinkState) -> (proto::FeedRequest, LinkState) {
+        let now_ms = self.clock.now_ms();
+        let reads_store = self.reads_store(now_ms);
+        let tells_starts = !self.feeding.is_reader(now_ms) || self.starts.has_failed();
+        let starts = self.starts.changed_after(link.told_starts).filter(|_| tells_starts);
+        let request = proto::FeedRequest {
             from: holder_to_proto(&self.me),
             peer_address: self.config.peer_address.to_string(),
             failure_domain: self.config.settings.instance.failure_domain.clone(),
+            reads_store,
             declaration_offset: self.declaration.as_ref().map(|record| record.offset),
-            roster_after,
+            wants_roster: !self.feeding.is_feeder() || !reads_store || !self.is_roster_known,
+            wants_instances: !self.feeding.is_reader(now_ms),
+            seen: link.seen.clone(),
             true_ms: self.true_ms(),
-            suspects: self.own_suspects(),
-            starts: self.starts.unwritten().map(windows_to_proto).unwrap_or_default(),
-        }
+            suspects: self.suspects_after(link.told_suspects),
+            starts: starts.map(|(key, windows)| to_proto_starts(key, &windows)).collect(),
+        };
+        let told = LinkState {
+            seen: link.seen.clone(),
+            told_starts: if tells_starts { self.starts.changes() } else { link.told_starts },
+            told_suspects: self.suspects.changes(),
+        };
+        (request, told)
     }
 
-    fn own_suspects(&self) -> Vec<proto::Suspect> {
+    fn suspects_after(&self, change: u64) -> Vec<proto::Suspect> {
         self.suspects
-            .newest()
+            .changed_after(change)
             .take(TOLD_SUSPECTS)
             .map(|(digest, upstreams)| proto::Suspect {
                 digest_hex: digest_hex(digest),
@@ -88,44 +63,68 @@
             .collect()
     }
 
-    pub(super) fn on_feed(&mut self, request: &proto::FeedRequest) -> proto::FeedReply {
+    pub(super) fn on_feed(&mut self, request: proto::FeedRequest) -> proto::FeedReply {
+        let now_ms = self.clock.now_ms();
         self.on_suspects(&request.suspects);
-        if !request.starts.is_empty() {
-            let told = windows_from_proto(request.starts.clone());
-            self.told_starts.insert(Arc::from(starts_key(&request.from)), told);
-        }
-        if self.instances.on_asker(request) {
-            self.tell_links();
+        self.instances.on_asker(&request);
+        self.feeding.on_asked(now_ms, &request.from.instance, request.reads_store);
+        for told in request.starts {
+            let windows = windows_from_proto(told.windows);
+            self.starts.on_told(&Arc::from(told.key), &windows);
         }
+        let nothing = proto::FeedPlace {
+            incarnation: self.me.incarnation,
+            roster: 0,
+            suspects: 0,
+            instances: 0,
+        };
+        let seen = request.seen.filter(|seen| seen.incarnation == self.me.incarnation);
+        let seen = seen.unwrap_or(nothing);
         let declaration = self
             .declaration
             .as_ref()
             .filter(|record| request.declaration_offset.is_none_or(|has| has < record.offset))
             .map(to_proto);
-        let roster = match request.roster_after {
-            Some(after) if self.is_roster_known => self
-                .roster_records
-                .values()
-                .filter(|one| one.offset > after)
-                .map(to_proto)
-                .collect(),
-            _ => Vec::new(),
-        };
-        let true_ms = self.true_ms();
-        proto::FeedReply { declaration, roster, true_ms, suspects: self.own_suspects() }
+        let reads_store = self.reads_store(now_ms);
+        let tells_roster = request.wants_roster && self.is_roster_known;
+        let tells_instances = request.wants_instances && reads_store;
+        // A removal that may only be late is told once the upstream is held for gone.
+        let is_settled =
+            |one: &&Stored| !one.value.is_empty() || self.roster.get(&one.key).is_none();
+        let roster = self.roster_records.changed_after(seen.roster).filter(|_| tells_roster);
+        proto::FeedReply {
+            reads_store,
+            declaration,
+            roster: roster.filter(is_settled).map(to_proto).collect(),
+            instances: self.instances.changed_after(seen.instances).filter(|_| tells_instances),
+            true_ms: self.true_ms(),
+            suspects: self.suspects_after(seen.suspects),
+            place: proto::FeedPlace {
+                incarnation: self.me.incarnation,
+                roster: if tells_roster { self.roster_records.changes() } else { seen.roster },
+                suspects: self.suspects.changes(),
+                instances: if tells_instances { self.instances.changes() } else { seen.instances },
+            },
+        }
     }
 
-    pub(super) fn on_feed_answer(&mut self, answer: proto::FeedReply) {
-        self.true_time.on_estimate(self.clock.now_ms(), answer.true_ms);
+    pub(super) fn on_feed_answer(&mut self, from: &Name, answer: proto::FeedReply) {
+        let now_ms = self.clock.now_ms();
+        self.true_time.on_estimate(now_ms, answer.true_ms);
         self.on_suspects(&answer.suspects);
         if let Some(record) = answer.declaration {
             self.on_declaration(from_proto(record), "instance");
         }
-        let is_fed = !answer.roster.is_empty();
+        self.is_roster_known |= !answer.roster.is_empty();
         for record in answer.roster {
             self.on_upstream(from_proto(record), "instance");
         }
-        self.is_roster_known |= is_fed;
+        if let Some(list) = answer.instances {
+            self.on_instance_list(&list);
+        }
+        if answer.reads_store {
+            self.feeding.on_fed(now_ms, from);
+        }
     }
 
     fn on_suspects(&mut self, suspects: &[proto::Suspect]) {
@@ -139,25 +138,10 @@
             }
         }
     }
+}
 
-    /// Tells the links who the other instances are.
-    pub(super) fn tell_links(&self) {
-        let true_ms = self.true_ms();
-        let peers: Vec<Peer> = self
-            .instances
-            .entries
-            .values()
-            .filter(|entry| entry.holder.instance != self.me.instance)
-            .filter(|entry| entry.written_at_ms + ENTRY_LIFE_MS > true_ms)
-            .filter_map(|entry| {
-                let address: SocketAddr = entry.peer_address.parse().ok()?;
-                Some(Peer { name: entry.holder.instance.clone(), address })
-            })
-            .collect();
-        self.metrics.peers.set(i64::try_from(peers.len()).unwrap_or(i64::MAX));
-        // When full, a newer list follows with the next read of the entries.
-        let _ = self.links.try_send(LinkCommand { peers });
-    }
+fn to_proto_starts(key: &Arc<str>, windows: &cowslip_usage::StartWindows) -> proto::InstanceStarts {
+    proto::InstanceStarts { key: key.to_string(), windows: windows_to_proto(windows) }
 }
 
 fn to_proto(record: &Stored) -> proto::StoredRecord {
--- a/crates/serve/src/hub/message.rs
+++ b/crates/serve/src/hub/message.rs
@@ -4,9 +4,11 @@
 use std::sync::Arc;
 
 use cowslip_fleet::{Allowed, CapacityOrder, Outcome, Prompt, RoleOrder, Upstream};
+use cowslip_name::Name;
 use cowslip_poison::Fingerprint;
 use cowslip_proto as proto;
 pub(crate) use cowslip_task::Reply;
+use cowslip_usage::StartWindows;
 
 use crate::edge::{Page, Topic};
 
@@ -41,12 +43,14 @@
     Records { topic: Topic, page: Page, is_list: bool },
     /// Whether a topic can be read.
     StoreState { topic: Topic, is_up: bool },
-    /// What this instance tells and asks another.
-    OwnFeed { reply: Reply<proto::FeedRequest> },
+    /// Whether this instance has to read a topic of the store itself.
+    Reads { topic: Topic, reply: Reply<Reads> },
+    /// What this instance tells and asks another, and the state of the link once that has arrived.
+    OwnFeed { link: LinkState, reply: Reply<(proto::FeedRequest, LinkState)> },
     /// Another instance asks.
     Feed { request: Box<proto::FeedRequest>, reply: Reply<proto::FeedReply> },
     /// Another instance's answer.
-    FeedAnswer { answer: Box<proto::FeedReply> },
+    FeedAnswer { from: Name, answer: Box<proto::FeedReply> },
     /// The fencing number under which this instance may act until a time.
     Authority { fence: Option<Held> },
     /// Asks for that fencing number.
@@ -54,11 +58,11 @@
     /// What is to be ordered?
     Plan { reply: Reply<Plans> },
     /// Starts to be written, if any changed.
-    TakeStarts { reply: Reply<Option<StartWindows>> },
+    TakeStarts { reply: Reply<Vec<(Arc<str>, StartWindows)>> },
     /// They were written, or not.
     StartsWritten { is_written: bool },
-    /// Starts that other instances have told, by the key under which they would write them.
-    ToldStarts { reply: Reply<BTreeMap<Arc<str>, StartWindows>> },
+    /// All starts that are known here, by the key of their records.
+    KnownStarts { reply: Reply<BTreeMap<Arc<str>, StartWindows>> },
     /// Estimate of the time of day.
     TrueTime { reply: Reply<u64> },
     /// Whether new connections may come.
@@ -67,8 +71,27 @@
     Stop,
 }
 
-/// Starts by window and workspace.
-pub(crate) type StartWindows = BTreeMap<u64, BTreeMap<Arc<str>, u64>>;
+/// Whether a topic is read.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Reads {
+    /// Others read it for this instance.
+    Not,
+    /// On from the last read.
+    On,
+    /// All of it again: what is known is not from this instance's own reads.
+    Anew,
+}
+
+/// How far the two sides of a link have told each other.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct LinkState {
+    /// What the other side has told.
+    pub(crate) seen: Option<proto::FeedPlace>,
+    /// Number of the newest change of starts that the other side has been told.
+    pub(crate) told_starts: u64,
+    /// The same of suspicions.
+    pub(crate) told_suspects: u64,
+}
 
 /// A request as far as its head tells.
 #[derive(Clone, Debug)]
--- a/crates/serve/src/hub/mod.rs
+++ b/crates/serve/src/hub/mod.rs
@@ -1,37 +1,44 @@
 //! The task that owns the state and every decision of the instance.
 
 mod feed;
+mod instances;
 mod message;
 mod records;
 mod requests;
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::sync::Arc;
 
 use async_channel::{Receiver, Sender};
 use cowslip_authority::Holder;
+use cowslip_border::holder_to_proto;
 use cowslip_clock::{Clock, wall_ms};
-use cowslip_fleet::{Deployment, Health, RepeatBudget, Roster, plan_capacity, plan_roles};
+use cowslip_fleet::{Change, Deployment, Health, RepeatBudget, Roster, plan_capacity, plan_roles};
+use cowslip_member::Feeding;
 use cowslip_poison::Suspects;
 use cowslip_task::answer;
-use cowslip_usage::{StartCounter, TrueTime, WindowTimes};
+use cowslip_usage::{StartBook, StartWindows, TrueTime, WindowTimes};
 
 use crate::config::Config;
-use crate::edge::{Edge, Stored};
+use crate::edge::{Edge, Stored, Topic};
+use crate::events::{Event, event};
 use crate::metrics::Metrics;
-use crate::tasks::LinkCommand;
+use crate::tasks::{LinkCommand, Peer, starts_key};
 
 pub(crate) use message::{
-    Admitted, Again, Grant, Held, HubMessage, Plans, Question, Refusal, StartWindows, Wanted,
+    Admitted, Again, Grant, Held, HubMessage, LinkState, Plans, Question, Reads, Refusal, Wanted,
 };
 
-use feed::Instances;
+use instances::Instances;
+use records::{RosterReads, RosterRecords};
 use requests::{OwnLoad, Running};
 
 /// Suspicious requests that are remembered.
 const REMEMBERED_SUSPECTS: usize = 4_096;
 /// Windows whose starts are kept, so that a late or repeated write still has them.
 const KEPT_WINDOWS: u64 = 5; // 25 s at the users' 5 s a window, longer than a report may be late
+/// How long an answer of a feeder counts: two exchanges at the usual interval, and a round trip.
+const FED_MS: u64 = 1_200;
 
 /// The owner of the state.
 #[derive(Debug)]
@@ -46,10 +53,10 @@
     /// The record that `deployment` was decoded from, for instances that cannot read it.
     declaration: Option<Stored>,
     roster: Roster,
-    /// Newest record of each upstream, for instances that cannot read them.
-    roster_records: BTreeMap<Arc<str>, Stored>,
+    /// What others are told of the upstreams' entries.
+    roster_records: RosterRecords,
     is_roster_known: bool,
-    is_roster_readable: bool,
+    roster_reads: RosterReads,
     health: Health,
     loads: HashMap<Arc<str>, OwnLoad>,
     running: HashMap<u64, Running>,
@@ -57,11 +64,14 @@
     budget: RepeatBudget,
     suspects: Suspects,
     instances: Instances,
+    feeding: Feeding,
+    is_reader: bool,
+    partners: Vec<Peer>,
     true_time: TrueTime,
     window_times: WindowTimes,
-    starts: StartCounter,
-    /// Starts of instances that cannot write them, as they have told.
-    told_starts: BTreeMap<Arc<str>, StartWindows>,
+    starts: StartBook,
+    /// Key of this instance's own starts.
+    starts_key: Arc<str>,
     authority: Option<Held>,
     is_stopping: bool,
 }
@@ -80,6 +90,9 @@
         links: Sender<LinkCommand>,
     ) -> Self {
         let poison_limit = config.settings.limits.poison_limit as usize;
+        let domain = config.settings.instance.failure_domain.clone();
+        let feeding = Feeding::new(me.instance.clone(), domain, FED_MS);
+        metrics.is_reader.set(1);
         Self {
             edge,
             clock,
@@ -87,9 +100,9 @@
             deployment: None,
             declaration: None,
             roster: Roster::default(),
-            roster_records: BTreeMap::new(),
+            roster_records: RosterRecords::default(),
             is_roster_known: false,
-            is_roster_readable: true,
+            roster_reads: RosterReads::default(),
             health: Health::default(),
             loads: HashMap::new(),
             running: HashMap::new(),
@@ -97,10 +110,13 @@
             budget: RepeatBudget::new(config.budget_terms()),
             suspects: Suspects::new(poison_limit, REMEMBERED_SUSPECTS),
             instances: Instances::default(),
+            feeding,
+            is_reader: true,
+            partners: Vec::new(),
             true_time: TrueTime::new(clock.now_ms(), wall_ms()),
             window_times: config.window_times(),
-            starts: StartCounter::default(),
-            told_starts: BTreeMap::new(),
+            starts: StartBook::default(),
+            starts_key: Arc::from(starts_key(&holder_to_proto(&me))),
             authority: None,
             is_stopping: false,
             config,
@@ -142,9 +158,10 @@
             HubMessage::Lost { grant, upstream } => self.on_lost(grant, &upstream),
             HubMessage::Records { topic, page, is_list } => self.on_records(topic, page, is_list),
             HubMessage::StoreState { topic, is_up } => self.on_store_state(topic, is_up),
-            HubMessage::OwnFeed { reply } => answer(&reply, self.own_feed()),
-            HubMessage::Feed { request, reply } => answer(&reply, self.on_feed(&request)),
-            HubMessage::FeedAnswer { answer } => self.on_feed_answer(*answer),
+            HubMessage::Reads { topic, reply } => answer(&reply, self.reads(topic)),
+            HubMessage::OwnFeed { link, reply } => answer(&reply, self.own_feed(&link)),
+            HubMessage::Feed { request, reply } => answer(&reply, self.on_feed(*request)),
+            HubMessage::FeedAnswer { from, answer } => self.on_feed_answer(&from, *answer),
             HubMessage::Authority { fence } => {
                 self.metrics.is_holder.set(i64::from(fence.is_some()));
                 self.authority = fence;
@@ -153,7 +170,10 @@
             HubMessage::Plan { reply } => answer(&reply, self.plan()),
             HubMessage::TakeStarts { reply } => answer(&reply, self.take_starts()),
             HubMessage::StartsWritten { is_written } => self.starts.on_write(is_written),
-            HubMessage::ToldStarts { reply } => answer(&reply, self.told_starts.clone()),
+            HubMessage::KnownStarts { reply } => {
+                let known = self.starts.changed_after(0);
+                answer(&reply, known.map(|(key, windows)| (key.clone(), windows)).collect());
+            }
             HubMessage::TrueTime { reply } => answer(&reply, self.true_ms()),
             HubMessage::Ready { reply } => answer(&reply, self.is_ready()),
             HubMessage::Stop => self.is_stopping = true,
@@ -163,7 +183,14 @@
     fn on_tick(&mut self) {
         let now_ms = self.clock.now_ms();
         let changes = self.roster.on_tick(now_ms);
+        for change in &changes {
+            if let Change::Left(id, _) = change {
+                self.roster_records.on_dropped(id);
+            }
+        }
         self.note_changes(&changes, "store");
+        self.note_reader(now_ms);
+        self.tell_links();
         self.metrics.in_flight.set(i64::try_from(self.running.len()).unwrap_or(i64::MAX));
     }
 
@@ -190,11 +217,40 @@
         self.true_time.at(self.clock.now_ms())
     }
 
-    fn take_starts(&mut self) -> Option<StartWindows> {
+    fn reads(&self, topic: Topic) -> Reads {
+        if !self.feeding.is_reader(self.clock.now_ms()) {
+            Reads::Not
+        } else if topic == Topic::Instances && self.instances.is_told() {
+            Reads::Anew
+        } else {
+            Reads::On
+        }
+    }
+
+    /// Notes whether this instance reads the store from now on.
+    fn note_reader(&mut self, now_ms: u64) {
+        let is_reader = self.feeding.is_reader(now_ms);
+        if std::mem::replace(&mut self.is_reader, is_reader) == is_reader {
+            return;
+        }
+        if is_reader {
+            let why = if self.feeding.is_feeder() { "for others" } else { "it is not fed" };
+            event!(Event::ReadingBegun, why = why);
+        } else {
+            event!(Event::ReadingEnded, feeders = self.feeding.feeders().count());
+        }
+        self.metrics.is_reader.set(i64::from(is_reader));
+    }
+
+    /// Sums that this instance has to write: of one that is fed, its feeders write them.
+    fn take_starts(&mut self) -> Vec<(Arc<str>, StartWindows)> {
+        let now_ms = self.clock.now_ms();
         let window = self.window_times.window_of(self.true_ms());
-        let oldest = window.saturating_sub(KEPT_WINDOWS);
-        self.starts.forget_before(oldest);
-        self.told_starts.retain(|_, windows| windows.keys().any(|window| *window >= oldest));
-        self.starts.take_changed().cloned()
+        self.starts.forget_before(window.saturating_sub(KEPT_WINDOWS));
+        if self.is_stopping || self.feeding.is_reader(now_ms) {
+            self.starts.take_changed()
+        } else {
+            Vec::new()
+        }
     }
 }
--- a/crates/serve/src/hub/records.rs
+++ b/crates/serve/src/hub/records.rs
@@ -1,5 +1,9 @@
 //! Records of the store, read here or told by another instance.
 
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
 use cowslip_border::from_json;
 use cowslip_fleet::{Change, Leave};
 use cowslip_proto as proto;
@@ -11,6 +15,92 @@
 /// Removed upstreams that are remembered: hours of replacements at the users' sizes.
 const KEPT_REMOVALS: usize = 512;
 
+/// How this instance's own reads of the upstreams' entries went.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct RosterReads {
+    succeeded_at_ms: Option<u64>,
+    has_failed: bool,
+}
+
+impl RosterReads {
+    /// Whether the newest one succeeded, within `limit`.
+    pub(super) fn succeed(&self, now_ms: u64, limit: Duration) -> bool {
+        let is_recent = |at_ms| u128::from(now_ms.saturating_sub(at_ms)) < limit.as_millis();
+        !self.has_failed && self.succeeded_at_ms.is_some_and(is_recent)
+    }
+}
+
+/// The newest record of each upstream that says something new of it. Upstreams write theirs again
+/// every second or so; others are told only of changes, which are numbered.
+#[derive(Debug, Default)]
+pub(super) struct RosterRecords {
+    records: BTreeMap<Arc<str>, Numbered>,
+    changes: u64,
+}
+
+#[derive(Debug)]
+struct Numbered {
+    record: Stored,
+    changed_at: u64,
+}
+
+impl RosterRecords {
+    /// Number of the newest change.
+    pub(super) fn changes(&self) -> u64 {
+        self.changes
+    }
+
+    /// Records that changed after this change.
+    pub(super) fn changed_after(&self, change: u64) -> impl Iterator<Item = &Stored> {
+        self.records.values().filter(move |one| one.changed_at > change).map(|one| &one.record)
+    }
+
+    fn is_known(&self, record: &Stored) -> bool {
+        self.records.get(&record.key).is_some_and(|one| one.record.offset >= record.offset)
+    }
+
+    fn has_entry(&self, key: &str) -> bool {
+        self.records.get(key).is_some_and(|one| !one.record.value.is_empty())
+    }
+
+    fn put(&mut self, record: Stored, members: usize) {
+        self.changes += 1;
+        let numbered = Numbered { record: record.clone(), changed_at: self.changes };
+        self.records.insert(record.key, numbered);
+        self.forget_old_removals(members);
+    }
+
+    /// The upstream is held for gone only now: its removal is a change again.
+    pub(super) fn on_dropped(&mut self, key: &str) {
+        if let Some(numbered) = self.records.get_mut(key) {
+            self.changes += 1;
+            numbered.changed_at = self.changes;
+        }
+    }
+
+    /// Keys of entries that a list of all keys, as of an offset, lacks.
+    fn missing<'a>(&'a self, listed: &[Stored]) -> impl Iterator<Item = Arc<str>> + 'a {
+        let listed: std::collections::BTreeSet<Arc<str>> =
+            listed.iter().map(|record| record.key.clone()).collect();
+        self.records
+            .iter()
+            .filter(move |(key, one)| !one.record.value.is_empty() && !listed.contains(*key))
+            .map(|(key, _)| key.clone())
+    }
+
+    /// Removed keys are kept for instances that have not heard of them, the newest ones.
+    fn forget_old_removals(&mut self, members: usize) {
+        if self.records.len() <= members + KEPT_REMOVALS {
+            return;
+        }
+        let removed = self.records.values().filter(|one| one.record.value.is_empty());
+        let oldest = removed.min_by_key(|one| one.changed_at).map(|one| one.record.key.clone());
+        if let Some(key) = oldest {
+            self.records.remove(&key);
+        }
+    }
+}
+
 impl<E> Hub<E>
 where
     E: Edge,
@@ -30,8 +120,8 @@
                     self.on_declaration(record, "store");
                 }
             }
-            Topic::Roster => self.on_roster(page.records, is_list),
-            Topic::Instances => self.on_instances(&page.records, is_list),
+            Topic::Roster => self.on_roster(page, is_list),
+            Topic::Instances => self.on_instances(page.records, is_list),
             // Read by the tasks that write them.
             Topic::Lease | Topic::Starts => {}
         }
@@ -63,30 +153,40 @@
         self.declaration = Some(record);
     }
 
-    fn on_roster(&mut self, records: Vec<Stored>, is_list: bool) {
+    fn on_roster(&mut self, page: Page, is_list: bool) {
         let now_ms = self.clock.now_ms();
+        self.roster_reads.succeeded_at_ms = Some(now_ms);
         if is_list {
-            let listed = records.iter().map(|record| &*record.key);
+            let missing: Vec<Arc<str>> = self.roster_records.missing(&page.records).collect();
+            for key in missing {
+                let value = bytes::Bytes::new();
+                let offset = page.next.saturating_sub(1);
+                self.on_upstream(Stored { key, offset, value }, "list");
+            }
+            let listed = page.records.iter().map(|record| &*record.key);
             let changes = self.roster.on_list(now_ms, listed);
             self.note_changes(&changes, "list");
             self.is_roster_known = true;
         }
-        for record in records {
+        for record in page.records {
             self.on_upstream(record, "store");
         }
     }
 
     pub(super) fn on_upstream(&mut self, record: Stored, source: &str) {
-        let is_known =
-            self.roster_records.get(&record.key).is_some_and(|known| known.offset >= record.offset);
-        if is_known {
+        if self.roster_records.is_known(&record) {
             return;
         }
+        let mut is_news = true;
         let changes = if record.value.is_empty() {
             self.roster.on_removed(self.clock.now_ms(), &record.key)
         } else {
             match self.edge.upstream(&record.key, &record.value) {
-                Ok(entry) => self.roster.on_entry(entry),
+                Ok(entry) => {
+                    is_news = !self.roster_records.has_entry(&record.key)
+                        || self.roster.get(&record.key).is_none_or(|known| **known != entry);
+                    self.roster.on_entry(entry)
+                }
                 Err(why) => {
                     let upstream = &record.key;
                     event!(Event::RecordBad, topic = "Roster", upstream = upstream, why = why);
@@ -94,20 +194,10 @@
                 }
             }
         };
-        self.roster_records.insert(record.key.clone(), record);
-        self.forget_old_removals();
-        self.note_changes(&changes, source);
-    }
-
-    /// Removed keys are kept for instances that have not heard of them, the newest ones.
-    fn forget_old_removals(&mut self) {
-        if self.roster_records.len() <= self.roster.iter().count() + KEPT_REMOVALS {
-            return;
-        }
-        let removed = self.roster_records.values().filter(|record| record.value.is_empty());
-        if let Some(key) = removed.min_by_key(|one| one.offset).map(|one| one.key.clone()) {
-            self.roster_records.remove(&key);
+        if is_news {
+            self.roster_records.put(record, self.roster.iter().count());
         }
+        self.note_changes(&changes, source);
     }
 
     pub(super) fn note_changes(&mut self, changes: &[Change], source: &str) {
@@ -142,13 +232,13 @@
         if topic != Topic::Roster {
             return;
         }
-        if is_up && !self.is_roster_readable {
+        if is_up && self.roster_reads.has_failed {
             self.roster.on_store_return(self.clock.now_ms());
         }
-        self.is_roster_readable = is_up;
+        self.roster_reads.has_failed = !is_up;
     }
 
-    fn on_instances(&mut self, records: &[Stored], is_list: bool) {
+    fn on_instances(&mut self, records: Vec<Stored>, is_list: bool) {
         if is_list {
             self.instances.begin_list();
         }
--- a/crates/serve/src/hub/requests.rs
+++ b/crates/serve/src/hub/requests.rs
@@ -216,7 +216,7 @@
         if !std::mem::replace(&mut running.is_counted, true)
             && let Some(workspace) = &running.allowed.workspace
         {
-            self.starts.count(window, workspace);
+            self.starts.count(&self.starts_key, window, workspace);
         }
         if std::mem::replace(&mut running.is_waiting, false) {
             let upstream = running.answerer.id.clone();
--- a/crates/serve/src/metrics.rs
+++ b/crates/serve/src/metrics.rs
@@ -25,6 +25,7 @@
     "cowslip_upstreams",
     "cowslip_is_holder",
     "cowslip_peers",
+    "cowslip_is_reader",
 ];
 
 /// The metrics of this instance.
@@ -55,6 +56,8 @@
     pub(crate) is_holder: IntGauge,
     /// Other instances to which there are links.
     pub(crate) peers: IntGauge,
+    /// 1 while this instance reads the store itself.
+    pub(crate) is_reader: IntGauge,
 }
 
 impl Metrics {
@@ -97,6 +100,7 @@
             upstreams: gauge("cowslip_upstreams", "Upstreams that take work")?,
             is_holder: gauge("cowslip_is_holder", "1 while this instance holds the lease")?,
             peers: gauge("cowslip_peers", "Other instances to which there are links")?,
+            is_reader: gauge("cowslip_is_reader", "1 while this instance reads the store itself")?,
             registry,
         })
     }
--- a/crates/serve/src/run.rs
+++ b/crates/serve/src/run.rs
@@ -8,7 +8,6 @@
 use async_channel::{Receiver, Sender};
 use compio::net::TcpListener;
 use cowslip_authority::Holder;
-use cowslip_border::holder_to_proto;
 use cowslip_clock::Clock;
 use cowslip_net::{Body, ServerLimits, bind, full, serve};
 use cowslip_proto as proto;
@@ -26,7 +25,7 @@
 use crate::metrics::Metrics;
 use crate::tasks::{
     AuthorityJob, HubHandle, Pace, run_authority, run_duties, run_follower, run_links,
-    run_peer_server, run_presence, run_starts, run_ticker, starts_key, withdraw, write_starts,
+    run_peer_server, run_presence, run_starts, run_ticker, withdraw, write_starts,
 };
 
 /// Messages that may wait for the hub; when full, the sender waits.
@@ -41,7 +40,7 @@
 /// The same for the instances' entries: an instance must know the others before it needs them.
 const INSTANCES_WAIT_MS: u64 = 4_000;
 /// Pause between two such reads, so that entries that are written together come in one.
-const INSTANCES_PAUSE: Duration = Duration::from_millis(200);
+const INSTANCES_PAUSE: Duration = Duration::from_secs(1);
 /// Connections at the addresses of the balancer and of operators.
 const CONTROL_CONNECTIONS: usize = 64;
 const CONTROL_IDLE: Duration = Duration::from_secs(30);
@@ -119,9 +118,7 @@
     let left = config.stop_after().saturating_sub(passed).saturating_sub(LAST_WRITES);
     let is_finished = compio::time::timeout(left, callers).await.is_ok();
     let last_writes = async {
-        if let Some(Err(error)) =
-            write_starts(&edge, &hub, &starts_key(&holder_to_proto(&me))).await
-        {
+        if let Some(Err(error)) = write_starts(&edge, &hub).await {
             event!(Event::AppendFailed, topic = "Starts", why = format_args!("{error:?}"));
         }
         withdraw(&edge, instance.as_str()).await;
@@ -184,7 +181,7 @@
             follow(Topic::Instances, INSTANCES_PAUSE, INSTANCES_WAIT_MS),
             run_links(hub.clone(), config.feed_every(), link_commands).boxed_local(),
             run_presence(edge.clone(), hub.clone(), entry).boxed_local(),
-            run_starts(edge.clone(), hub.clone(), starts_key(&holder_to_proto(me))).boxed_local(),
+            run_starts(edge.clone(), hub.clone()).boxed_local(),
             run_authority(
                 edge.clone(),
                 hub.clone(),
--- a/crates/serve/src/tasks/authority.rs
+++ b/crates/serve/src/tasks/authority.rs
@@ -19,7 +19,7 @@
 use super::starts::{rows_from_proto, window_to_proto};
 use crate::edge::{Edge, Page, StoreError, Topic};
 use crate::events::{Event, event};
-use crate::hub::{Held, HubMessage};
+use crate::hub::{Held, HubMessage, Reads};
 
 const TICK: Duration = Duration::from_millis(100);
 /// Key of the lease's record.
@@ -50,6 +50,8 @@
     clock: Clock,
     register: Register,
     fixed: BTreeMap<u64, StartRows>,
+    /// What the reads have shown so far.
+    view: Option<RegisterView>,
     is_holder: bool,
     store: Dependency,
 }
@@ -68,7 +70,7 @@
     let register = Register::new(me, times, clock.now_ms());
     let store = Dependency::new(Topic::Lease, "the lease");
     let fixed = BTreeMap::new();
-    let mut task = Task { edge, hub, clock, register, fixed, is_holder: false, store };
+    let mut task = Task { edge, hub, clock, register, fixed, view: None, is_holder: false, store };
     loop {
         task.step(None).await;
         let job = compio::time::timeout(TICK, jobs.recv().fuse()).await;
@@ -100,26 +102,40 @@
         let now_ms = self.clock.now_ms();
         match self.register.next_step(now_ms) {
             RegisterStep::Wait => {}
+            // Instances that do not read the store are no candidates.
+            RegisterStep::Read if !self.is_holder && !self.reads().await => {}
             RegisterStep::Read => self.read(now_ms).await,
             RegisterStep::Write { at, record } => self.write(at, record, window).await,
         }
         self.tell().await;
     }
 
+    async fn reads(&self) -> bool {
+        let reads = self.hub.ask(|reply| HubMessage::Reads { topic: Topic::Lease, reply }).await;
+        reads.is_some_and(|reads| reads != Reads::Not)
+    }
+
     async fn read(&mut self, sent_at_ms: u64) {
-        let read = self.edge.newest(Topic::Lease).await;
+        let read = match &self.view {
+            None => self.edge.newest(Topic::Lease).await,
+            Some(view) => self.edge.read(Topic::Lease, view.end, 0).await,
+        };
         self.store.note(&read);
         match read {
             Ok(page) => {
-                let view = self.view(&page);
+                let view = self.fold(&page);
+                self.view = Some(view.clone());
                 self.register.on_view(self.clock.now_ms(), sent_at_ms, view);
             }
+            // What lies between is gone: only a list tells what is there now.
+            Err(StoreError::Expired) => self.view = None,
             Err(_) => compio::time::sleep(TICK * 4).await,
         }
     }
 
-    fn view(&mut self, page: &Page) -> RegisterView {
-        let mut newest = None;
+    /// The view after a page of records that follow the view before it.
+    fn fold(&mut self, page: &Page) -> RegisterView {
+        let mut newest = self.view.take().and_then(|view| view.newest);
         for record in page.records.iter().filter(|record| !record.value.is_empty()) {
             if let Some(number) = record.key.strip_prefix(WINDOW_KEY) {
                 let rows = from_json::<proto::StartWindow>(&record.value).map(rows_from_proto);
--- a/crates/serve/src/tasks/duties.rs
+++ b/crates/serve/src/tasks/duties.rs
@@ -244,9 +244,9 @@
         {
             event!(Event::AppendFailed, topic = "Starts", why = format_args!("{error:?}"));
         }
-        // What an instance cannot write it tells the others.
-        let told = self.hub.ask(|reply| HubMessage::ToldStarts { reply }).await;
-        for (key, windows) in told.unwrap_or_default() {
+        // What an instance has told or counted may not be written yet.
+        let known = self.hub.ask(|reply| HubMessage::KnownStarts { reply }).await;
+        for (key, windows) in known.unwrap_or_default() {
             merge(counters.entry(key).or_default(), &windows);
         }
         Some(counters)
--- a/crates/serve/src/tasks/follow.rs
+++ b/crates/serve/src/tasks/follow.rs
@@ -5,11 +5,13 @@
 use super::HubHandle;
 use super::dependency::Dependency;
 use crate::edge::{Edge, Page, StoreError, Topic};
-use crate::hub::HubMessage;
+use crate::hub::{HubMessage, Reads};
 use crate::metrics::Metrics;
 
 /// Pause after a read that failed; the store counts refused calls too.
 const RETRY: Duration = Duration::from_millis(400);
+/// Pause between two looks at whether others read for this instance.
+const LOOK: Duration = Duration::from_millis(100);
 
 /// How often a topic is read.
 #[derive(Clone, Copy, Debug)]
@@ -20,7 +22,8 @@
     pub(crate) wait_ms: u64,
 }
 
-/// Reads until the process ends: first the newest record of each key, then what follows.
+/// Reads until the process ends: first the newest record of each key, then what follows. Nothing is
+/// read while other instances do it for this one.
 pub(crate) async fn run_follower<E>(
     edge: E,
     hub: HubHandle,
@@ -33,6 +36,15 @@
     let mut next = None;
     let mut store = Dependency::new(topic, "reading");
     loop {
+        match hub.ask(|reply| HubMessage::Reads { topic, reply }).await {
+            Some(Reads::Not) => {
+                next = None;
+                compio::time::sleep(LOOK).await;
+                continue;
+            }
+            Some(Reads::Anew) => next = None,
+            Some(Reads::On) | None => {}
+        }
         let read = match next {
             None => edge.newest(topic).await,
             Some(from) => edge.read(topic, from, schedule.wait_ms).await,
@@ -59,7 +71,8 @@
 }
 
 async fn tell(hub: &HubHandle, topic: Topic, page: Page, is_list: bool) {
-    if is_list || !page.records.is_empty() || page.skipped > 0 {
+    // That the roster was read is news too: others rely on this instance's reads of it.
+    if is_list || !page.records.is_empty() || page.skipped > 0 || topic == Topic::Roster {
         hub.tell(HubMessage::Records { topic, page, is_list }).await;
     }
 }
--- a/crates/serve/src/tasks/links.rs
+++ b/crates/serve/src/tasks/links.rs
@@ -1,4 +1,4 @@
-//! One link to each other instance, over which it is told and asked.
+//! One link to each instance that this one exchanges with.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -15,7 +15,7 @@
 use super::HubHandle;
 use super::peer_server::FEED_PATH;
 use crate::events::{Event, event};
-use crate::hub::HubMessage;
+use crate::hub::{HubMessage, LinkState};
 
 /// Longest wait for an answer: instances in one region answer within milliseconds, in others
 /// within some dozen; a slow one must not hold the link for long.
@@ -30,7 +30,7 @@
     pub(crate) address: SocketAddr,
 }
 
-/// The newest list of other instances.
+/// The newest list of instances to exchange with.
 #[derive(Debug)]
 pub(crate) struct LinkCommand {
     pub(crate) peers: Vec<Peer>,
@@ -42,15 +42,21 @@
     _task: JoinHandle<()>,
 }
 
-/// Keeps a link to each other instance until the process ends.
+/// Keeps a link to each listed instance until the process ends.
 pub(crate) async fn run_links(hub: HubHandle, every: Duration, commands: Receiver<LinkCommand>) {
     let mut links: BTreeMap<Name, Running> = BTreeMap::new();
     while let Ok(LinkCommand { peers }) = commands.recv().await {
         links.retain(|_, link| peers.contains(&link.peer));
         for peer in peers {
             links.entry(peer.name.clone()).or_insert_with(|| {
-                let link =
-                    Link { peer: peer.clone(), hub: hub.clone(), every, client: None, failures: 0 };
+                let link = Link {
+                    peer: peer.clone(),
+                    hub: hub.clone(),
+                    every,
+                    client: None,
+                    state: LinkState::default(),
+                    failures: 0,
+                };
                 Running { peer, _task: compio::runtime::spawn(link.run()) }
             });
         }
@@ -62,6 +68,7 @@
     hub: HubHandle,
     every: Duration,
     client: Option<PeerClient>,
+    state: LinkState,
     failures: u32,
 }
 
@@ -89,8 +96,9 @@
     }
 
     async fn exchange(&mut self) -> Result<(), String> {
-        let feed = self.hub.ask(|reply| HubMessage::OwnFeed { reply }).await;
-        let feed = feed.ok_or("the hub has ended")?;
+        let link = self.state.clone();
+        let feed = self.hub.ask(|reply| HubMessage::OwnFeed { link, reply }).await;
+        let (feed, mut state) = feed.ok_or("the hub has ended")?;
         let body = encode_peer(&feed).map_err(|error| error.to_string())?;
         let client = match self.client.take() {
             Some(client) => client,
@@ -104,7 +112,14 @@
             .map_err(|error| error.to_string())?;
         self.client = Some(client);
         let answer: proto::FeedReply = decode_peer(&answer).map_err(|error| error.to_string())?;
-        self.hub.tell(HubMessage::FeedAnswer { answer: Box::new(answer) }).await;
+        let place = answer.place.clone();
+        if state.seen.is_some_and(|seen| seen.incarnation != place.incarnation) {
+            // Another life of it knows nothing of what the one before was told.
+            state = LinkState::default();
+        }
+        self.state = LinkState { seen: Some(place), ..state };
+        let from = self.peer.name.clone();
+        self.hub.tell(HubMessage::FeedAnswer { from, answer: Box::new(answer) }).await;
         Ok(())
     }
 }
--- a/crates/serve/src/tasks/starts.rs
+++ b/crates/serve/src/tasks/starts.rs
@@ -1,4 +1,4 @@
-//! Writes this instance's counted starts into the store.
+//! Writes counted starts into the store: this instance's own, and those of instances that it feeds.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -6,25 +6,25 @@
 use bytes::Bytes;
 use cowslip_border::to_json;
 use cowslip_proto as proto;
-use cowslip_usage::StartRows;
+use cowslip_usage::{StartRows, StartWindows};
 
 use super::HubHandle;
 use super::dependency::Dependency;
 use crate::edge::{Appended, Edge, StoreError, Topic};
-use crate::hub::{HubMessage, StartWindows};
+use crate::hub::HubMessage;
 
 /// Interval between writes: what is lost with a killed instance is at most this much.
 const WRITE_EVERY: Duration = Duration::from_millis(1_200);
 
 /// Writes until the process ends.
-pub(crate) async fn run_starts<E>(edge: E, hub: HubHandle, key: String)
+pub(crate) async fn run_starts<E>(edge: E, hub: HubHandle)
 where
     E: Edge,
 {
     let mut store = Dependency::new(Topic::Starts, "writing");
     loop {
         compio::time::sleep(WRITE_EVERY).await;
-        if let Some(written) = write_starts(&edge, &hub, &key).await {
+        if let Some(written) = write_starts(&edge, &hub).await {
             store.note(&written);
         }
     }
@@ -34,16 +34,22 @@
 pub(crate) async fn write_starts<E>(
     edge: &E,
     hub: &HubHandle,
-    key: &str,
 ) -> Option<Result<Appended, StoreError>>
 where
     E: Edge,
 {
     let taken = hub.ask(|reply| HubMessage::TakeStarts { reply }).await;
-    let windows = taken.flatten()?;
-    let entry = proto::StartEntry { windows: windows_to_proto(&windows) };
-    let record = (key.to_owned(), Bytes::from(to_json(&entry)));
-    let written = edge.append(Topic::Starts, None, &[record]).await;
+    let records: Vec<(String, Bytes)> = taken?
+        .iter()
+        .map(|(key, windows)| {
+            let entry = proto::StartEntry { windows: windows_to_proto(windows) };
+            (key.to_string(), Bytes::from(to_json(&entry)))
+        })
+        .collect();
+    if records.is_empty() {
+        return None;
+    }
+    let written = edge.append(Topic::Starts, None, &records).await;
     hub.tell(HubMessage::StartsWritten { is_written: written.is_ok() }).await;
     Some(written)
 }
--- a/crates/usage/src/lib.rs
+++ b/crates/usage/src/lib.rs
@@ -11,5 +11,5 @@
 pub use figures::{Figures, Usage};
 pub use fold::{Seen, UsageFold};
 pub use meter::{Batch, Meter};
-pub use starts::{StartCounter, StartRows, WindowTimes, merge, total};
+pub use starts::{StartBook, StartRows, StartWindows, WindowTimes, merge, total};
 pub use true_time::TrueTime;
--- a/crates/usage/src/starts.rs
+++ b/crates/usage/src/starts.rs
@@ -6,50 +6,116 @@
 /// Starts of each workspace in one window.
 pub type StartRows = BTreeMap<Arc<str>, u64>;
 
-/// One instance's own starts. Sums are written whole each time, so a write that is lost or
-/// repeated changes nothing.
+/// Starts of one life of an instance, by window.
+pub type StartWindows = BTreeMap<u64, StartRows>;
+
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+struct Window {
+    rows: StartRows,
+    changed_at: u64,
+}
+
+/// Starts of this instance and of others that have told theirs, by the key of their records.
+///
+/// Sums are written and told whole, so one that is lost or comes twice changes nothing. Each
+/// change has a number; what was written or told is a matter of the number up to which it was.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct StartCounter {
-    windows: BTreeMap<u64, StartRows>,
-    is_changed: bool,
-    is_unwritten: bool,
+pub struct StartBook {
+    entries: BTreeMap<Arc<str>, BTreeMap<u64, Window>>,
+    changes: u64,
+    written: u64,
+    taken: u64,
+    has_failed: bool,
 }
 
-impl StartCounter {
+impl StartBook {
     /// Counts a request that began to run in `window`.
-    pub fn count(&mut self, window: u64, workspace: &Arc<str>) {
-        *self.windows.entry(window).or_default().entry(workspace.clone()).or_default() += 1;
-        self.is_changed = true;
+    pub fn count(&mut self, key: &Arc<str>, window: u64, workspace: &Arc<str>) {
+        self.changes += 1;
+        let counted = self.entries.entry(key.clone()).or_default().entry(window).or_default();
+        counted.changed_at = self.changes;
+        *counted.rows.entry(workspace.clone()).or_default() += 1;
+    }
+
+    /// Takes another instance's sums. They only grow, so the larger ones are the newer.
+    pub fn on_told(&mut self, key: &Arc<str>, told: &StartWindows) {
+        let entry = self.entries.entry(key.clone()).or_default();
+        for (window, rows) in told {
+            let known = entry.entry(*window).or_default();
+            for (workspace, starts) in rows {
+                let sum = known.rows.entry(workspace.clone()).or_default();
+                if *sum < *starts {
+                    *sum = *starts;
+                    self.changes += 1;
+                    known.changed_at = self.changes;
+                }
+            }
+        }
     }
 
     /// Forgets windows before `window`.
     pub fn forget_before(&mut self, window: u64) {
-        self.windows = self.windows.split_off(&window);
+        self.entries.retain(|_, windows| {
+            *windows = windows.split_off(&window);
+            !windows.is_empty()
+        });
     }
 
-    /// All sums, if any changed since they were last taken.
-    pub fn take_changed(&mut self) -> Option<&BTreeMap<u64, StartRows>> {
-        std::mem::take(&mut self.is_changed).then_some(&self.windows)
+    /// Whole sums of each instance of which any changed since the last write.
+    pub fn take_changed(&mut self) -> Vec<(Arc<str>, StartWindows)> {
+        self.taken = self.changes;
+        let written = self.written;
+        let is_changed =
+            |windows: &BTreeMap<u64, Window>| windows.values().any(|one| one.changed_at > written);
+        self.entries
+            .iter()
+            .filter(|(_, windows)| is_changed(windows))
+            .map(|(key, windows)| (key.clone(), rows_after(windows, 0)))
+            .collect()
     }
 
     /// The sums that were taken were written, or not: then they are due again.
     pub fn on_write(&mut self, is_written: bool) {
-        self.is_changed |= !is_written;
-        self.is_unwritten = !is_written;
+        self.has_failed = !is_written;
+        if is_written {
+            self.written = self.taken;
+        }
     }
 
-    /// All sums while the newest write of them has failed.
+    /// Whether the newest write has failed.
     #[must_use]
-    pub fn unwritten(&self) -> Option<&BTreeMap<u64, StartRows>> {
-        self.is_unwritten.then_some(&self.windows)
+    pub fn has_failed(&self) -> bool {
+        self.has_failed
     }
+
+    /// Number of the newest change.
+    #[must_use]
+    pub fn changes(&self) -> u64 {
+        self.changes
+    }
+
+    /// Windows that changed after this change.
+    pub fn changed_after(&self, change: u64) -> impl Iterator<Item = (&Arc<str>, StartWindows)> {
+        self.entries
+            .iter()
+            .map(move |(key, windows)| (key, rows_after(windows, change)))
+            .filter(|(_, windows)| !windows.is_empty())
+    }
+}
+
+fn rows_after(windows: &BTreeMap<u64, Window>, change: u64) -> StartWindows {
+    windows
+        .iter()
+        .filter(|(_, window)| window.changed_at > change)
+        .map(|(number, window)| (*number, window.rows.clone()))
+        .collect()
 }
 
 /// Sums of one window over all instances' own sums.
 #[must_use]
 pub fn total<'a, I>(window: u64, counters: I) -> StartRows
 where
-    I: IntoIterator<Item = &'a BTreeMap<u64, StartRows>>,
+    I: IntoIterator<Item = &'a StartWindows>,
 {
     let mut sum = StartRows::new();
     for rows in counters.into_iter().filter_map(|windows| windows.get(&window)) {
@@ -62,7 +128,7 @@
 
 /// Takes the larger of two sums of one instance for each window and workspace: sums only grow, so
 /// that is the newer one, whichever way it came.
-pub fn merge(known: &mut BTreeMap<u64, StartRows>, other: &BTreeMap<u64, StartRows>) {
+pub fn merge(known: &mut StartWindows, other: &StartWindows) {
     for (window, rows) in other {
         let known = known.entry(*window).or_default();
         for (workspace, starts) in rows {
--- a/crates/usage/tests/starts.rs
+++ b/crates/usage/tests/starts.rs
@@ -3,41 +3,63 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use cowslip_usage::{StartCounter, TrueTime, WindowTimes, merge, total};
+use cowslip_usage::{StartBook, StartWindows, TrueTime, WindowTimes, merge, total};
 use proptest::prelude::*;
 
 const TIMES: WindowTimes = WindowTimes { window_ms: 5_000, settle_ms: 2_400, late_ms: 9_500 };
 
 proptest! {
-    /// Whatever writes are lost or repeated, the newest ones add up to what was counted.
+    /// Whatever writes and tellings are lost or come twice, what is stored and told adds up to what
+    /// was counted: nothing is lost and nothing doubled.
     #[test]
     fn sums_are_what_was_counted(
-        steps in prop::collection::vec((0usize..3, 0u64..4, 0usize..2, any::<bool>(), any::<bool>()), 0..200)
+        steps in prop::collection::vec((0usize..3, 0u64..4, 0usize..2, 0u8..5, any::<bool>()), 0..200)
     ) {
         let names: [Arc<str>; 2] = [Arc::from("alpha"), Arc::from("beta")];
-        let mut counters = vec![StartCounter::default(); 3];
-        let mut stored: BTreeMap<usize, BTreeMap<u64, BTreeMap<Arc<str>, u64>>> = BTreeMap::new();
+        let keys: [Arc<str>; 3] = [Arc::from("one"), Arc::from("two"), Arc::from("three")];
+        let mut books = vec![StartBook::default(); 3];
+        // What each instance knows that the next one has been told.
+        let mut told = [0u64; 3];
+        let mut stored: BTreeMap<Arc<str>, StartWindows> = BTreeMap::new();
         let mut naive: BTreeMap<(u64, Arc<str>), u64> = BTreeMap::new();
-        for (instance, window, name, is_written, is_lost) in steps {
-            counters[instance].count(window, &names[name]);
-            *naive.entry((window, names[name].clone())).or_default() += 1;
-            if is_written && let Some(windows) = counters[instance].take_changed().cloned() {
-                counters[instance].on_write(!is_lost);
-                if is_lost {
-                    // Told by another way, and by that one twice.
-                    let told = counters[instance].unwritten().cloned().unwrap_or_default();
-                    let known = stored.entry(instance).or_default();
-                    merge(known, &told);
-                    merge(known, &told);
-                } else {
-                    merge(stored.entry(instance).or_default(), &windows);
+        for (instance, window, name, action, is_lost) in steps {
+            match action {
+                0..=2 => {
+                    books[instance].count(&keys[instance], window, &names[name]);
+                    *naive.entry((window, names[name].clone())).or_default() += 1;
+                }
+                3 => {
+                    let taken = books[instance].take_changed();
+                    // A write whose answer is lost may have been carried out.
+                    for (key, windows) in taken.iter().filter(|_| !is_lost || name == 0) {
+                        merge(stored.entry(key.clone()).or_default(), windows);
+                    }
+                    books[instance].on_write(!is_lost);
+                    prop_assert_eq!(books[instance].has_failed(), is_lost);
+                }
+                _ => {
+                    let changes = books[instance].changes();
+                    let news: Vec<_> = books[instance]
+                        .changed_after(told[instance])
+                        .map(|(key, windows)| (key.clone(), windows))
+                        .collect();
+                    let other = (instance + 1) % 3;
+                    for (key, windows) in &news {
+                        books[other].on_told(key, windows);
+                        books[other].on_told(key, windows);
+                    }
+                    if !is_lost {
+                        told[instance] = changes;
+                    }
                 }
             }
         }
-        for (instance, counter) in counters.iter_mut().enumerate() {
-            if let Some(windows) = counter.take_changed() {
-                stored.insert(instance, windows.clone());
+        for book in &mut books {
+            for (key, windows) in book.take_changed() {
+                merge(stored.entry(key).or_default(), &windows);
             }
+            book.on_write(true);
+            prop_assert!(book.take_changed().is_empty());
         }
         for window in 0..4 {
             let sum = total(window, stored.values());
@@ -59,13 +81,17 @@
 
 #[test]
 fn windows_before_the_kept_ones_are_forgotten() {
-    let mut counter = StartCounter::default();
-    let name: Arc<str> = Arc::from("alpha");
-    (0..10).for_each(|window| counter.count(window, &name));
-    counter.forget_before(7);
-    let windows: Vec<u64> = counter.take_changed().expect("changes").keys().copied().collect();
-    assert_eq!(windows, [7, 8, 9]);
-    assert_eq!(counter.take_changed(), None);
+    let mut book = StartBook::default();
+    let [name, key, old]: [Arc<str>; 3] = [Arc::from("alpha"), Arc::from("one"), Arc::from("old")];
+    (0..10).for_each(|window| book.count(&key, window, &name));
+    book.count(&old, 3, &name);
+    book.forget_before(7);
+    let taken = book.take_changed();
+    let windows: Vec<(&str, Vec<u64>)> =
+        taken.iter().map(|(key, windows)| (&**key, windows.keys().copied().collect())).collect();
+    assert_eq!(windows, [("one", vec![7, 8, 9])]);
+    book.on_write(true);
+    assert!(book.take_changed().is_empty());
 }
 
 #[test]
