Give ordinary upstreams back where enough is left without the reclaimable ones of two domains

On the small sites fewer ordinary ones than half lost more than they saved, since two of three domains may be reclaimed; with six domains the same loss leaves two thirds.

Rule: keep so many that the loss of two domains' reclaimable ones leaves 66% of all, one in eight places at least, given back in steps. With three domains that is half, as before.

Still binding: the domain that loses its reclaimable ones.

--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -3,11 +3,20 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use crate::deployment::Deployment;
+use crate::deployment::{Capacity, Deployment};
 use crate::roster::{EngineRole, Roster, Upstream};
 
 /// Part of the engines that read prompts (docs/MEASUREMENTS.md: two thirds were worse).
 const READER_PERCENT: usize = 50;
+/// Domains whose reclaimable upstreams may be taken away at the same time.
+const LOST_DOMAINS: u32 = 2; // a second reclaim comes within seconds on the users' days
+/// Part of the upstreams that has to be left then (docs/MEASUREMENTS.md: fewer lost more than they
+/// saved).
+const SAFE_PERCENT: u32 = 66;
+/// One in this many places of a domain stays with an ordinary upstream in any case.
+const KEPT_PART: u32 = 8;
+/// At most one in this many places of a domain changes its kind at a time.
+const STEP_PART: u32 = 4;
 
 /// A wish for a number of upstreams.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -32,8 +41,7 @@
 }
 
 /// As many reclaimable upstreams as each domain can have beside its ordinary ones, where they are
-/// cheaper. Ordinary ones are kept: reclaimable ones may be gone at any moment, and giving ordinary
-/// ones back lost more than it saved (docs/MEASUREMENTS.md).
+/// cheaper, and ordinary ones given back where enough would be left without the reclaimable ones.
 #[must_use]
 pub fn plan_capacity(deployment: &Deployment, roster: &Roster) -> Vec<CapacityOrder> {
     let mut orders = Vec::new();
@@ -49,20 +57,45 @@
                     .filter(|up| up.domain == *domain && up.is_reclaimable == is_reclaimable);
                 u32::try_from(of_kind.count()).unwrap_or(u32::MAX)
             };
-            let wanted = capacity.max.saturating_sub(count(false));
-            if count(true) < wanted {
-                orders.push(CapacityOrder {
-                    service: service.clone(),
-                    domain: domain.clone(),
-                    wanted,
-                    is_reclaimable: true,
-                });
+            let order = |wanted: u32, is_reclaimable: bool| CapacityOrder {
+                service: service.clone(),
+                domain: domain.clone(),
+                wanted,
+                is_reclaimable,
+            };
+            let (ordinary, reclaimable) = (count(false), count(true));
+            let kept = ordinary_kept(capacity, reclaimable);
+            if kept < ordinary {
+                orders.push(order(kept, false));
+            }
+            let wanted = capacity.max.saturating_sub(ordinary);
+            if reclaimable < wanted {
+                orders.push(order(wanted, true));
             }
         }
     }
     orders
 }
 
+/// Ordinary upstreams that a domain keeps, given how many reclaimable ones it has.
+///
+/// Reclaimable ones may be gone at any moment, a whole domain's at once. So that many ordinary ones
+/// are kept in each domain that the loss in `LOST_DOMAINS` of them leaves `SAFE_PERCENT` of all
+/// upstreams, and one in `KEPT_PART` in any case. They are given back in steps, as reclaimable ones
+/// take their places.
+fn ordinary_kept(capacity: &Capacity, reclaimable: u32) -> u32 {
+    let max = capacity.max;
+    let domains = u32::try_from(capacity.domains.len()).unwrap_or(u32::MAX);
+    let all = max.saturating_mul(domains);
+    let safe = all.saturating_mul(SAFE_PERCENT).div_ceil(100);
+    let lost = LOST_DOMAINS.min(domains).max(1);
+    // What is left, all - lost x (max - kept), is to be at least what is safe.
+    let kept = max.saturating_sub((all - safe.min(all)) / lost);
+    let step = max.div_ceil(STEP_PART);
+    let in_place = max.saturating_sub(reclaimable).saturating_sub(step);
+    kept.max(max.div_ceil(KEPT_PART)).max(capacity.min).max(in_place)
+}
+
 /// Changes that bring each domain's engines to the wanted part of readers.
 ///
 /// Ordinary and reclaimable engines are balanced each for themselves, so that those that remain
--- a/crates/fleet/tests/plan.rs
+++ b/crates/fleet/tests/plan.rs
@@ -86,6 +86,99 @@
     }
 }
 
+#[test]
+fn ordinary_upstreams_are_given_back_where_enough_would_be_left() {
+    struct Case {
+        name: &'static str,
+        domains: usize,
+        max: u32,
+        ordinary: usize,
+        reclaimable: usize,
+        /// Wanted ordinary ones, if fewer than there are.
+        expected: Option<u32>,
+    }
+    let cases = [
+        Case {
+            name: "three domains keep half",
+            domains: 3,
+            max: 8,
+            ordinary: 4,
+            reclaimable: 4,
+            expected: None,
+        },
+        Case {
+            name: "three domains with too many",
+            domains: 3,
+            max: 8,
+            ordinary: 6,
+            reclaimable: 2,
+            expected: Some(4),
+        },
+        Case {
+            name: "two domains keep two thirds",
+            domains: 2,
+            max: 6,
+            ordinary: 6,
+            reclaimable: 0,
+            expected: Some(4),
+        },
+        Case {
+            name: "six domains, no reclaimable ones there yet",
+            domains: 6,
+            max: 38,
+            ordinary: 19,
+            reclaimable: 0,
+            expected: None,
+        },
+        Case {
+            name: "six domains, the first step",
+            domains: 6,
+            max: 38,
+            ordinary: 19,
+            reclaimable: 19,
+            expected: Some(9),
+        },
+        Case {
+            name: "six domains, the last step",
+            domains: 6,
+            max: 38,
+            ordinary: 9,
+            reclaimable: 29,
+            expected: Some(5),
+        },
+        Case {
+            name: "six domains, done",
+            domains: 6,
+            max: 38,
+            ordinary: 5,
+            reclaimable: 33,
+            expected: None,
+        },
+        Case {
+            name: "a domain whose reclaimable ones were taken away",
+            domains: 6,
+            max: 38,
+            ordinary: 5,
+            reclaimable: 0,
+            expected: None,
+        },
+    ];
+    for case in cases {
+        let domains: Vec<Arc<str>> =
+            (0..case.domains).map(|index| Arc::from(format!("d{index}"))).collect();
+        let capacity = Capacity { min: 1, max: case.max, reclaimable_price: Some(0.2), domains };
+        let service = Service { is_engine: true, capacity: Some(capacity) };
+        let services = [(Arc::from("models"), service)].into_iter().collect();
+        let deployment = Deployment { services, ..Deployment::default() };
+        let engines: Vec<Engine> = (0..case.ordinary + case.reclaimable)
+            .map(|index| engine("d0", Decode, index >= case.ordinary))
+            .collect();
+        let orders = plan_capacity(&deployment, &roster(&engines));
+        let ordinary = orders.iter().find(|order| !order.is_reclaimable);
+        assert_eq!(ordinary.map(|order| order.wanted), case.expected, "{}", case.name);
+    }
+}
+
 #[test]
 fn each_group_of_engines_is_balanced_for_itself() {
     struct Case {
