Choose feeders by region, and answering upstreams by kept connections among equals

Among upstreams of equal cost one with a kept connection answers. Ruled out by the property: a fixed feeder a domain (12 readers where 6 do).

--- a/crates/fleet/src/place.rs
+++ b/crates/fleet/src/place.rs
@@ -58,6 +58,8 @@
     pub reads: u32,
     /// Part of its recent answers that were failures, 0 to 1.
     pub failure_mean: f64,
+    /// Whether a connection to it is kept.
+    pub is_connected: bool,
 }
 
 /// Where this instance stands.
@@ -186,6 +188,9 @@
     };
     let best = candidates.iter().map(|up| cost(up)).min_by(f64::total_cmp)?;
     let equals: Vec<_> = candidates.iter().filter(|up| cost(up) <= best).collect();
-    let pick = usize::try_from(draw % equals.len() as u64).ok()?;
-    equals.get(pick).map(|up| **up)
+    // A new connection takes a round trip and is billed.
+    let connected: Vec<_> = equals.iter().filter(|up| load(up).is_connected).copied().collect();
+    let choice = if connected.is_empty() { equals } else { connected };
+    let pick = usize::try_from(draw % choice.len() as u64).ok()?;
+    choice.get(pick).map(|up| **up)
 }
--- a/crates/fleet/tests/place.rs
+++ b/crates/fleet/tests/place.rs
@@ -50,6 +50,11 @@
         },
         Case { name: "far away when both are", loads: [busy(9), busy(9), idle], expected: "far" },
         Case { name: "not one that fails", loads: [failing, idle, idle], expected: "region" },
+        Case {
+            name: "a connection does not make up for distance",
+            loads: [idle, Load { is_connected: true, ..idle }, idle],
+            expected: "near",
+        },
     ];
     let open =
         [upstream("near", "d0", None), upstream("region", "d1", None), upstream("far", "d2", None)];
@@ -64,6 +69,33 @@
     }
 }
 
+#[test]
+fn among_equals_one_that_is_connected_answers() {
+    struct Case {
+        name: &'static str,
+        connected: [bool; 3],
+        draw: u64,
+        expected: &'static str,
+    }
+    let cases = [
+        Case { name: "none", connected: [false; 3], draw: 1, expected: "one" },
+        Case { name: "the last", connected: [false, false, true], draw: 1, expected: "two" },
+        Case { name: "two, by the draw", connected: [true, false, true], draw: 1, expected: "two" },
+        Case { name: "two, by another", connected: [true, false, true], draw: 2, expected: "zero" },
+    ];
+    let open = ["zero", "one", "two"].map(|id| upstream(id, "d0", None));
+    let open: Vec<&Arc<Upstream>> = open.iter().collect();
+    for Case { name, connected, draw, expected } in cases {
+        let load = |up: &Upstream| {
+            let index = open.iter().position(|one| one.id == up.id).expect("one of them");
+            Load { is_connected: connected[index], ..Load::default() }
+        };
+        let demand = Demand { prompt: None, may_split: true, near: None, draw };
+        let placement = place(&demand, &open, &site(), load).expect("a place");
+        assert_eq!(&*placement.answerer.id, expected, "{name}");
+    }
+}
+
 #[test]
 fn long_prompts_are_read_apart_and_answered_near_by() {
     struct Case {
--- a/crates/member/src/feeding.rs
+++ b/crates/member/src/feeding.rs
@@ -4,26 +4,34 @@
 
 use cowslip_name::Name;
 
-use crate::select::feeders;
+use crate::select::{feeders, feeders_of};
 
 /// Instances that read the store and feed one that cannot, beside the feeders.
 const MAX_HELPERS: usize = 3; // one may be lost at any moment, and another be turned away next
 
+/// Where an instance runs.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Place {
+    /// Its region.
+    pub region: Name,
+    /// Its failure domain.
+    pub domain: Name,
+}
+
 /// What an instance knows of those that read the store for others.
 ///
-/// The feeders of each failure domain read the store themselves. Every other instance is told by
-/// the feeders of its own domain what has changed, and reads the store only while none of them
-/// tells it anything.
+/// The feeders of each region read the store themselves. Every other instance is told by feeders of
+/// its own region what has changed, and reads the store only while none of them tells it anything.
 #[derive(Clone, Debug)]
 pub struct Feeding {
     me: Name,
-    domain: Name,
+    place: Place,
     /// How long an answer of a feeder counts.
     fed_ms: u64,
-    /// Feeders of all domains, with their domains.
+    /// Feeders of all regions, with their regions.
     feeders: BTreeMap<Name, Name>,
     fed_at_ms: Option<u64>,
-    /// The other instances of the own domain.
+    /// The other instances of the own region.
     neighbours: BTreeSet<Name>,
     /// Instances that have asked lately.
     askers: BTreeMap<Name, Asker>,
@@ -38,11 +46,11 @@
 impl Feeding {
     /// Knows nobody yet.
     #[must_use]
-    pub fn new(me: Name, domain: Name, fed_ms: u64) -> Self {
-        let feeders = BTreeMap::from([(me.clone(), domain.clone())]);
+    pub fn new(me: Name, place: Place, fed_ms: u64) -> Self {
+        let feeders = BTreeMap::from([(me.clone(), place.region.clone())]);
         Self {
             me,
-            domain,
+            place,
             fed_ms,
             feeders,
             fed_at_ms: None,
@@ -51,26 +59,28 @@
         }
     }
 
-    /// Takes all live instances with their domains; this one counts whether listed or not.
-    pub fn on_instances<'a, I>(&mut self, live: I)
+    /// Takes all live instances; this one counts whether listed or not.
+    pub fn on_instances<I>(&mut self, live: I)
     where
-        I: IntoIterator<Item = (&'a Name, &'a Name)>,
+        I: IntoIterator<Item = (Name, Place)>,
     {
-        let mut domains: BTreeMap<Name, Vec<Name>> = BTreeMap::new();
-        domains.entry(self.domain.clone()).or_default().push(self.me.clone());
-        for (name, domain) in live.into_iter().filter(|(name, _)| **name != self.me) {
-            domains.entry(domain.clone()).or_default().push(name.clone());
+        let mut regions: BTreeMap<Name, Vec<(Name, Name)>> = BTreeMap::new();
+        let own = (self.me.clone(), self.place.clone());
+        for (name, place) in live.into_iter().filter(|(name, _)| *name != self.me).chain([own]) {
+            regions.entry(place.region).or_default().push((name, place.domain));
         }
-        let own = domains.get(&self.domain).into_iter().flatten();
-        self.neighbours = own.filter(|name| **name != self.me).cloned().collect();
-        self.feeders = domains
+        let own = regions.get(&self.place.region).into_iter().flatten();
+        self.neighbours = own.map(|(name, _)| name.clone()).collect();
+        self.feeders = regions
             .iter()
-            .flat_map(|(domain, names)| feeders(names).into_iter().map(move |name| (name, domain)))
-            .map(|(name, domain)| (name.clone(), domain.clone()))
+            .flat_map(|(region, rows)| {
+                let chosen = feeders(rows.iter().map(|(name, domain)| (name, domain)));
+                chosen.into_iter().map(move |name| (name.clone(), region.clone()))
+            })
             .collect();
     }
 
-    /// Takes the feeders as another instance has told them.
+    /// Takes the feeders, with their regions, as another instance has told them.
     pub fn on_feeders<I>(&mut self, told: I)
     where
         I: IntoIterator<Item = (Name, Name)>,
@@ -80,7 +90,7 @@
 
     /// An instance that reads the store has told all that it knows.
     pub fn on_fed(&mut self, now_ms: u64, by: &Name) {
-        if self.feeders.get(by) == Some(&self.domain) {
+        if self.feeders.get(by) == Some(&self.place.region) {
             self.fed_at_ms = Some(now_ms);
         }
     }
@@ -92,7 +102,7 @@
         self.askers.insert(by.clone(), Asker { at_ms: now_ms, reads_store });
     }
 
-    /// The feeders of all domains.
+    /// The feeders of all regions.
     pub fn feeders(&self) -> impl Iterator<Item = &Name> {
         self.feeders.keys()
     }
@@ -110,26 +120,28 @@
         self.is_feeder() || !is_fed
     }
 
-    /// The instances to exchange with: the feeders of the own domain, or all feeders for one that
-    /// is a feeder or is not fed; `reads_store` tells whether its own reads succeed.
+    /// The instances to exchange with: feeders of the own region, or all feeders for one that is a
+    /// feeder or is not fed; `reads_store` tells whether its own reads succeed.
     ///
     /// A feeder also goes to neighbours that do not ask, as they may know nobody, and one whose
     /// reads fail goes to instances whose reads do not.
     #[must_use]
     pub fn partners(&self, now_ms: u64, reads_store: bool) -> BTreeSet<Name> {
         let is_reader = self.is_reader(now_ms);
-        let mut partners: BTreeSet<Name> = self
-            .feeders
-            .iter()
-            .filter(|(_, domain)| is_reader || **domain == self.domain)
-            .map(|(name, _)| name.clone())
-            .collect();
+        let mut partners: BTreeSet<Name> = if is_reader {
+            self.feeders.keys().cloned().collect()
+        } else {
+            feeders_of(&self.me, &self.own_feeders()).into_iter().cloned().collect()
+        };
         let is_heard = |name: &&Name| {
             let asker = self.askers.get(*name);
             asker.is_some_and(|asker| now_ms.saturating_sub(asker.at_ms) < self.fed_ms)
         };
         if self.is_feeder() {
-            partners.extend(self.neighbours.iter().filter(|name| !is_heard(name)).cloned());
+            let fed = self.neighbours.iter().filter(|name| {
+                feeders_of(name, &self.own_feeders()).contains(&&self.me) && !is_heard(name)
+            });
+            partners.extend(fed.cloned());
         }
         if is_reader && !reads_store {
             let helpers = self.askers.iter().filter(|(_, asker)| asker.reads_store);
@@ -138,4 +150,9 @@
         partners.remove(&self.me);
         partners
     }
+
+    fn own_feeders(&self) -> Vec<&Name> {
+        let own = self.feeders.iter().filter(|(_, region)| **region == self.place.region);
+        own.map(|(name, _)| name).collect()
+    }
 }
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -6,6 +6,6 @@
 mod members;
 mod select;
 
-pub use feeding::Feeding;
+pub use feeding::{Feeding, Place};
 pub use members::{Listed, Members, Report};
-pub use select::{FEEDERS_PER_DOMAIN, feeders};
+pub use select::{feeders, feeders_of};
--- a/crates/serve/src/caller/exchange.rs
+++ b/crates/serve/src/caller/exchange.rs
@@ -64,11 +64,12 @@
 }
 
 impl Connection {
-    /// Keeps the connection after its answer was read to the end.
-    pub(super) fn keep(self, client: &Client) {
+    /// Keeps the connection after its answer was read to the end; tells for how long.
+    pub(super) fn keep(self, client: &Client) -> Option<Duration> {
         if let Some(keep_for) = self.keep_for {
             client.keep(self.address, self.exchange, keep_for);
         }
+        self.keep_for
     }
 }
 
@@ -144,23 +145,23 @@
 
 async fn drain(body: Incoming, connection: Connection, client: Client) {
     if collect(body, MAX_ANSWER_BYTES).await.is_ok() {
-        connection.keep(&client);
+        let _ = connection.keep(&client);
     }
 }
 
+/// A whole answer, and how long its connection is kept.
+pub(super) type Whole = (Parts, Bytes, Option<Duration>);
+
 /// Reads a whole answer.
 pub(super) async fn read_whole(
     call: &Call,
     upstream: &Upstream,
     client: &Client,
     reply: Reply,
-) -> Result<(Parts, Bytes), Failure> {
+) -> Result<Whole, Failure> {
     let (parts, body, connection) = reply.split();
     match collect(body, MAX_ANSWER_BYTES).await {
-        Ok(bytes) => {
-            connection.keep(client);
-            Ok((parts, bytes))
-        }
+        Ok(bytes) => Ok((parts, bytes, connection.keep(client))),
         Err(error) => {
             note(call, upstream, Failure::Spoilt, &error.to_string());
             Err(Failure::Spoilt)
--- a/crates/serve/src/caller/job.rs
+++ b/crates/serve/src/caller/job.rs
@@ -88,19 +88,25 @@
             Failure::NotArrived | Failure::NotRun | Failure::Spoilt => {}
         }
         if !matches!(failure, Failure::NotRun | Failure::Misdirected) {
-            self.on_outcome(upstream, failure.outcome()).await;
+            self.on_outcome(upstream, failure.outcome(), None).await;
         }
     }
 
-    /// Notes what became of a send.
-    pub(super) async fn on_outcome(&self, upstream: &Upstream, outcome: Outcome) {
+    /// Notes what became of a send, and how long its connection is kept.
+    pub(super) async fn on_outcome(
+        &self,
+        upstream: &Upstream,
+        outcome: Outcome,
+        kept_for: Option<Duration>,
+    ) {
         let label = match outcome {
             Outcome::Answered => "answered",
             Outcome::Failed => "failed",
             Outcome::Broken => "broken",
         };
         self.server.metrics.sends.with_label_values(&[label]).inc();
-        self.tell(HubMessage::Outcome { upstream: upstream.id.clone(), outcome }).await;
+        let upstream = upstream.id.clone();
+        self.tell(HubMessage::Outcome { upstream, outcome, kept_for }).await;
     }
 
     /// Another upstream for the request, after this failure.
--- a/crates/serve/src/caller/relay.rs
+++ b/crates/serve/src/caller/relay.rs
@@ -127,10 +127,9 @@
         if self.events.is_torn() {
             return End::Broken("the last event is unfinished".to_owned());
         }
-        if let Some(connection) = self.connection.take() {
-            connection.keep(&self.job.server.client);
-        }
-        self.job.on_outcome(&self.upstream, Outcome::Answered).await;
+        let client = &self.job.server.client;
+        let kept_for = self.connection.take().and_then(|connection| connection.keep(client));
+        self.job.on_outcome(&self.upstream, Outcome::Answered, kept_for).await;
         self.job.tell(HubMessage::Answered { grant: self.job.grant }).await;
         End::Whole
     }
--- a/crates/serve/src/caller/stream.rs
+++ b/crates/serve/src/caller/stream.rs
@@ -42,7 +42,7 @@
         Ok((upstream, reply)) => {
             let client = &job.server.client;
             match read_whole(&job.call, &upstream, client, reply).await {
-                Ok((parts, body)) => answered(&job, parts, body),
+                Ok((parts, body, _)) => answered(&job, parts, body),
                 Err(_) => refuse(&job, &Refused::OUTCOME_UNKNOWN),
             }
         }
@@ -153,9 +153,10 @@
         read_whole(&job.call, reader, client, reply).await
     };
     let began_ms = job.server.clock.now_ms();
-    let read = reading.await.and_then(|(parts, body)| {
+    let read = reading.await.and_then(|(parts, body, kept_for)| {
         let prepared = parts.status.is_success().then(|| edge.read_prepared(reader, &body));
-        prepared.flatten().ok_or(Failure::Spoilt)
+        let prepared = prepared.flatten().ok_or(Failure::Spoilt)?;
+        Ok((prepared, kept_for))
     });
     let took_ms = job.server.clock.now_ms().saturating_sub(began_ms);
     event!(
@@ -167,8 +168,8 @@
         outcome = format_args!("{:?}", read.as_ref().err())
     );
     match read {
-        Ok(prepared) => {
-            job.on_outcome(reader, Outcome::Answered).await;
+        Ok((prepared, kept_for)) => {
+            job.on_outcome(reader, Outcome::Answered, kept_for).await;
             let (edge, client) = (edge.clone(), client.clone());
             Ok(Kept { prepared, is_taken: false, edge, client })
         }
--- a/crates/serve/src/caller/whole.rs
+++ b/crates/serve/src/caller/whole.rs
@@ -8,7 +8,7 @@
 use http::Response;
 use http::response::Parts;
 
-use super::exchange::{Failure, exchange, read_whole};
+use super::exchange::{Failure, Whole, exchange, read_whole};
 use super::job::Job;
 use crate::edge::{Edge, Refused, Work};
 use crate::hub::HubMessage;
@@ -39,11 +39,11 @@
     let mut failed_answer = None;
     loop {
         let failure = match send(job, &upstream).await {
-            Ok((parts, body)) => {
+            Ok((parts, body, kept_for)) => {
                 job.tell(HubMessage::Started { grant: job.grant }).await;
                 let is_failure = parts.status.is_server_error();
                 let outcome = if is_failure { Outcome::Failed } else { Outcome::Answered };
-                job.on_outcome(&upstream, outcome).await;
+                job.on_outcome(&upstream, outcome, kept_for).await;
                 if !is_failure {
                     job.tell(HubMessage::Answered { grant: job.grant }).await;
                 }
@@ -62,7 +62,7 @@
     }
 }
 
-async fn send<E>(job: &Job<E>, upstream: &Upstream) -> Result<(Parts, Bytes), Failure>
+async fn send<E>(job: &Job<E>, upstream: &Upstream) -> Result<Whole, Failure>
 where
     E: Edge,
 {
--- a/crates/serve/src/hub/instances.rs
+++ b/crates/serve/src/hub/instances.rs
@@ -2,6 +2,8 @@
 
 use std::collections::BTreeMap;
 
+use cowslip_fleet::Site;
+use cowslip_member::Place;
 use cowslip_name::Name;
 use cowslip_proto as proto;
 
@@ -97,6 +99,12 @@
     }
 }
 
+/// Where an instance of this domain runs; a domain without a known region is one of its own.
+pub(super) fn place_in(site: &Site, domain: Name) -> Place {
+    let region = site.regions.get(domain.as_str()).and_then(|region| Name::new(region).ok());
+    Place { region: region.unwrap_or_else(|| domain.clone()), domain }
+}
+
 impl<E> Hub<E>
 where
     E: Edge,
@@ -104,10 +112,11 @@
     /// Takes the list of an instance that reads the entries.
     pub(super) fn on_instance_list(&mut self, list: &proto::FeederList) {
         self.instances.on_told(list);
-        let feeders = list.feeders.iter();
-        self.feeding.on_feeders(
-            feeders.map(|entry| (entry.holder.instance.clone(), entry.failure_domain.clone())),
-        );
+        let site = &self.config.site;
+        self.feeding.on_feeders(list.feeders.iter().map(|entry| {
+            let place = place_in(site, entry.failure_domain.clone());
+            (entry.holder.instance.clone(), place.region)
+        }));
     }
 
     /// Tells the links whom to exchange with, if that has changed.
@@ -115,9 +124,11 @@
         let now_ms = self.clock.now_ms();
         let true_ms = self.true_ms();
         if !self.instances.is_told() {
-            let live = self.instances.live(true_ms);
-            self.feeding
-                .on_instances(live.map(|entry| (&entry.holder.instance, &entry.failure_domain)));
+            let site = &self.config.site;
+            self.feeding.on_instances(self.instances.live(true_ms).map(|entry| {
+                let place = place_in(site, entry.failure_domain.clone());
+                (entry.holder.instance.clone(), place)
+            }));
             let feeders = self.feeding.feeders();
             let entries = &self.instances.entries;
             let list = proto::FeederList {
--- a/crates/serve/src/hub/message.rs
+++ b/crates/serve/src/hub/message.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use cowslip_fleet::{Allowed, CapacityOrder, Outcome, Prompt, RoleOrder, Upstream};
 use cowslip_name::Name;
@@ -33,8 +34,8 @@
     Answered { grant: u64 },
     /// It is over.
     End { grant: u64 },
-    /// What became of a send.
-    Outcome { upstream: Arc<str>, outcome: Outcome },
+    /// What became of a send, and how long its connection is kept.
+    Outcome { upstream: Arc<str>, outcome: Outcome, kept_for: Option<Duration> },
     /// An upstream was lost while it ran the request.
     Lost { grant: u64, upstream: Arc<str> },
     /// An upstream is not what its entry says.
--- a/crates/serve/src/hub/mod.rs
+++ b/crates/serve/src/hub/mod.rs
@@ -29,7 +29,7 @@
     Admitted, Again, Grant, Held, HubMessage, LinkState, Plans, Question, Reads, Refusal, Wanted,
 };
 
-use instances::Instances;
+use instances::{Instances, place_in};
 use records::{RosterReads, RosterRecords};
 use requests::{OwnLoad, Running};
 
@@ -59,6 +59,8 @@
     roster_reads: RosterReads,
     health: Health,
     loads: HashMap<Arc<str>, OwnLoad>,
+    /// Until when a connection to an upstream is kept.
+    kept_until_ms: HashMap<Arc<str>, u64>,
     running: HashMap<u64, Running>,
     next_grant: u64,
     budget: RepeatBudget,
@@ -90,8 +92,8 @@
         links: Sender<LinkCommand>,
     ) -> Self {
         let poison_limit = config.settings.limits.poison_limit as usize;
-        let domain = config.settings.instance.failure_domain.clone();
-        let feeding = Feeding::new(me.instance.clone(), domain, FED_MS);
+        let place = place_in(&config.site, config.settings.instance.failure_domain.clone());
+        let feeding = Feeding::new(me.instance.clone(), place, FED_MS);
         metrics.is_reader.set(1);
         Self {
             edge,
@@ -105,6 +107,7 @@
             roster_reads: RosterReads::default(),
             health: Health::default(),
             loads: HashMap::new(),
+            kept_until_ms: HashMap::new(),
             running: HashMap::new(),
             next_grant: 1,
             budget: RepeatBudget::new(config.budget_terms()),
@@ -152,8 +155,11 @@
                 }
             }
             HubMessage::End { grant } => self.on_end(grant),
-            HubMessage::Outcome { upstream, outcome } => {
+            HubMessage::Outcome { upstream, outcome, kept_for } => {
                 self.health.on_outcome(self.clock.now_ms(), &upstream, outcome);
+                if let Some(kept_for) = kept_for {
+                    self.on_kept(upstream, kept_for);
+                }
             }
             HubMessage::Lost { grant, upstream } => self.on_lost(grant, &upstream),
             HubMessage::Records { topic, page, is_list } => self.on_records(topic, page, is_list),
--- a/crates/serve/src/hub/requests.rs
+++ b/crates/serve/src/hub/requests.rs
@@ -1,6 +1,7 @@
 //! Requests: whether they may run, where, and how often.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use cowslip_fleet::{Allowed, CallKind, Demand, Denial, Load, Placement, Prompt, Upstream, place};
 use cowslip_name::Name;
@@ -111,21 +112,32 @@
         let fresh = |up: &&Arc<Upstream>| !self.health.is_paused(now_ms, &up.id) && untried(up);
         let demand = Demand { prompt, may_split: tried.is_empty(), near, draw: fastrand::u64(..) };
         let among = |open: Vec<&Arc<Upstream>>| {
-            place(&demand, &open, &self.config.site, |up| self.load(up))
+            place(&demand, &open, &self.config.site, |up| self.load(now_ms, up))
         };
         among(all.iter().copied().filter(fresh).collect())
             .or_else(|| among(all.iter().copied().filter(untried).collect()))
     }
 
-    fn load(&self, upstream: &Upstream) -> Load {
+    fn load(&self, now_ms: u64, upstream: &Upstream) -> Load {
         let own = self.loads.get(&upstream.id).copied().unwrap_or_default();
         Load {
             waiting: own.waiting,
             reads: own.reads,
             failure_mean: self.health.failure_mean(&upstream.id),
+            is_connected: self.kept_until_ms.get(&upstream.id).is_some_and(|until| now_ms < *until),
         }
     }
 
+    pub(super) fn on_kept(&mut self, upstream: Arc<str>, kept_for: Duration) {
+        let now_ms = self.clock.now_ms();
+        if !self.kept_until_ms.contains_key(&upstream) {
+            // Upstreams come and go: a new one is the time to forget lapsed ones.
+            self.kept_until_ms.retain(|_, until_ms| now_ms < *until_ms);
+        }
+        let kept_ms = u64::try_from(kept_for.as_millis()).unwrap_or(u64::MAX);
+        self.kept_until_ms.insert(upstream, now_ms.saturating_add(kept_ms));
+    }
+
     pub(super) fn again(&mut self, grant: u64, why: Again) -> Result<Arc<Upstream>, Refusal> {
         let running = self.running.get(&grant).ok_or(Refusal::NoRepeat)?;
         let now_ms = self.clock.now_ms();
