Leave engines that refuse alone for a second, and try a prompt that was read at a second engine

Each refusal also dropped the prompt that had been read, so the next engine read 17,000 tokens itself at half speed, and answering engines queued 0.5 to 1.6 s.

Ruled out before: readers chosen by what all instances have them read (no gain, the readers were not the queue).

A refusal pauses an engine for 1 s, as a preference; the prompt is kept for one more engine.

--- a/crates/fleet/src/health.rs
+++ b/crates/fleet/src/health.rs
@@ -7,6 +7,8 @@
 const FIRST_PAUSE_MS: u64 = 500; // twice the longest round trip between regions, with room
 /// Longest pause between two tries.
 const MAX_PAUSE_MS: u64 = 4_000; // a crashed upstream is back after some seconds
+/// Pause after a refusal: an engine that is full or changes its role refuses more than one request.
+const REFUSED_PAUSE_MS: u64 = 1_000; // a role change takes three seconds, a full engine less
 /// Weight of the newest outcome in the mean.
 const NEWEST_WEIGHT: f64 = 0.15;
 
@@ -17,6 +19,8 @@
     Answered,
     /// An answer that the upstream gave as a failure, or that was spoilt.
     Failed,
+    /// It stated that it did not run the request.
+    Refused,
     /// No connection came about, or it broke.
     Broken,
 }
@@ -38,11 +42,15 @@
     /// Notes what became of a send.
     pub fn on_outcome(&mut self, now_ms: u64, id: &Arc<str>, outcome: Outcome) {
         let record = self.records.entry(id.clone()).or_default();
+        if outcome == Outcome::Refused {
+            record.paused_until_ms = record.paused_until_ms.max(now_ms + REFUSED_PAUSE_MS);
+            return;
+        }
         let newest = if outcome == Outcome::Answered { 0.0 } else { 1.0 };
         record.failure_mean += NEWEST_WEIGHT * (newest - record.failure_mean);
         match outcome {
             Outcome::Answered => record.breaks = 0,
-            Outcome::Failed => {}
+            Outcome::Failed | Outcome::Refused => {}
             Outcome::Broken => {
                 let pause_ms = FIRST_PAUSE_MS << record.breaks.min(3);
                 record.breaks += 1;
--- a/crates/serve/src/caller/exchange.rs
+++ b/crates/serve/src/caller/exchange.rs
@@ -44,7 +44,8 @@
     pub(super) fn outcome(self) -> Outcome {
         match self {
             Self::NotArrived | Self::Broken => Outcome::Broken,
-            Self::NotRun | Self::Misdirected | Self::Spoilt => Outcome::Failed,
+            Self::NotRun | Self::Misdirected => Outcome::Refused,
+            Self::Spoilt => Outcome::Failed,
         }
     }
 }
--- a/crates/serve/src/caller/job.rs
+++ b/crates/serve/src/caller/job.rs
@@ -87,9 +87,7 @@
             Failure::Misdirected => self.tell(HubMessage::Misdirected { upstream: id }).await,
             Failure::NotArrived | Failure::NotRun | Failure::Spoilt => {}
         }
-        if !matches!(failure, Failure::NotRun | Failure::Misdirected) {
-            self.on_outcome(upstream, failure.outcome(), None).await;
-        }
+        self.on_outcome(upstream, failure.outcome(), None).await;
     }
 
     /// Notes what became of a send, and how long its connection is kept.
@@ -102,6 +100,7 @@
         let label = match outcome {
             Outcome::Answered => "answered",
             Outcome::Failed => "failed",
+            Outcome::Refused => "refused",
             Outcome::Broken => "broken",
         };
         self.server.metrics.sends.with_label_values(&[label]).inc();
--- a/crates/serve/src/caller/stream.rs
+++ b/crates/serve/src/caller/stream.rs
@@ -68,6 +68,7 @@
     E: Edge,
 {
     let mut prepared = None;
+    let mut refusals = 0;
     if let Some(reader) = reader {
         let read = read_prompt(job, &reader).await;
         upstream = job.answerer_after_read().await?;
@@ -95,12 +96,18 @@
             Err(failure) => failure,
         };
         job.on_failure(&upstream, failure, ran_before).await;
-        match failure {
-            Failure::NotArrived => {}
-            // Whoever holds the prompt now, it cannot be counted on: the next engine reads it.
-            Failure::NotRun | Failure::Misdirected | Failure::Broken | Failure::Spoilt => {
-                prepared = None;
+        let is_kept = match failure {
+            Failure::NotArrived => true,
+            // An engine that is full or changes its role has not taken the prompt; but if a second
+            // one refuses, the prompt itself may be gone.
+            Failure::NotRun | Failure::Misdirected => {
+                refusals += 1;
+                refusals < 2
             }
+            Failure::Broken | Failure::Spoilt => false,
+        };
+        if !is_kept {
+            prepared = None;
         }
         upstream = job.again(failure).await.map_err(|refusal| job.out_of_upstreams(refusal))?;
     }
