--- a/crates/fleet/src/place.rs
+++ b/crates/fleet/src/place.rs
@@ -15,11 +15,12 @@
 const AFFINE_READERS: usize = 2;
 /// Part of recent answers that were failures from which on an engine is left out.
 const MOSTLY_FAILING: f64 = 0.5;
-/// Load, as a part of an upstream's slots, that makes a nearer one equal to one a step away: a step
-/// costs a caller some dozen milliseconds, and its bytes and moved caches are billed.
-const DISTANCE_STEP: f64 = 0.25;
-/// Load that an upstream's failures count for, if all of its recent answers were failures.
-const FAILURE_WEIGHT: f64 = 3.0;
+/// Own waiting requests that make a nearer upstream equal to one a step away: a step costs a caller
+/// some dozen milliseconds, and its bytes and moved caches are billed.
+const DISTANCE_STEP: f64 = 1.0;
+/// Own waiting requests that an upstream's failures count for, if all of its recent answers were
+/// failures.
+const FAILURE_WEIGHT: f64 = 20.0;
 
 /// One part of a prompt; requests share parts.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -180,9 +181,10 @@
 where
     F: Fn(&Upstream) -> Load,
 {
+    let most_slots = candidates.iter().map(|up| up.slots).max()?;
     let cost = |up: &Upstream| {
         let load = load(up);
-        (f64::from(load.waiting) + 1.0) / f64::from(up.slots.max(1))
+        (f64::from(load.waiting) + 1.0) * f64::from(most_slots) / f64::from(up.slots.max(1))
             + DISTANCE_STEP * f64::from(site.steps(near, &up.domain))
             + FAILURE_WEIGHT * load.failure_mean
     };
--- a/crates/fleet/tests/place.rs
+++ b/crates/fleet/tests/place.rs
@@ -69,6 +69,33 @@
     }
 }
 
+#[test]
+fn an_upstream_with_more_slots_takes_more() {
+    struct Case {
+        name: &'static str,
+        waiting: [u32; 2],
+        expected: &'static str,
+    }
+    let cases = [
+        Case { name: "both idle", waiting: [0, 0], expected: "large" },
+        Case { name: "less than twice as many", waiting: [0, 2], expected: "small" },
+        Case { name: "as many", waiting: [1, 1], expected: "large" },
+    ];
+    let mut large = (*upstream("large", "d0", None)).clone();
+    large.slots = 16;
+    let open = [upstream("small", "d0", None), Arc::new(large)];
+    let open: Vec<&Arc<Upstream>> = open.iter().collect();
+    for Case { name, waiting, expected } in cases {
+        let load = |up: &Upstream| {
+            let index = usize::from(&*up.id == "large");
+            Load { waiting: waiting[index], ..Load::default() }
+        };
+        let demand = Demand { prompt: None, may_split: true, near: None, draw: 0 };
+        let placement = place(&demand, &open, &site(), load).expect("a place");
+        assert_eq!(&*placement.answerer.id, expected, "{name}");
+    }
+}
+
 #[test]
 fn among_equals_one_that_is_connected_answers() {
     struct Case {
