--- a/crates/serve/src/tasks/presence.rs
+++ b/crates/serve/src/tasks/presence.rs
@@ -14,7 +14,10 @@
 
 /// Interval between writes of the entry; readers ignore one that is three times as old.
 const WRITE_EVERY: Duration = Duration::from_secs(20);
-const RETRY: Duration = Duration::from_secs(1);
+/// Pause after a write that failed, while nobody knows this instance.
+const FIRST_RETRY: Duration = Duration::from_secs(1);
+/// The same once an entry is there: it counts for three intervals.
+const RETRY: Duration = Duration::from_secs(5);
 
 /// Writes the entry until the process ends.
 pub(crate) async fn run_presence<E>(edge: E, hub: HubHandle, mut entry: proto::InstanceEntry)
@@ -23,6 +26,7 @@
 {
     let key = entry.holder.instance.to_string();
     let mut store = Dependency::new(Topic::Instances, "writing");
+    let mut retry = FIRST_RETRY;
     loop {
         if let Some(true_ms) = hub.ask(|reply| HubMessage::TrueTime { reply }).await {
             entry.written_at_ms = true_ms;
@@ -30,7 +34,10 @@
         let record = (key.clone(), Bytes::from(to_json(&entry)));
         let written = edge.append(Topic::Instances, None, &[record]).await;
         store.note(&written);
-        compio::time::sleep(if written.is_ok() { WRITE_EVERY } else { RETRY }).await;
+        if written.is_ok() {
+            retry = RETRY;
+        }
+        compio::time::sleep(if written.is_ok() { WRITE_EVERY } else { retry }).await;
     }
 }
 
