--- a/crates/proto/src/generated.rs
+++ b/crates/proto/src/generated.rs
@@ -1330,7 +1330,7 @@
 ///      "type": "string"
 ///    },
 ///    "feed_every_ms": {
-///      "description": "Interval between exchanges with each other instance.",
+///      "description": "Interval between exchanges with an instance that feeds this one, or that it feeds with.",
 ///      "type": "integer",
 ///      "format": "uint64"
 ///    },
@@ -1388,7 +1388,7 @@
 pub struct FleetSettings {
     ///IP address and port of the platform's interface for orders of capacity and usage reports.
     pub duties_address: ::std::string::String,
-    ///Interval between exchanges with each other instance.
+    ///Interval between exchanges with an instance that feeds this one, or that it feeds with.
     pub feed_every_ms: u64,
     ///Interval between reads of declared configuration and upstream entries; well below the bound on leaving upstreams.
     pub follow_every_ms: u64,
--- a/crates/proto/src/setting_table.rs
+++ b/crates/proto/src/setting_table.rs
@@ -103,7 +103,7 @@
         key: "feed_every_ms",
         kind: SettingKind::Integer,
         default: Some("500"),
-        help: "Interval between exchanges with each other instance.",
+        help: "Interval between exchanges with an instance that feeds this one, or that it feeds with.",
     },
     SettingRow {
         section: "fleet",
