--- a/crates/border/src/lib.rs
+++ b/crates/border/src/lib.rs
@@ -10,6 +10,7 @@
 mod record;
 mod settings;
 mod snapshot;
+mod starts;
 mod ticket;
 
 pub use codec::{MAX_PEER_BYTES, decode_peer, encode_peer, from_json, to_json};
@@ -25,4 +26,7 @@
 };
 pub use settings::{ENTRY_SECTIONS, FLEET_SECTIONS, SettingError, load_settings};
 pub use snapshot::{CHUNK_BYTES, restore, snapshot_chunks};
+pub use starts::{
+    rows_from_proto, starts_key, window_to_proto, windows_from_proto, windows_to_proto,
+};
 pub use ticket::{outcome_to_proto, parse_ticket, ticket_from_proto};
--- /dev/null
+++ b/crates/border/src/starts.rs
@@ -0,0 +1,40 @@
+//! Starts of instances by window.
+
+use std::sync::Arc;
+
+use cowslip_proto as proto;
+use cowslip_usage::{StartRows, StartWindows};
+
+/// Key of an instance's starts: of one life of it, as the next one counts from nothing.
+#[must_use]
+pub fn starts_key(holder: &proto::Holder) -> String {
+    format!("{}/{}", holder.instance, holder.incarnation)
+}
+
+/// Rows of one window as messages and records hold them.
+#[must_use]
+pub fn window_to_proto(window: u64, rows: &StartRows) -> proto::StartWindow {
+    let rows = rows.iter().map(|(workspace, starts)| proto::StartRow {
+        workspace: workspace.to_string(),
+        starts: *starts,
+    });
+    proto::StartWindow { window, rows: rows.collect() }
+}
+
+/// Rows of a window by workspace.
+#[must_use]
+pub fn rows_from_proto(window: proto::StartWindow) -> StartRows {
+    window.rows.into_iter().map(|row| (Arc::from(row.workspace), row.starts)).collect()
+}
+
+/// All windows as messages and records hold them.
+#[must_use]
+pub fn windows_to_proto(windows: &StartWindows) -> Vec<proto::StartWindow> {
+    windows.iter().map(|(window, rows)| window_to_proto(*window, rows)).collect()
+}
+
+/// All windows by their number.
+#[must_use]
+pub fn windows_from_proto(windows: Vec<proto::StartWindow>) -> StartWindows {
+    windows.into_iter().map(|window| (window.window, rows_from_proto(window))).collect()
+}
--- /dev/null
+++ b/crates/border/tests/starts.rs
@@ -0,0 +1,24 @@
+//! Starts go through messages and come back as they were.
+
+use std::sync::Arc;
+
+use cowslip_border::{decode_peer, encode_peer, windows_from_proto, windows_to_proto};
+use cowslip_proto as proto;
+use cowslip_usage::StartWindows;
+use proptest::prelude::*;
+
+proptest! {
+    #[test]
+    fn windows_come_back_as_they_were(
+        rows in prop::collection::vec((any::<u64>(), "[a-z]{1,8}", any::<u64>()), 0..40)
+    ) {
+        let mut windows = StartWindows::new();
+        for (window, workspace, starts) in rows {
+            windows.entry(window).or_default().insert(Arc::from(workspace), starts);
+        }
+        let entry = proto::StartEntry { windows: windows_to_proto(&windows) };
+        let bytes = encode_peer(&entry).expect("a message");
+        let entry: proto::StartEntry = decode_peer(&bytes).expect("a message");
+        prop_assert_eq!(windows_from_proto(entry.windows), windows);
+    }
+}
--- a/crates/fleet/tests/health.rs
+++ b/crates/fleet/tests/health.rs
@@ -95,7 +95,9 @@
     for Case { name, outcomes, is_mostly_failing, is_spotless } in cases {
         let id: Arc<str> = Arc::from("engine");
         let mut health = Health::default();
-        outcomes.iter().for_each(|outcome| health.on_outcome(0, &id, *outcome));
+        for outcome in outcomes {
+            health.on_outcome(0, &id, *outcome);
+        }
         assert_eq!(health.failure_mean(&id) > 0.5, is_mostly_failing, "{name}");
         assert_eq!(health.failure_mean(&id) <= 0.0, is_spotless, "{name}");
     }
--- a/crates/serve/src/caller/job.rs
+++ b/crates/serve/src/caller/job.rs
@@ -7,7 +7,7 @@
 use cowslip_fleet::{Allowed, Outcome, Upstream};
 
 use super::exchange::Failure;
-use super::server::CallerServer;
+use super::shared::Shared;
 use crate::edge::{Call, Edge, Outgoing, Refused, Work};
 use crate::events::{Event, event};
 use crate::hub::{Again, HubMessage, Refusal};
@@ -17,7 +17,7 @@
 where
     E: Edge,
 {
-    pub(super) server: CallerServer<E>,
+    pub(super) shared: Shared<E>,
     pub(super) call: Call,
     pub(super) allowed: Allowed,
     pub(super) started_ms: u64,
@@ -31,7 +31,7 @@
     E: Edge,
 {
     pub(super) fn new(
-        server: CallerServer<E>,
+        shared: Shared<E>,
         call: Call,
         allowed: Allowed,
         started_ms: u64,
@@ -39,12 +39,12 @@
         grant: u64,
     ) -> Self {
         let may_have_run = Cell::new(false);
-        Self { server, call, allowed, started_ms, deadline_ms, grant, may_have_run }
+        Self { shared, call, allowed, started_ms, deadline_ms, grant, may_have_run }
     }
 
     /// Time that is left.
     pub(super) fn left(&self) -> Duration {
-        Duration::from_millis(self.deadline_ms.saturating_sub(self.server.clock.now_ms()))
+        Duration::from_millis(self.deadline_ms.saturating_sub(self.shared.clock.now_ms()))
     }
 
     /// How the request is sent to an upstream now.
@@ -103,7 +103,7 @@
             Outcome::Refused => "refused",
             Outcome::Broken => "broken",
         };
-        self.server.metrics.sends.with_label_values(&[label]).inc();
+        self.shared.metrics.sends.with_label_values(&[label]).inc();
         let upstream = upstream.id.clone();
         self.tell(HubMessage::Outcome { upstream, outcome, kept_for }).await;
     }
@@ -116,7 +116,7 @@
             Failure::Broken | Failure::Spoilt => Again::MayHaveRun,
         };
         let grant = self.grant;
-        let hub = &self.server.hub;
+        let hub = &self.shared.hub;
         hub.ask(|reply| HubMessage::Again { grant, why, reply })
             .await
             .unwrap_or(Err(Refusal::NotReady))
@@ -125,7 +125,7 @@
     /// The engine that answers, now that the prompt is read or will not be.
     pub(super) async fn answerer_after_read(&self) -> Result<Arc<Upstream>, Refused> {
         let grant = self.grant;
-        let hub = &self.server.hub;
+        let hub = &self.shared.hub;
         hub.ask(|reply| HubMessage::PromptRead { grant, reply })
             .await
             .unwrap_or(Err(Refusal::NotReady))
@@ -139,13 +139,13 @@
             return Ok(());
         }
         let grant = self.grant;
-        let hub = &self.server.hub;
+        let hub = &self.shared.hub;
         let is_left = hub.ask(|reply| HubMessage::TakeRepeat { grant, reply }).await;
         if is_left == Some(true) { Ok(()) } else { Err(Refused::from_refusal(Refusal::NoRepeat)) }
     }
 
     pub(super) async fn tell(&self, message: HubMessage) {
-        self.server.hub.tell(message).await;
+        self.shared.hub.tell(message).await;
     }
 
     /// The answer when the time is over.
@@ -160,7 +160,7 @@
 
     /// Logs and counts the end of the request.
     pub(super) fn on_refused(&self, refused: &Refused) {
-        let elapsed_ms = self.server.clock.now_ms().saturating_sub(self.started_ms);
+        let elapsed_ms = self.shared.clock.now_ms().saturating_sub(self.started_ms);
         let is_not_run = !self.may_have_run();
         let what = if is_not_run { Event::RequestRefused } else { Event::RequestFailed };
         event!(
@@ -171,7 +171,7 @@
             elapsed_ms = elapsed_ms
         );
         let end = if is_not_run { "refused" } else { "failed" };
-        self.server.metrics.requests.with_label_values(&[end]).inc();
+        self.shared.metrics.requests.with_label_values(&[end]).inc();
     }
 }
 
@@ -180,6 +180,6 @@
     E: Edge,
 {
     fn drop(&mut self) {
-        self.server.hub.tell_later(HubMessage::End { grant: self.grant });
+        self.shared.hub.tell_later(HubMessage::End { grant: self.grant });
     }
 }
--- a/crates/serve/src/caller/mod.rs
+++ b/crates/serve/src/caller/mod.rs
@@ -5,6 +5,7 @@
 mod refusal;
 mod relay;
 mod server;
+mod shared;
 mod sse;
 mod stream;
 mod whole;
--- a/crates/serve/src/caller/relay.rs
+++ b/crates/serve/src/caller/relay.rs
@@ -59,7 +59,7 @@
     /// Passes the stream on until it ends, its time is over, or the caller leaves.
     pub(super) async fn run(mut self, incoming: Incoming) {
         let end = self.run_to_end(incoming).await;
-        let requests = &self.job.server.metrics.requests;
+        let requests = &self.job.shared.metrics.requests;
         match end {
             End::Whole => requests.with_label_values(&["answered"]).inc(),
             End::Left => requests.with_label_values(&["left"]).inc(),
@@ -127,7 +127,7 @@
         if self.events.is_torn() {
             return End::Broken("the last event is unfinished".to_owned());
         }
-        let client = &self.job.server.client;
+        let client = &self.job.shared.client;
         let kept_for = self.connection.take().and_then(|connection| connection.keep(client));
         self.job.on_outcome(&self.upstream, Outcome::Answered, kept_for).await;
         self.job.tell(HubMessage::Answered { grant: self.job.grant }).await;
@@ -140,8 +140,8 @@
         }
         let job = &self.job;
         job.tell(HubMessage::Started { grant: job.grant }).await;
-        let elapsed_ms = job.server.clock.now_ms().saturating_sub(job.started_ms);
-        job.server.metrics.first_event_s.observe(elapsed_ms as f64 / 1_000.0);
+        let elapsed_ms = job.shared.clock.now_ms().saturating_sub(job.started_ms);
+        job.shared.metrics.first_event_s.observe(elapsed_ms as f64 / 1_000.0);
         event!(
             Event::StreamBegun,
             request = job.call.head.attempt_id,
@@ -158,8 +158,8 @@
             self.upstream = self.job.again(failure).await.ok()?;
             let work = Work::Answer { prepared: None, after_event: self.events.last_id() };
             let outgoing = self.job.outgoing(&self.upstream, work);
-            let server = &self.job.server;
-            match exchange(&server.edge, &server.client, &self.job.call, &outgoing).await {
+            let shared = &self.job.shared;
+            match exchange(&shared.edge, &shared.client, &self.job.call, &outgoing).await {
                 Ok(reply) if reply.parts.status.is_success() => {
                     let (_, incoming, connection) = reply.split();
                     self.connection = Some(connection);
--- a/crates/serve/src/caller/server.rs
+++ b/crates/serve/src/caller/server.rs
@@ -12,6 +12,7 @@
 use hyper::body::Incoming;
 
 use super::job::Job;
+use super::shared::Shared;
 use super::{stream, whole};
 use crate::config::Config;
 use crate::edge::{Call, Edge, Refused};
@@ -31,14 +32,10 @@
 /// Longest wait for a request whose caller does not say how long it waits.
 const DEFAULT_WAIT_MS: u64 = 60_000;
 
-/// What every request handler needs.
+/// The server and what its handlers share.
 #[derive(Clone, Debug)]
 pub(crate) struct CallerServer<E> {
-    pub(crate) edge: E,
-    pub(crate) hub: HubHandle,
-    pub(crate) client: Client,
-    pub(crate) clock: Clock,
-    pub(crate) metrics: Metrics,
+    shared: Shared<E>,
     limits: Rc<ServerLimits>,
 }
 
@@ -62,11 +59,12 @@
             idle_timeout: IDLE_TIMEOUT,
         };
         let client = Client::new(options);
-        Self { edge, hub, client, clock, metrics, limits: Rc::new(limits) }
+        let shared = Shared { edge, hub, client, clock, metrics };
+        Self { shared, limits: Rc::new(limits) }
     }
 
     async fn handle(self, request: Request<Incoming>) -> Response<Body> {
-        let edge = self.edge.clone();
+        let edge = self.shared.edge.clone();
         match self.serve(request).await {
             Ok(response) => response,
             Err(refused) => edge.refusal(&refused),
@@ -74,9 +72,9 @@
     }
 
     async fn serve(self, request: Request<Incoming>) -> Result<Response<Body>, Refused> {
-        let started_ms = self.clock.now_ms();
+        let started_ms = self.shared.clock.now_ms();
         let (parts, body) = request.into_parts();
-        let head = self.edge.read_head(&parts).map_err(|why| {
+        let head = self.shared.edge.read_head(&parts).map_err(|why| {
             event!(Event::RequestRefused, request = "", reason = why, status = 400);
             Refused::bad_head(why)
         })?;
@@ -84,6 +82,7 @@
         let question =
             Question { host: head.host.clone(), path: path.clone(), key: head.key.clone() };
         let admitted = self
+            .shared
             .hub
             .ask(|reply| HubMessage::Admit { question, reply })
             .await
@@ -107,13 +106,14 @@
             fingerprint: fingerprint(&call, allowed.workspace.as_deref()),
         };
         let grant = self
+            .shared
             .hub
             .ask(|reply| HubMessage::Begin { wanted: Box::new(wanted), reply })
             .await
             .unwrap_or(Err(Refusal::NotReady))
             .map_err(|refusal| self.refuse(&call.head.attempt_id, refusal))?;
         let kind = allowed.route.kind;
-        let job = Job::new(self, call, allowed, started_ms, deadline_ms, grant.id);
+        let job = Job::new(self.shared, call, allowed, started_ms, deadline_ms, grant.id);
         Ok(match kind {
             CallKind::Stream { .. } => stream::serve(job, grant.reader, grant.answerer).await,
             CallKind::Idempotent | CallKind::Once => whole::serve(job, grant.answerer).await,
@@ -128,7 +128,7 @@
             reason = refused.reason,
             status = refused.status.as_u16()
         );
-        self.metrics.requests.with_label_values(&["refused"]).inc();
+        self.shared.metrics.requests.with_label_values(&["refused"]).inc();
         refused
     }
 }
--- a/crates/serve/src/caller/stream.rs
+++ b/crates/serve/src/caller/stream.rs
@@ -32,15 +32,15 @@
     match opened.unwrap_or_else(|_| Err(job.out_of_time())) {
         Ok((upstream, reply)) if reply.parts.status.is_success() => {
             let (parts, incoming, connection) = reply.split();
-            let head = job.server.edge.answer_head(parts);
+            let head = job.shared.edge.answer_head(parts);
             let (sender, body) = stream();
-            let refusal = job.server.edge.clone();
+            let refusal = job.shared.edge.clone();
             let relay = Relay::new(job, upstream, connection, sender);
             compio::runtime::spawn(relay.run(incoming)).detach();
             head.body(body).unwrap_or_else(|_| refusal.refusal(&Refused::OUTCOME_UNKNOWN))
         }
         Ok((upstream, reply)) => {
-            let client = &job.server.client;
+            let client = &job.shared.client;
             match read_whole(&job.call, &upstream, client, reply).await {
                 Ok((parts, body, _)) => answered(&job, parts, body),
                 Err(_) => refuse(&job, &Refused::OUTCOME_UNKNOWN),
@@ -55,7 +55,7 @@
     E: Edge,
 {
     job.on_refused(refused);
-    job.server.edge.refusal(refused)
+    job.shared.edge.refusal(refused)
 }
 
 /// Has the prompt read, if that is apart, and sends the request until an engine answers.
@@ -84,7 +84,7 @@
             prepared: prepared.as_ref().map(|kept| &kept.prepared),
             after_event: None,
         };
-        let (edge, client) = (&job.server.edge, &job.server.client);
+        let (edge, client) = (&job.shared.edge, &job.shared.client);
         let sent = exchange(edge, client, &job.call, &job.outgoing(&upstream, work)).await;
         let failure = match sent {
             Ok(reply) => {
@@ -153,19 +153,19 @@
 where
     E: Edge,
 {
-    let (edge, client) = (&job.server.edge, &job.server.client);
+    let (edge, client) = (&job.shared.edge, &job.shared.client);
     let outgoing = job.outgoing(reader, Work::ReadPrompt);
     let reading = async {
         let reply = exchange(edge, client, &job.call, &outgoing).await?;
         read_whole(&job.call, reader, client, reply).await
     };
-    let began_ms = job.server.clock.now_ms();
+    let began_ms = job.shared.clock.now_ms();
     let read = reading.await.and_then(|(parts, body, kept_for)| {
         let prepared = parts.status.is_success().then(|| edge.read_prepared(reader, &body));
         let prepared = prepared.flatten().ok_or(Failure::Spoilt)?;
         Ok((prepared, kept_for))
     });
-    let took_ms = job.server.clock.now_ms().saturating_sub(began_ms);
+    let took_ms = job.shared.clock.now_ms().saturating_sub(began_ms);
     event!(
         Event::PromptRead,
         request = job.call.head.attempt_id,
--- a/crates/serve/src/caller/whole.rs
+++ b/crates/serve/src/caller/whole.rs
@@ -24,7 +24,7 @@
         Ok((parts, body)) => answered(&job, parts, body),
         Err(refused) => {
             job.on_refused(&refused);
-            job.server.edge.refusal(&refused)
+            job.shared.edge.refusal(&refused)
         }
     }
 }
@@ -68,7 +68,7 @@
 {
     let ran_before = job.may_have_run();
     job.on_sending();
-    let (edge, client) = (&job.server.edge, &job.server.client);
+    let (edge, client) = (&job.shared.edge, &job.shared.client);
     let work = Work::Answer { prepared: None, after_event: None };
     let reply = exchange(edge, client, &job.call, &job.outgoing(upstream, work)).await;
     let answer = match reply {
@@ -86,10 +86,10 @@
 where
     E: Edge,
 {
-    let elapsed_ms = job.server.clock.now_ms().saturating_sub(job.started_ms);
-    job.server.metrics.answer_s.observe(elapsed_ms as f64 / 1_000.0);
-    job.server.metrics.requests.with_label_values(&["answered"]).inc();
-    let edge = &job.server.edge;
+    let elapsed_ms = job.shared.clock.now_ms().saturating_sub(job.started_ms);
+    job.shared.metrics.answer_s.observe(elapsed_ms as f64 / 1_000.0);
+    job.shared.metrics.requests.with_label_values(&["answered"]).inc();
+    let edge = &job.shared.edge;
     edge.answer_head(parts)
         .body(full(body))
         .unwrap_or_else(|_| edge.refusal(&Refused::OUTCOME_UNKNOWN))
--- a/crates/serve/src/hub/feed.rs
+++ b/crates/serve/src/hub/feed.rs
@@ -2,14 +2,15 @@
 
 use std::sync::Arc;
 
-use cowslip_border::{digest_hex, holder_to_proto, parse_digest};
+use cowslip_border::{
+    digest_hex, holder_to_proto, parse_digest, windows_from_proto, windows_to_proto,
+};
 use cowslip_name::Name;
 use cowslip_proto as proto;
 
 use super::{Hub, LinkState};
 use crate::edge::{Edge, Stored};
 use crate::events::{Event, event};
-use crate::tasks::{windows_from_proto, windows_to_proto};
 
 /// Suspicions in one message; the newest ones.
 const TOLD_SUSPECTS: usize = 64;
--- a/crates/serve/src/hub/instances.rs
+++ b/crates/serve/src/hub/instances.rs
@@ -7,9 +7,8 @@
 use cowslip_name::Name;
 use cowslip_proto as proto;
 
-use super::Hub;
+use super::{Hub, LinkCommand, Peer};
 use crate::edge::Edge;
-use crate::tasks::{LinkCommand, Peer};
 
 /// Entries of instances that were not written again for this long are ignored.
 const ENTRY_LIFE_MS: u64 = 60_000; // three times the interval between writes
--- a/crates/serve/src/hub/message.rs
+++ b/crates/serve/src/hub/message.rs
@@ -1,6 +1,7 @@
 //! Messages to the hub.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -83,6 +84,19 @@
     Anew,
 }
 
+/// Another instance.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) struct Peer {
+    pub(crate) name: Name,
+    pub(crate) address: SocketAddr,
+}
+
+/// The newest list of instances to exchange with.
+#[derive(Debug)]
+pub(crate) struct LinkCommand {
+    pub(crate) peers: Vec<Peer>,
+}
+
 /// How far the two sides of a link have told each other.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct LinkState {
--- a/crates/serve/src/hub/mod.rs
+++ b/crates/serve/src/hub/mod.rs
@@ -11,7 +11,7 @@
 
 use async_channel::{Receiver, Sender};
 use cowslip_authority::Holder;
-use cowslip_border::holder_to_proto;
+use cowslip_border::{holder_to_proto, starts_key};
 use cowslip_clock::{Clock, wall_ms};
 use cowslip_fleet::{Change, Deployment, Health, RepeatBudget, Roster, plan_capacity, plan_roles};
 use cowslip_member::Feeding;
@@ -23,10 +23,10 @@
 use crate::edge::{Edge, Stored, Topic};
 use crate::events::{Event, event};
 use crate::metrics::Metrics;
-use crate::tasks::{LinkCommand, Peer, starts_key};
 
 pub(crate) use message::{
-    Admitted, Again, Grant, Held, HubMessage, LinkState, Plans, Question, Reads, Refusal, Wanted,
+    Admitted, Again, Grant, Held, HubMessage, LinkCommand, LinkState, Peer, Plans, Question, Reads,
+    Refusal, Wanted,
 };
 
 use instances::{Instances, place_in};
--- a/crates/serve/src/tasks/authority.rs
+++ b/crates/serve/src/tasks/authority.rs
@@ -8,7 +8,9 @@
 use cowslip_authority::{
     Holder, LeaseTimes, Register, RegisterRecord, RegisterStep, RegisterView, WriteResult,
 };
-use cowslip_border::{from_json, holder_from_proto, holder_to_proto, to_json};
+use cowslip_border::{
+    from_json, holder_from_proto, holder_to_proto, rows_from_proto, to_json, window_to_proto,
+};
 use cowslip_clock::Clock;
 use cowslip_proto as proto;
 use cowslip_usage::StartRows;
@@ -16,7 +18,6 @@
 
 use super::HubHandle;
 use super::dependency::Dependency;
-use super::starts::{rows_from_proto, window_to_proto};
 use crate::edge::{Edge, Page, StoreError, Topic};
 use crate::events::{Event, event};
 use crate::hub::{Held, HubMessage, Reads};
--- a/crates/serve/src/tasks/duties.rs
+++ b/crates/serve/src/tasks/duties.rs
@@ -6,7 +6,7 @@
 
 use async_channel::Sender;
 use bytes::Bytes;
-use cowslip_border::from_json;
+use cowslip_border::{from_json, windows_from_proto};
 use cowslip_clock::Clock;
 use cowslip_fleet::{CapacityOrder, RoleOrder};
 use cowslip_proto as proto;
@@ -15,7 +15,6 @@
 use super::HubHandle;
 use super::authority::AuthorityJob;
 use super::dependency::Dependency;
-use super::starts::windows_from_proto;
 use crate::edge::{Authority, DutyResult, Edge, Topic};
 use crate::events::{Event, event};
 use crate::hub::{HubMessage, Plans};
--- a/crates/serve/src/tasks/links.rs
+++ b/crates/serve/src/tasks/links.rs
@@ -1,7 +1,6 @@
 //! One link to each instance that this one exchanges with.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use async_channel::Receiver;
@@ -15,7 +14,7 @@
 use super::HubHandle;
 use super::peer_server::FEED_PATH;
 use crate::events::{Event, event};
-use crate::hub::{HubMessage, LinkState};
+use crate::hub::{HubMessage, LinkCommand, LinkState, Peer};
 
 /// Longest wait for an answer: instances in one region answer within milliseconds, in others
 /// within some dozen; a slow one must not hold the link for long.
@@ -23,19 +22,6 @@
 /// Most failures in a row that lengthen the pause.
 const MAX_BACKOFF: u32 = 3;
 
-/// Another instance.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub(crate) struct Peer {
-    pub(crate) name: Name,
-    pub(crate) address: SocketAddr,
-}
-
-/// The newest list of instances to exchange with.
-#[derive(Debug)]
-pub(crate) struct LinkCommand {
-    pub(crate) peers: Vec<Peer>,
-}
-
 /// A running link; dropping it ends the link.
 struct Running {
     peer: Peer,
--- a/crates/serve/src/tasks/mod.rs
+++ b/crates/serve/src/tasks/mod.rs
@@ -18,12 +18,10 @@
 pub(crate) use authority::{AuthorityJob, run_authority};
 pub(crate) use duties::run_duties;
 pub(crate) use follow::{Pace, run_follower};
-pub(crate) use links::{LinkCommand, Peer, run_links};
+pub(crate) use links::run_links;
 pub(crate) use peer_server::run_peer_server;
 pub(crate) use presence::{run_presence, withdraw};
-pub(crate) use starts::{
-    run_starts, starts_key, windows_from_proto, windows_to_proto, write_starts,
-};
+pub(crate) use starts::{run_starts, write_starts};
 
 const TICK: Duration = Duration::from_millis(100);
 
--- a/crates/serve/src/tasks/starts.rs
+++ b/crates/serve/src/tasks/starts.rs
@@ -1,12 +1,10 @@
 //! Writes counted starts into the store: this instance's own, and those of instances that it feeds.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use cowslip_border::to_json;
+use cowslip_border::{to_json, windows_to_proto};
 use cowslip_proto as proto;
-use cowslip_usage::{StartRows, StartWindows};
 
 use super::HubHandle;
 use super::dependency::Dependency;
@@ -53,30 +51,3 @@
     hub.tell(HubMessage::StartsWritten { is_written: written.is_ok() }).await;
     Some(written)
 }
-
-/// Key of an instance's starts: of one life of it, as the next one counts from nothing.
-pub(crate) fn starts_key(holder: &proto::Holder) -> String {
-    format!("{}/{}", holder.instance, holder.incarnation)
-}
-
-/// Rows of one window as messages and records hold them.
-pub(super) fn window_to_proto(window: u64, rows: &StartRows) -> proto::StartWindow {
-    let rows = rows.iter().map(|(workspace, starts)| proto::StartRow {
-        workspace: workspace.to_string(),
-        starts: *starts,
-    });
-    proto::StartWindow { window, rows: rows.collect() }
-}
-
-/// Rows of a window by workspace.
-pub(super) fn rows_from_proto(window: proto::StartWindow) -> StartRows {
-    window.rows.into_iter().map(|row| (Arc::from(row.workspace), row.starts)).collect()
-}
-
-pub(crate) fn windows_to_proto(windows: &StartWindows) -> Vec<proto::StartWindow> {
-    windows.iter().map(|(window, rows)| window_to_proto(*window, rows)).collect()
-}
-
-pub(crate) fn windows_from_proto(windows: Vec<proto::StartWindow>) -> StartWindows {
-    windows.into_iter().map(|window| (window.window, rows_from_proto(window))).collect()
-}
