Break the circles of cowslip-entry: what handlers share is apart from the server, the hub owns its messages

caller/server knew model, service and forward, which knew it for the client and the lease; hub and tasks used each other. Now caller/shared has the ways out and the lease, refusal the JSON answers, and the hub the messages to its tasks.

--- a/crates/entry/src/caller/forward.rs
+++ b/crates/entry/src/caller/forward.rs
@@ -5,7 +5,7 @@
 use hyper::body::Incoming;
 
 use super::request::CallerRequest;
-use super::server::{CallerServer, Lease};
+use super::shared::{Lease, Shared};
 use crate::events::Event;
 use crate::hub::Ending;
 use crate::metrics::Count;
@@ -42,7 +42,7 @@
 /// Only these headers go on: the caller's key and everything else stay here. An answer that names
 /// another call is dropped.
 pub(crate) async fn send_once(
-    server: &CallerServer,
+    shared: &Shared,
     lease: &Lease,
     request: &CallerRequest,
     path: &str,
@@ -51,7 +51,7 @@
     let call_id = uuid::Uuid::new_v4().to_string();
     let upstream_request = build(lease, request, path, resume_after, &call_id)
         .map_err(|_| SendFailure::NothingSent)?;
-    let response = server.client.send(lease.grant().address, upstream_request).await.map_err(
+    let response = shared.client.send(lease.grant().address, upstream_request).await.map_err(
         |sent| match sent {
             Sent::Nothing(_) => SendFailure::NothingSent,
             Sent::MayBe(_) => SendFailure::Broken,
@@ -59,8 +59,8 @@
     )?;
     let answered = response.headers().get(CALL_ID).map(http::HeaderValue::as_bytes);
     if answered.is_some_and(|answered| answered != call_id.as_bytes()) {
-        server.metrics.count(Count::Crossed);
-        Event::AnswerCrossed.emit(&server.me, format_args!("from {}", lease.grant().upstream));
+        shared.metrics.count(Count::Crossed);
+        Event::AnswerCrossed.emit(&shared.me, format_args!("from {}", lease.grant().upstream));
         return Err(SendFailure::Crossed);
     }
     Ok(response)
--- a/crates/entry/src/caller/model.rs
+++ b/crates/entry/src/caller/model.rs
@@ -8,9 +8,9 @@
 use serde::Deserialize;
 
 use super::forward::send_once;
-use super::refusal::CallerError;
+use super::refusal::{CallerError, json_response};
 use super::request::CallerRequest;
-use super::server::{CallerServer, Lease, json_response};
+use super::shared::{Lease, Shared};
 use super::sse::SseBuffer;
 use crate::events::Event;
 use crate::hub::{Ending, Goal, HubMessage, Spent, Wanted};
@@ -36,7 +36,7 @@
 
 /// Runs a model call.
 pub(crate) async fn complete(
-    server: &CallerServer,
+    shared: &Shared,
     request: CallerRequest,
     bearer: Option<String>,
 ) -> Result<Response<Body>, CallerError> {
@@ -49,12 +49,12 @@
         cost_tokens: prompt_tokens(&request) + fields.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS),
         fingerprint: request.digest(),
     };
-    let lease = server.begin(wanted).await?;
+    let lease = shared.begin(wanted).await?;
     if fields.stream {
-        streamed(server, request, lease).await
+        streamed(shared, request, lease).await
     } else {
-        let deadline = server.deadline();
-        let work = whole(server, request, lease);
+        let deadline = shared.deadline();
+        let work = whole(shared, request, lease);
         compio::time::timeout(deadline, work).await.unwrap_or(Err(CallerError::DEADLINE))
     }
 }
@@ -84,14 +84,14 @@
 
 /// Sends to one upstream after another until one answers.
 async fn open(
-    server: &CallerServer,
+    shared: &Shared,
     request: &CallerRequest,
     mut lease: Lease,
     resume_after: Option<u64>,
 ) -> Result<(Response<Incoming>, Lease), CallerError> {
     let mut may_have_run = resume_after.is_some();
     loop {
-        let ending = match send_once(server, &lease, request, &request.path, resume_after).await {
+        let ending = match send_once(shared, &lease, request, &request.path, resume_after).await {
             // The engine takes no work now. Any other status is its answer to this request.
             Ok(response) if response.status() == StatusCode::SERVICE_UNAVAILABLE => Ending::Failed,
             Ok(response) => return Ok((response, lease)),
@@ -104,12 +104,12 @@
 }
 
 async fn whole(
-    server: &CallerServer,
+    shared: &Shared,
     request: CallerRequest,
     mut lease: Lease,
 ) -> Result<Response<Body>, CallerError> {
     loop {
-        let (response, held) = open(server, &request, lease, None).await?;
+        let (response, held) = open(shared, &request, lease, None).await?;
         let status = response.status();
         match collect(response.into_body(), MAX_ANSWER_BYTES).await {
             Ok(body) => {
@@ -133,11 +133,11 @@
 }
 
 async fn streamed(
-    server: &CallerServer,
+    shared: &Shared,
     request: CallerRequest,
     lease: Lease,
 ) -> Result<Response<Body>, CallerError> {
-    let (response, lease) = open(server, &request, lease, None).await?;
+    let (response, lease) = open(shared, &request, lease, None).await?;
     if response.status() != StatusCode::OK {
         let status = response.status();
         let body = collect(response.into_body(), MAX_ANSWER_BYTES)
@@ -147,7 +147,7 @@
         return Ok(json_response(status, String::from_utf8_lossy(&body).into_owned()));
     }
     let (chunks, body) = stream();
-    let pump = Pump { server: server.clone(), request, chunks, last_token: None };
+    let pump = Pump { shared: shared.clone(), request, chunks, last_token: None };
     compio::runtime::spawn(pump.run(response, lease)).detach();
     let response = Response::builder()
         .header("content-type", "text/event-stream")
@@ -166,7 +166,7 @@
 
 /// Copies a stream to the caller, over several upstreams if need be.
 struct Pump {
-    server: CallerServer,
+    shared: Shared,
     request: CallerRequest,
     chunks: ChunkSender,
     last_token: Option<u64>,
@@ -174,7 +174,7 @@
 
 impl Pump {
     async fn run(mut self, response: Response<Incoming>, lease: Lease) {
-        let deadline = self.server.deadline();
+        let deadline = self.shared.deadline();
         let chunks = self.chunks.clone();
         let work = self.copy_all(response, lease);
         let failed = match compio::time::timeout(deadline, work).await {
@@ -203,10 +203,10 @@
                     let moved = moved.map_err(CallerError::after_send)?;
                     let resume_after = Some(self.last_token.unwrap_or(0));
                     (response, lease) =
-                        open(&self.server, &self.request, moved, resume_after).await?;
-                    self.server.metrics.count(Count::Resumed);
+                        open(&self.shared, &self.request, moved, resume_after).await?;
+                    self.shared.metrics.count(Count::Resumed);
                     Event::StreamResumed
-                        .emit(&self.server.me, format_args!("after token {:?}", self.last_token));
+                        .emit(&self.shared.me, format_args!("after token {:?}", self.last_token));
                 }
             }
         }
@@ -247,7 +247,7 @@
                 self.last_token = event.token.or(self.last_token);
                 if !has_begun {
                     has_begun = true;
-                    self.server.hub.tell(HubMessage::FirstToken { grant }).await;
+                    self.shared.hub.tell(HubMessage::FirstToken { grant }).await;
                 }
                 if !self.chunks.send(event.bytes).await {
                     return Copied::CallerGone;
--- a/crates/entry/src/caller/operator.rs
+++ b/crates/entry/src/caller/operator.rs
@@ -11,7 +11,7 @@
 use hyper::body::Incoming;
 use serde_json::json;
 
-use super::server::json_response;
+use super::refusal::json_response;
 use crate::hub::HubMessage;
 use crate::tasks::HubHandle;
 
--- a/crates/entry/src/caller/refusal.rs
+++ b/crates/entry/src/caller/refusal.rs
@@ -119,3 +119,12 @@
         builder.body(full(self.body())).expect("constants form a response")
     }
 }
+
+/// An answer with a JSON body.
+pub(crate) fn json_response(status: StatusCode, body: String) -> Response<Body> {
+    Response::builder()
+        .status(status)
+        .header("content-type", "application/json")
+        .body(full(body))
+        .expect("constants form a response")
+}
--- a/crates/entry/src/caller/server.rs
+++ b/crates/entry/src/caller/server.rs
@@ -4,66 +4,23 @@
 
 use async_channel::Receiver;
 use compio::net::TcpListener;
-use cowslip_net::{Body, Client, ClientOptions, ServerLimits, full, serve};
-use cowslip_proto::LimitSettings;
+use cowslip_net::{Body, ServerLimits, serve};
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use serde_json::json;
 
-use super::refusal::CallerError;
+use super::refusal::{CallerError, json_response};
 use super::request::CallerRequest;
+use super::shared::Shared;
 use super::{model, service};
-use crate::config::Config;
-use crate::hub::{Begun, Ending, Goal, Grant, HubMessage, Spent, Wanted};
-use crate::metrics::{Count, Metrics};
-use crate::tasks::HubHandle;
-use cowslip_clock::Clock;
+use crate::hub::{Goal, HubMessage, Refusal};
+use crate::metrics::Count;
 
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
-const USER_TIMEOUT: Duration = Duration::from_secs(10);
 /// Path of plain services.
 const SERVICE_PREFIX: &str = "/services/";
 
-/// What every request handler needs.
-#[derive(Clone, Debug)]
-pub(crate) struct CallerServer {
-    pub(crate) hub: HubHandle,
-    pub(crate) client: Client,
-    pub(crate) limits: LimitSettings,
-    pub(crate) clock: Clock,
-    pub(crate) metrics: Metrics,
-    pub(crate) me: cowslip_name::Name,
-}
-
-impl CallerServer {
-    pub(crate) fn new(config: &Config, clock: Clock, metrics: Metrics, hub: HubHandle) -> Self {
-        let options =
-            ClientOptions { connect_timeout: CONNECT_TIMEOUT, user_timeout: USER_TIMEOUT };
-        Self {
-            hub,
-            client: Client::new(options),
-            limits: config.settings.limits.clone(),
-            clock,
-            metrics,
-            me: config.settings.instance.name.clone(),
-        }
-    }
-
-    /// Longest time of one request.
-    pub(crate) fn deadline(&self) -> Duration {
-        Duration::from_millis(self.limits.request_deadline_ms)
-    }
-
-    /// Asks for an upstream.
-    pub(crate) async fn begin(&self, wanted: Wanted) -> Result<Lease, CallerError> {
-        match self.hub.ask(|reply| HubMessage::Begin { wanted, reply }).await {
-            Some(Begun::Granted(grant)) => Ok(Lease { server: self.clone(), grant: Some(grant) }),
-            Some(Begun::Refused(refusal)) => Err(CallerError::from_refusal(refusal)),
-            None => Err(CallerError::from_refusal(crate::hub::Refusal::NotReady)),
-        }
-    }
-
+impl Shared {
     async fn handle(self, request: Request<Incoming>) -> Response<Body> {
         let started_ms = self.clock.now_ms();
         let response = match self.route(request).await {
@@ -109,9 +66,7 @@
 
     async fn models(&self, bearer: Option<String>) -> Result<Response<Body>, CallerError> {
         let models = self.hub.ask(|reply| HubMessage::Models { bearer, reply }).await;
-        let models = models
-            .unwrap_or(Err(crate::hub::Refusal::NotReady))
-            .map_err(CallerError::from_refusal)?;
+        let models = models.unwrap_or(Err(Refusal::NotReady)).map_err(CallerError::from_refusal)?;
         let rows: Vec<_> = models
             .iter()
             .map(
@@ -135,72 +90,12 @@
     }
 }
 
-pub(crate) fn json_response(status: StatusCode, body: String) -> Response<Body> {
-    Response::builder()
-        .status(status)
-        .header("content-type", "application/json")
-        .body(full(body))
-        .expect("constants form a response")
-}
-
-/// The right to use an upstream, given back when dropped.
-#[derive(Debug)]
-pub(crate) struct Lease {
-    server: CallerServer,
-    grant: Option<Grant>,
-}
-
-impl Lease {
-    /// The grant in force.
-    pub(crate) fn grant(&self) -> &Grant {
-        self.grant.as_ref().expect("a lease holds its grant until it is given back")
-    }
-
-    /// Gives the grant back with what became of the upstream and what was used.
-    pub(crate) async fn end(mut self, ending: Ending, spent: Spent) {
-        if let Some(grant) = self.grant.take() {
-            self.server.hub.tell(HubMessage::End { grant: grant.id, ending, spent }).await;
-        }
-    }
-
-    /// Exchanges the grant for one at another upstream.
-    pub(crate) async fn move_on(mut self, ending: Ending) -> Result<Self, CallerError> {
-        let grant = self.grant().id;
-        self.grant = None;
-        let hub = self.server.hub.clone();
-        match hub.ask(|reply| HubMessage::Move { grant, ending, reply }).await {
-            Some(Begun::Granted(grant)) => {
-                self.grant = Some(grant);
-                Ok(self)
-            }
-            Some(Begun::Refused(refusal)) => Err(CallerError::from_refusal(refusal)),
-            None => Err(CallerError::from_refusal(crate::hub::Refusal::NotReady)),
-        }
-    }
-}
-
-impl Drop for Lease {
-    /// The caller is gone: its handler was dropped in the middle.
-    fn drop(&mut self) {
-        if let Some(grant) = self.grant.take() {
-            let hub = self.server.hub.clone();
-            let spent = Spent::default();
-            let message = HubMessage::End { grant: grant.id, ending: Ending::Finished, spent };
-            compio::runtime::spawn(async move { hub.tell(message).await }).detach();
-        }
-    }
-}
-
 /// Serves callers until `stop` closes and all open requests are finished.
-pub(crate) async fn run_caller_server(
-    server: CallerServer,
-    listener: TcpListener,
-    stop: Receiver<()>,
-) {
+pub(crate) async fn run_caller_server(shared: Shared, listener: TcpListener, stop: Receiver<()>) {
     let limits = ServerLimits {
-        max_connections: server.limits.max_connections as usize,
-        max_header_bytes: server.limits.max_header_bytes as usize,
+        max_connections: shared.limits.max_connections as usize,
+        max_header_bytes: shared.limits.max_header_bytes as usize,
         idle_timeout: IDLE_TIMEOUT,
     };
-    serve(listener, limits, stop, move |request| server.clone().handle(request)).await;
+    serve(listener, limits, stop, move |request| shared.clone().handle(request)).await;
 }
--- a/crates/entry/src/caller/service.rs
+++ b/crates/entry/src/caller/service.rs
@@ -10,7 +10,7 @@
 use super::forward::{SendFailure, send_once};
 use super::refusal::CallerError;
 use super::request::CallerRequest;
-use super::server::{CallerServer, Lease};
+use super::shared::{Lease, Shared};
 use crate::hub::{CallStep, Ending, Goal, HubMessage, Refusal, Spent, Wanted};
 
 /// A call of a service counts as a request and uses no tokens.
@@ -20,7 +20,7 @@
 
 /// Calls `NAME/path` of a service.
 pub(crate) async fn call(
-    server: &CallerServer,
+    shared: &Shared,
     request: CallerRequest,
     bearer: Option<String>,
     rest: &str,
@@ -31,12 +31,12 @@
         method: request.method.to_string(),
         path: format!("/{inner}"),
     };
-    call_goal(server, request, bearer, goal).await
+    call_goal(shared, request, bearer, goal).await
 }
 
 /// Calls what `goal` names; the upstream sees the path without the service's name.
 pub(crate) async fn call_goal(
-    server: &CallerServer,
+    shared: &Shared,
     request: CallerRequest,
     bearer: Option<String>,
     goal: Goal,
@@ -50,13 +50,13 @@
     };
     let fingerprint = request.digest();
     let wanted = Wanted { bearer, goal, prompt_tokens: 0, cost_tokens: 1, fingerprint };
-    let lease = server.begin(wanted).await?;
-    let deadline = server.deadline();
+    let lease = shared.begin(wanted).await?;
+    let deadline = shared.deadline();
     let work = async {
         match (&request.idempotency_key, lease.grant().is_idempotent) {
-            (_, true) => repeatable(server, &request, &path, lease).await,
-            (None, false) => single(server, &request, &path, lease).await,
-            (Some(key), false) => once(server, &request, &path, key.clone(), lease).await,
+            (_, true) => repeatable(shared, &request, &path, lease).await,
+            (None, false) => single(shared, &request, &path, lease).await,
+            (Some(key), false) => once(shared, &request, &path, key.clone(), lease).await,
         }
     };
     compio::time::timeout(deadline, work).await.unwrap_or(Err(CallerError::DEADLINE))
@@ -64,14 +64,14 @@
 
 /// A call that may be repeated goes to one upstream after another.
 async fn repeatable(
-    server: &CallerServer,
+    shared: &Shared,
     request: &CallerRequest,
     path: &str,
     mut lease: Lease,
 ) -> Result<Response<Body>, CallerError> {
     let mut may_have_run = false;
     loop {
-        let ending = match send_once(server, &lease, request, path, None).await {
+        let ending = match send_once(shared, &lease, request, path, None).await {
             Ok(response) => match read(response).await {
                 Some(answer) => {
                     lease.end(Ending::Finished, ANSWERED).await;
@@ -89,13 +89,13 @@
 
 /// A call that may not be repeated moves on only while nothing was sent.
 async fn single(
-    server: &CallerServer,
+    shared: &Shared,
     request: &CallerRequest,
     path: &str,
     mut lease: Lease,
 ) -> Result<Response<Body>, CallerError> {
     loop {
-        match attempt(server, request, path, &lease).await {
+        match attempt(shared, request, path, &lease).await {
             (SendResult::Answered(answer), _) => {
                 lease.end(Ending::Finished, ANSWERED).await;
                 return Ok(respond(&answer));
@@ -111,7 +111,7 @@
 
 /// A call with an idempotency key runs only where its start won in the log.
 async fn once(
-    server: &CallerServer,
+    shared: &Shared,
     request: &CallerRequest,
     path: &str,
     idempotency_key: Arc<str>,
@@ -119,14 +119,14 @@
 ) -> Result<Response<Body>, CallerError> {
     let grant = lease.grant().id;
     let digest = request.digest();
-    let started = server
+    let started = shared
         .hub
         .ask(|reply| HubMessage::CallStart { grant, idempotency_key, digest, reply })
         .await;
     let step = match started {
         Some(CallStep::Send) => {
-            let (result, ending) = attempt(server, request, path, &lease).await;
-            let told = server.hub.ask(|reply| HubMessage::CallSent { grant, result, reply }).await;
+            let (result, ending) = attempt(shared, request, path, &lease).await;
+            let told = shared.hub.ask(|reply| HubMessage::CallSent { grant, result, reply }).await;
             let spent = if ending == Ending::Finished { ANSWERED } else { Spent::default() };
             lease.end(ending, spent).await;
             told
@@ -148,12 +148,12 @@
 
 /// Sends once and reads the whole answer.
 async fn attempt(
-    server: &CallerServer,
+    shared: &Shared,
     request: &CallerRequest,
     path: &str,
     lease: &Lease,
 ) -> (SendResult, Ending) {
-    match send_once(server, lease, request, path, None).await {
+    match send_once(shared, lease, request, path, None).await {
         Ok(response) => match read(response).await {
             Some(answer) => (SendResult::Answered(answer), Ending::Finished),
             None => (SendResult::Broken, Ending::Lost),
--- a/crates/entry/src/hub/log.rs
+++ b/crates/entry/src/hub/log.rs
@@ -5,9 +5,8 @@
 use cowslip_proto as proto;
 use cowslip_state::{Assembler, Effect, StateRecord};
 
-use super::{Hub, KEPT_ENTRY_BYTES, Reading};
+use super::{Hub, KEPT_ENTRY_BYTES, Reading, WriteJob};
 use crate::events::Event;
-use crate::tasks::WriteJob;
 
 impl Hub {
     /// Takes a page of the log, `None` for a failed read; returns where to read on.
--- a/crates/entry/src/hub/message.rs
+++ b/crates/entry/src/hub/message.rs
@@ -172,3 +172,21 @@
     /// A usage window to the platform.
     Report { rows: Vec<proto::UsageRow> },
 }
+
+/// Records that go into one entry.
+#[derive(Debug)]
+pub(crate) struct WriteJob {
+    /// The records, in order.
+    pub(crate) records: Vec<proto::Record>,
+    /// Whether they fill an entry of their own.
+    pub(crate) is_alone: bool,
+}
+
+/// What the links are told.
+#[derive(Debug)]
+pub(crate) enum LinkCommand {
+    /// The newest list of other instances.
+    List(Vec<Listed>),
+    /// Beat now.
+    Nudge,
+}
--- a/crates/entry/src/hub/mod.rs
+++ b/crates/entry/src/hub/mod.rs
@@ -28,12 +28,11 @@
 use crate::config::Config;
 use crate::events::Event;
 use crate::metrics::Metrics;
-use crate::tasks::{LinkCommand, WriteJob};
 use cowslip_clock::Clock;
 
 pub(crate) use message::{
-    Begun, CallStep, Ending, Errand, ErrandTask, Goal, Grant, HubMessage, Refusal, Reply, Spent,
-    Wanted,
+    Begun, CallStep, Ending, Errand, ErrandTask, Goal, Grant, HubMessage, LinkCommand, Refusal,
+    Reply, Spent, Wanted, WriteJob,
 };
 
 use billing::Billing;
--- a/crates/entry/src/hub/peers.rs
+++ b/crates/entry/src/hub/peers.rs
@@ -7,8 +7,7 @@
 use cowslip_name::Name;
 use cowslip_proto as proto;
 
-use super::{Hub, Reading};
-use crate::tasks::LinkCommand;
+use super::{Hub, LinkCommand, Reading};
 
 /// Entries in one answer to another instance.
 const MAX_TAIL_ENTRIES: usize = 256;
--- a/crates/entry/src/hub/sharing.rs
+++ b/crates/entry/src/hub/sharing.rs
@@ -5,8 +5,7 @@
 use cowslip_name::Name;
 
 use super::requests::Running;
-use super::{Begun, Ending, Hub, Reply};
-use crate::tasks::LinkCommand;
+use super::{Begun, Ending, Hub, LinkCommand, Reply};
 
 /// Longest wait for the other instances.
 const SHARE_TIMEOUT_MS: u64 = 1_000;
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -10,7 +10,7 @@
 use snafu::ResultExt;
 use std::pin::pin;
 
-use crate::caller::{CallerServer, run_caller_server, run_operator_server};
+use crate::caller::{Shared, run_caller_server, run_operator_server};
 use crate::config::Config;
 use crate::error::{Error, ListenSnafu, RuntimeSnafu};
 use crate::events::Event;
@@ -70,9 +70,9 @@
     compio::runtime::spawn(peers).detach();
     let operators = run_operator_server(listeners.operator, hub.clone(), stopped.clone());
     compio::runtime::spawn(operators).detach();
-    let server = CallerServer::new(&config, clock, metrics, hub.clone());
+    let shared = Shared::new(&config, clock, metrics, hub.clone());
     let callers =
-        compio::runtime::spawn(run_caller_server(server, listeners.caller, stopped.clone()));
+        compio::runtime::spawn(run_caller_server(shared, listeners.caller, stopped.clone()));
     Event::Started.emit(&me, format_args!("callers at {}", config.caller_address));
     wait_for_signal().await;
     Event::Stopping.emit(&me, format_args!("signal"));
--- a/crates/entry/src/tasks/links.rs
+++ b/crates/entry/src/tasks/links.rs
@@ -15,18 +15,9 @@
 use super::HubHandle;
 use super::peer_server::PEER_PATH;
 use crate::events::Event;
-use crate::hub::HubMessage;
+use crate::hub::{HubMessage, LinkCommand};
 use cowslip_clock::Clock;
 
-/// What the links are told.
-#[derive(Debug)]
-pub(crate) enum LinkCommand {
-    /// The newest list of other instances.
-    List(Vec<Listed>),
-    /// Beat now.
-    Nudge,
-}
-
 /// A running link; dropping it ends the link.
 struct Running {
     other: Listed,
--- a/crates/entry/src/tasks/log_writer.rs
+++ b/crates/entry/src/tasks/log_writer.rs
@@ -9,21 +9,13 @@
 
 use super::Platform;
 use crate::events::Event;
+use crate::hub::WriteJob;
 use cowslip_clock::{Clock, wall_ms};
 
 /// Records in one append.
 const MAX_BATCH: usize = 256;
 const RETRY: Duration = Duration::from_millis(100);
 
-/// Records that go into one entry.
-#[derive(Debug)]
-pub(crate) struct WriteJob {
-    /// The records, in order.
-    pub(crate) records: Vec<proto::Record>,
-    /// Whether they fill an entry of their own.
-    pub(crate) is_alone: bool,
-}
-
 /// Appends until all senders are gone.
 ///
 /// An append whose answer is lost is repeated as it is: every fold ignores the second copy. An
--- a/crates/entry/src/tasks/mod.rs
+++ b/crates/entry/src/tasks/mod.rs
@@ -14,10 +14,10 @@
 use crate::hub::HubMessage;
 
 pub(crate) use errands::run_errands;
-pub(crate) use links::{LinkCommand, run_links};
+pub(crate) use links::run_links;
 pub(crate) use list::run_list;
 pub(crate) use log_reader::run_log_reader;
-pub(crate) use log_writer::{WriteJob, run_log_writer};
+pub(crate) use log_writer::run_log_writer;
 pub(crate) use peer_server::run_peer_server;
 pub(crate) use platform::Platform;
 pub(crate) use ticker::run_ticker;
