Derive how long a feeder's answer counts from the interval of exchanges; note entries without an address

An interval of exchanges above 0.6 s would have made every fed instance read the store between two answers.

--- a/crates/serve/src/config.rs
+++ b/crates/serve/src/config.rs
@@ -22,6 +22,11 @@
 /// Time before a window is late that its report needs.
 const REPORT_MARGIN_MS: u64 = 500;
 
+/// Round trip between regions, with room for a busy instance.
+const EXCHANGE_MARGIN_MS: u64 = 200;
+/// Least time that an answer of a feeder counts: shorter, and a busy second makes an instance read.
+const MIN_FED_MS: u64 = 1_200;
+
 /// Everything that an instance is told at its start.
 #[derive(Clone, Debug)]
 pub struct Config {
@@ -124,6 +129,11 @@
         Duration::from_millis(self.settings.fleet.feed_every_ms)
     }
 
+    /// How long an answer of a feeder counts: two exchanges, one of which may be lost.
+    pub(crate) fn fed_ms(&self) -> u64 {
+        (2 * self.settings.fleet.feed_every_ms + EXCHANGE_MARGIN_MS).max(MIN_FED_MS)
+    }
+
     pub(crate) fn stop_after(&self) -> Duration {
         Duration::from_millis(millis(self.settings.fleet.stop_after_s))
     }
--- a/crates/serve/src/hub/instances.rs
+++ b/crates/serve/src/hub/instances.rs
@@ -140,7 +140,7 @@
         let peers: Vec<Peer> = partners
             .iter()
             .filter_map(|name| self.instances.entries.get(name))
-            // An address that cannot be read is nobody's: the instance itself asks others.
+            // Entries are checked as they are read; another instance may still send what it likes.
             .filter_map(|entry| {
                 let address = entry.peer_address.parse().ok()?;
                 Some(Peer { name: entry.holder.instance.clone(), address })
--- a/crates/serve/src/hub/mod.rs
+++ b/crates/serve/src/hub/mod.rs
@@ -37,8 +37,6 @@
 const REMEMBERED_SUSPECTS: usize = 4_096;
 /// Windows whose starts are kept, so that a late or repeated write still has them.
 const KEPT_WINDOWS: u64 = 5; // 25 s at the users' 5 s a window, longer than a report may be late
-/// How long an answer of a feeder counts: two exchanges at the usual interval, and a round trip.
-const FED_MS: u64 = 1_200;
 
 /// The owner of the state.
 #[derive(Debug)]
@@ -93,7 +91,7 @@
     ) -> Self {
         let poison_limit = config.settings.limits.poison_limit as usize;
         let place = place_in(&config.site, config.settings.instance.failure_domain.clone());
-        let feeding = Feeding::new(me.instance.clone(), place, FED_MS);
+        let feeding = Feeding::new(me.instance.clone(), place, config.fed_ms());
         metrics.is_reader.set(1);
         Self {
             edge,
--- a/crates/serve/src/hub/records.rs
+++ b/crates/serve/src/hub/records.rs
@@ -1,6 +1,7 @@
 //! Records of the store, read here or told by another instance.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -248,7 +249,14 @@
                 continue;
             }
             match from_json::<proto::InstanceEntry>(&record.value) {
-                Ok(entry) => self.instances.on_entry(entry),
+                Ok(entry) if entry.peer_address.parse::<SocketAddr>().is_ok() => {
+                    self.instances.on_entry(entry);
+                }
+                Ok(entry) => {
+                    let why = "its address is no IP address and port";
+                    let key = entry.holder.instance;
+                    event!(Event::RecordBad, topic = "Instances", key = key, why = why);
+                }
                 Err(error) => event!(Event::RecordBad, topic = "Instances", why = error),
             }
         }
