Look for the own region's feeders once a look at partners

The last reading of the change: each look at partners, ten a second, built the list of the own region's feeders once for each neighbour (220 at the target), also for neighbours that ask and need no link. It is built once, and only silent neighbours are ranked. The result is the same: the property and the tables of Feeding pass, and so does control over real processes.

--- a/crates/member/src/feeding.rs
+++ b/crates/member/src/feeding.rs
@@ -128,10 +128,11 @@
     #[must_use]
     pub fn partners(&self, now_ms: u64, reads_store: bool) -> BTreeSet<Name> {
         let is_reader = self.is_reader(now_ms);
+        let own_feeders = self.own_feeders();
         let mut partners: BTreeSet<Name> = if is_reader {
             self.feeders.keys().cloned().collect()
         } else {
-            feeders_of(&self.me, &self.own_feeders()).into_iter().cloned().collect()
+            feeders_of(&self.me, &own_feeders).into_iter().cloned().collect()
         };
         let is_heard = |name: &&Name| {
             let asker = self.askers.get(*name);
@@ -139,7 +140,7 @@
         };
         if self.is_feeder() {
             let fed = self.neighbours.iter().filter(|name| {
-                feeders_of(name, &self.own_feeders()).contains(&&self.me) && !is_heard(name)
+                !is_heard(name) && feeders_of(name, &own_feeders).contains(&&self.me)
             });
             partners.extend(fed.cloned());
         }
