Let two instances read the store for all regions

Two feeders a region and one more for each 32 instances polled four topics each and wrote request starts, whatever the fleet served; at a start every instance read all topics until its first feed.

Now the first feeders of two regions read for all (FeedRole::Reader). Feeders are fed by both readers, the others by feeders of their region. A reply states the age of the newest read that it is based on over all hops; an instance reads itself while all its sources are too old or their exchanges fail. Instances first read the instances' entries, and wait for a feed before they read anything else. Entries are written every 40 s instead of 20 s; feeders read them every 8 s at most.

Ruled out: one reader with a standby (a change just after its loss arrives 2 s late, the bound is 2.5 s); waiting reads of upstreams' entries (they return with every heartbeat).

--- a/crates/membership/src/feed_topology.rs
+++ b/crates/membership/src/feed_topology.rs
@@ -1,10 +1,10 @@
-//! The feed topology: which instances read the store, and which they feed with what they read.
+//! The feed topology: which instances read the store, and how the others get what these have read.
 
 use std::collections::{BTreeMap, BTreeSet};
 
 use cowslip_name::Name;
 
-use crate::feeder_selection::{assigned_feeders, select_feeders};
+use crate::feeder_selection::{assigned_feeders, select_feeders, select_readers};
 
 /// Maximum number of instances with successful reads that an instance whose own reads fail adds to
 /// its feed peers.
@@ -19,21 +19,49 @@
     pub failure_domain: Name,
 }
 
-/// The feeders and the recent feeds and feed requests, as one instance knows them.
+/// Times of the feeds, in milliseconds.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct FeedTimes {
+    /// Age from which on what a feeder got from a reader no longer counts as read.
+    pub max_age_ms: u64,
+    /// Time that one further hop may add to that age.
+    pub hop_ms: u64,
+    /// Time for which a feed request counts.
+    pub request_ms: u64,
+}
+
+/// Part of an instance in the feed topology.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum FeedRole {
+    /// Reads the store for all instances.
+    Reader,
+    /// Is fed by the readers and feeds the instances of its region.
+    Feeder,
+    /// Is fed by feeders of its region.
+    Fed,
+}
+
+/// The readers and feeders, and the recent feeds and feed requests, as one instance knows them.
 ///
-/// The feeders of each region read the store themselves. They feed every other instance of their
-/// region with what has changed, and such an instance reads the store only while no feeder of its
-/// region feeds it.
+/// Two readers in different regions read the store. They feed the feeders of each region with what
+/// has changed, and these feed every other instance of their region. Each feed states the age of the
+/// newest read that it is based on, so an instance knows how far it is behind the store however many
+/// hops there are, and reads the store itself once all its sources are too far behind.
 #[derive(Clone, Debug)]
 pub struct FeedTopology {
     own_name: Name,
     location: Location,
-    /// Time for which a feed or a feed request counts, in milliseconds.
-    feed_timeout_ms: u64,
+    times: FeedTimes,
+    started_at_ms: u64,
+    /// Whether any peer has fed this instance since its start.
+    has_been_fed: bool,
+    /// Whether a list of instances or feeders is known.
+    has_list: bool,
     /// Region of each feeder, for the feeders of all regions.
     feeders: BTreeMap<Name, Name>,
-    /// Time of the newest feed from a feeder of the own region.
-    last_fed_at_ms: Option<u64>,
+    readers: BTreeSet<Name>,
+    /// For each peer whose last feed succeeded, the time at which the store was read for it.
+    read_times_ms: BTreeMap<Name, u64>,
     /// Live instances of the own region, this one included.
     region_instances: BTreeSet<Name>,
     /// Newest feed request of each instance.
@@ -47,16 +75,19 @@
 }
 
 impl FeedTopology {
-    /// Creates the topology of an instance that knows no other instance yet and is its own feeder.
+    /// Creates the topology of an instance that starts at `now_ms` and knows no other instance yet.
     #[must_use]
-    pub fn new(own_name: Name, location: Location, feed_timeout_ms: u64) -> Self {
-        let feeders = BTreeMap::from([(own_name.clone(), location.region.clone())]);
+    pub fn new(own_name: Name, location: Location, times: FeedTimes, now_ms: u64) -> Self {
         Self {
             own_name,
             location,
-            feed_timeout_ms,
-            feeders,
-            last_fed_at_ms: None,
+            times,
+            started_at_ms: now_ms,
+            has_been_fed: false,
+            has_list: false,
+            feeders: BTreeMap::new(),
+            readers: BTreeSet::new(),
+            read_times_ms: BTreeMap::new(),
             region_instances: BTreeSet::new(),
             feed_requests: BTreeMap::new(),
         }
@@ -77,38 +108,47 @@
         }
         let region_rows = regions.get(&self.location.region).into_iter().flatten();
         self.region_instances = region_rows.map(|(name, _)| name.clone()).collect();
-        self.feeders = regions
-            .iter()
-            .flat_map(|(region, rows)| {
-                let selected = select_feeders(
-                    rows.iter().map(|(name, failure_domain)| (name, failure_domain)),
-                );
-                selected.into_iter().map(move |name| (name.clone(), region.clone()))
-            })
-            .collect();
-    }
-
-    /// Replaces the feeders with the pairs of name and region that a peer has sent.
+        let feeders = regions.iter().flat_map(|(region, rows)| {
+            let selected =
+                select_feeders(rows.iter().map(|(name, failure_domain)| (name, failure_domain)));
+            selected.into_iter().map(move |name| (name.clone(), region.clone()))
+        });
+        self.set_feeders(feeders);
+    }
+
+    /// Replaces the feeders with the given pairs of name and region, and selects the readers among
+    /// them.
     pub fn set_feeders<I>(&mut self, feeders: I)
     where
         I: IntoIterator<Item = (Name, Name)>,
     {
         self.feeders = feeders.into_iter().collect();
+        self.readers = select_readers(&self.feeders).into_iter().cloned().collect();
+        self.has_list = true;
     }
 
-    /// Records a feed from `from`. Only feeders of the own region count.
-    pub fn on_feed_received(&mut self, now_ms: u64, from: &Name) {
-        if self.feeders.get(from) == Some(&self.location.region) {
-            self.last_fed_at_ms = Some(now_ms);
+    /// Records a feed from `from`. `age_ms` is the age of the newest read of the store that it is
+    /// based on, `None` if there is no recent one.
+    pub fn on_feed_received(&mut self, now_ms: u64, from: &Name, age_ms: Option<u64>) {
+        match age_ms {
+            Some(age_ms) => {
+                self.has_been_fed = true;
+                self.read_times_ms.insert(from.clone(), now_ms.saturating_sub(age_ms));
+            }
+            None => self.on_feed_failed(from),
         }
     }
 
+    /// Records that an exchange with `peer` failed, after which it no longer counts as a source.
+    pub fn on_feed_failed(&mut self, peer: &Name) {
+        self.read_times_ms.remove(peer);
+    }
+
     /// Records a feed request of `from`. `reads_store` is whether the requester's own reads of the
     /// store succeed.
     pub fn on_feed_request(&mut self, now_ms: u64, from: &Name, reads_store: bool) {
-        let feed_timeout_ms = self.feed_timeout_ms;
-        self.feed_requests
-            .retain(|_, request| now_ms.saturating_sub(request.at_ms) < feed_timeout_ms);
+        let request_ms = self.times.request_ms;
+        self.feed_requests.retain(|_, request| now_ms.saturating_sub(request.at_ms) < request_ms);
         self.feed_requests.insert(from.clone(), FeedRequest { at_ms: now_ms, reads_store });
     }
 
@@ -117,60 +157,112 @@
         self.feeders.keys()
     }
 
-    /// Returns whether this instance is a feeder.
+    /// Returns the part of this instance. Without a list of instances it counts as fed.
     #[must_use]
-    pub fn is_feeder(&self) -> bool {
-        self.feeders.contains_key(&self.own_name)
+    pub fn role(&self) -> FeedRole {
+        if self.readers.contains(&self.own_name) {
+            FeedRole::Reader
+        } else if self.feeders.contains_key(&self.own_name) {
+            FeedRole::Feeder
+        } else {
+            FeedRole::Fed
+        }
     }
 
-    /// Returns whether this instance has to read the store itself: it is a feeder, or no feeder of
-    /// its region has fed it recently.
+    /// Returns the time of the newest read of the store that this instance was fed, if a source
+    /// feeds it.
+    #[must_use]
+    pub fn fed_read_at_ms(&self) -> Option<u64> {
+        self.sources().filter_map(|name| self.read_times_ms.get(name)).max().copied()
+    }
+
+    /// Returns whether this instance has to read the store itself: it is a reader, or all its
+    /// sources are too far behind the store. After its start, an instance first waits for a feed.
     #[must_use]
     pub fn must_read_store(&self, now_ms: u64) -> bool {
-        let is_fed = self
-            .last_fed_at_ms
-            .is_some_and(|at_ms| now_ms.saturating_sub(at_ms) < self.feed_timeout_ms);
-        self.is_feeder() || !is_fed
+        let max_age_ms = match self.role() {
+            FeedRole::Reader => return true,
+            FeedRole::Feeder => self.times.max_age_ms,
+            FeedRole::Fed => self.times.max_age_ms + self.times.hop_ms,
+        };
+        let read_at_ms = match self.fed_read_at_ms() {
+            None if self.has_been_fed => return true,
+            None => self.started_at_ms,
+            Some(read_at_ms) => read_at_ms,
+        };
+        now_ms.saturating_sub(read_at_ms) >= max_age_ms
+    }
+
+    /// Returns whether this instance has to read the instances' entries itself. Feeders need all of
+    /// them to find instances that know no feeder.
+    #[must_use]
+    pub fn must_read_instances(&self, now_ms: u64) -> bool {
+        match self.role() {
+            FeedRole::Reader | FeedRole::Feeder => true,
+            FeedRole::Fed => !self.has_list || self.must_read_store(now_ms),
+        }
+    }
+
+    /// Returns whether this instance needs the list of feeders from a peer.
+    #[must_use]
+    pub fn wants_feeders(&self, now_ms: u64) -> bool {
+        !self.has_list || !self.must_read_instances(now_ms)
     }
 
     /// Returns the instances to exchange feeds with. `reads_store` is whether this instance's own
     /// reads of the store succeed.
     ///
-    /// An instance that is fed exchanges with the feeders assigned to it, and one that must read
-    /// the store with the feeders of all regions. A feeder also exchanges with the instances
-    /// assigned to it that send no feed requests, because they may know no feeder. If an instance's
-    /// reads fail although it must read the store, it also exchanges with instances whose reads
-    /// succeed.
+    /// Every instance exchanges with its sources, readers with each other, and an instance that has
+    /// no source with the feeders of all regions. Readers and feeders also exchange with the
+    /// instances assigned to them that send no feed requests, because they may know no feeder. If an
+    /// instance's reads fail although it must read the store, it also exchanges with instances whose
+    /// reads succeed.
     #[must_use]
     pub fn feed_peers(&self, now_ms: u64, reads_store: bool) -> BTreeSet<Name> {
+        let role = self.role();
+        let has_own_reads = reads_store && role == FeedRole::Reader;
         let must_read_store = self.must_read_store(now_ms);
-        let region_feeders = self.region_feeders();
-        let mut peers: BTreeSet<Name> = if must_read_store {
-            self.feeders.keys().cloned().collect()
-        } else {
-            assigned_feeders(&self.own_name, &region_feeders).into_iter().cloned().collect()
-        };
-        let has_requested = |name: &&Name| {
-            let request = self.feed_requests.get(*name);
-            request
-                .is_some_and(|request| now_ms.saturating_sub(request.at_ms) < self.feed_timeout_ms)
+        let mut peers: BTreeSet<Name> = match role {
+            _ if must_read_store && !has_own_reads => self.feeders.keys().cloned().collect(),
+            FeedRole::Reader | FeedRole::Feeder => self.readers.clone(),
+            FeedRole::Fed => self.sources().cloned().collect(),
         };
-        if self.is_feeder() {
+        if role != FeedRole::Fed {
+            let region_feeders = self.region_feeders();
             let not_requesting = self.region_instances.iter().filter(|name| {
-                !has_requested(name)
+                !self.has_requested(now_ms, name)
                     && assigned_feeders(name, &region_feeders).contains(&&self.own_name)
             });
             peers.extend(not_requesting.cloned());
         }
-        if must_read_store && !reads_store {
-            let successful_readers =
-                self.feed_requests.iter().filter(|(_, request)| request.reads_store);
-            peers.extend(successful_readers.map(|(name, _)| name.clone()).take(MAX_EXTRA_FEEDERS));
+        if (must_read_store || !self.has_list) && !reads_store {
+            let successful_readers = self
+                .feed_requests
+                .iter()
+                .filter(|(name, request)| request.reads_store && !peers.contains(*name))
+                .map(|(name, _)| name.clone());
+            let extra: Vec<Name> = successful_readers.take(MAX_EXTRA_FEEDERS).collect();
+            peers.extend(extra);
         }
         peers.remove(&self.own_name);
         peers
     }
 
+    /// Returns the peers whose feeds count for this instance.
+    fn sources(&self) -> impl Iterator<Item = &Name> {
+        let sources = match self.role() {
+            FeedRole::Reader => Vec::new(),
+            FeedRole::Feeder => self.readers.iter().collect(),
+            FeedRole::Fed => assigned_feeders(&self.own_name, &self.region_feeders()),
+        };
+        sources.into_iter()
+    }
+
+    fn has_requested(&self, now_ms: u64, name: &Name) -> bool {
+        let request = self.feed_requests.get(name);
+        request.is_some_and(|request| now_ms.saturating_sub(request.at_ms) < self.times.request_ms)
+    }
+
     fn region_feeders(&self) -> Vec<&Name> {
         let in_region = self.feeders.iter().filter(|(_, region)| **region == self.location.region);
         in_region.map(|(name, _)| name).collect()
--- a/crates/membership/src/feeder_selection.rs
+++ b/crates/membership/src/feeder_selection.rs
@@ -1,4 +1,4 @@
-//! Selection of the instances that read the store for the other instances of their region.
+//! Selection of the instances that read the store for all others, and of those that pass it on.
 
 use std::collections::BTreeMap;
 
@@ -10,6 +10,8 @@
 const INSTANCES_PER_FEEDER: usize = 32; // at two exchanges a second each, well under 3.4% of a core
 /// Feeders assigned to each instance.
 const FEEDERS_PER_INSTANCE: usize = 2;
+/// Number of readers.
+const READERS: usize = 2; // any one may fail, and so may any region
 
 /// Returns the feeders among the live instances of one region, given as pairs of name and failure
 /// domain.
@@ -24,21 +26,42 @@
 where
     I: IntoIterator<Item = (&'a Name, &'a Name)>,
 {
-    let mut domains: BTreeMap<&Name, Vec<&Name>> = BTreeMap::new();
-    for (name, domain) in live_instances {
-        domains.entry(domain).or_default().push(name);
+    let ranked = rank_within_groups(live_instances);
+    let feeder_count = MIN_FEEDERS.max(ranked.len().div_ceil(INSTANCES_PER_FEEDER));
+    ranked.into_iter().take(feeder_count).collect()
+}
+
+/// Returns the readers among the feeders of all regions, given as pairs of name and region.
+///
+/// Readers are taken from the regions in turn, in each region by name, so that the loss of one
+/// region leaves a reader.
+#[must_use]
+pub fn select_readers<'a, I>(feeders: I) -> Vec<&'a Name>
+where
+    I: IntoIterator<Item = (&'a Name, &'a Name)>,
+{
+    rank_within_groups(feeders).into_iter().take(READERS).collect()
+}
+
+/// Orders names by their position within their group, then by group. Each name is listed once.
+fn rank_within_groups<'a, I>(pairs: I) -> Vec<&'a Name>
+where
+    I: IntoIterator<Item = (&'a Name, &'a Name)>,
+{
+    let mut groups: BTreeMap<&Name, Vec<&Name>> = BTreeMap::new();
+    for (name, group) in pairs {
+        groups.entry(group).or_default().push(name);
     }
-    let mut ranked: Vec<(usize, &Name, &Name)> = domains
+    let mut ranked: Vec<(usize, &Name, &Name)> = groups
         .into_iter()
-        .flat_map(|(domain, mut names)| {
+        .flat_map(|(group, mut names)| {
             names.sort();
             names.dedup();
-            names.into_iter().enumerate().map(move |(rank, name)| (rank, domain, name))
+            names.into_iter().enumerate().map(move |(rank, name)| (rank, group, name))
         })
         .collect();
     ranked.sort();
-    let feeder_count = MIN_FEEDERS.max(ranked.len().div_ceil(INSTANCES_PER_FEEDER));
-    ranked.into_iter().take(feeder_count).map(|(_, _, name)| name).collect()
+    ranked.into_iter().map(|(_, _, name)| name).collect()
 }
 
 /// Returns those of a region's feeders that feed `instance`.
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -1,5 +1,5 @@
 //! Membership of the platform: the platform's list of instances, which lags, joined with heartbeats
-//! between instances, and the topology by which feeders read the store for other instances.
+//! between instances, and the topology by which few instances read the store for all others.
 //!
 //! The crate only decides: it uses no clock, no socket and no encoding.
 
@@ -7,6 +7,6 @@
 mod feeder_selection;
 mod members;
 
-pub use feed_topology::{FeedTopology, Location};
-pub use feeder_selection::{assigned_feeders, select_feeders};
+pub use feed_topology::{FeedRole, FeedTimes, FeedTopology, Location};
+pub use feeder_selection::{assigned_feeders, select_feeders, select_readers};
 pub use members::{Heartbeat, ListedMember, Members};
--- a/crates/proto/src/generated.rs
+++ b/crates/proto/src/generated.rs
@@ -939,7 +939,7 @@
 ///    "declaration",
 ///    "instances",
 ///    "place",
-///    "reads_store",
+///    "read_age_ms",
 ///    "roster",
 ///    "suspects",
 ///    "true_ms"
@@ -970,9 +970,13 @@
 ///    "place": {
 ///      "$ref": "#/definitions/FeedCursor"
 ///    },
-///    "reads_store": {
-///      "description": "Whether the replying instance's own reads of the store succeed.",
-///      "type": "boolean"
+///    "read_age_ms": {
+///      "description": "Age in milliseconds of the newest read of the upstreams' entries that the replying instance has made or was fed; null if it has none.",
+///      "type": [
+///        "integer",
+///        "null"
+///      ],
+///      "format": "uint64"
 ///    },
 ///    "roster": {
 ///      "description": "Records of the upstreams' entries that changed after `seen`; empty if they are not wanted. A removal is held back until it is certain.",
@@ -1006,8 +1010,8 @@
     ///Instance list, if it is wanted and changed after `seen`; otherwise null.
     pub instances: ::std::option::Option<FeederList>,
     pub place: FeedCursor,
-    ///Whether the replying instance's own reads of the store succeed.
-    pub reads_store: bool,
+    ///Age in milliseconds of the newest read of the upstreams' entries that the replying instance has made or was fed; null if it has none.
+    pub read_age_ms: ::std::option::Option<u64>,
     ///Records of the upstreams' entries that changed after `seen`; empty if they are not wanted. A removal is held back until it is certain.
     pub roster: ::std::vec::Vec<StoredRecord>,
     ///Suspect requests that changed after `seen`.
@@ -1145,7 +1149,7 @@
 ///      "format": "uint32"
 ///    },
 ///    "feeders": {
-///      "description": "Entries of the instances that read the store and feed the other instances.",
+///      "description": "Entries of the instances that feed the others of their region; the readers of the store are among them.",
 ///      "type": "array",
 ///      "items": {
 ///        "$ref": "#/definitions/InstanceEntry"
@@ -1161,7 +1165,7 @@
 pub struct FeederList {
     ///Number of all live instances, not only of feeders.
     pub count: u32,
-    ///Entries of the instances that read the store and feed the other instances.
+    ///Entries of the instances that feed the others of their region; the readers of the store are among them.
     pub feeders: ::std::vec::Vec<InstanceEntry>,
 }
 ///Whether an upstream refuses orders with an outdated fencing token (`checked`) or does not look at the token (`ignored`).
@@ -1313,7 +1317,7 @@
 ///      "type": "string"
 ///    },
 ///    "feed_every_ms": {
-///      "description": "Interval in milliseconds between exchanges with each feed peer. An instance that gets no reply from a feeder for about two intervals reads the store itself.",
+///      "description": "Interval in milliseconds between exchanges with each feed peer. An instance whose peers are further behind the store than these intervals explain reads the store itself.",
 ///      "type": "integer",
 ///      "format": "uint64"
 ///    },
@@ -1371,7 +1375,7 @@
 pub struct FleetSettings {
     ///IP address and port of the platform's interface for capacity orders and usage reports.
     pub duties_address: ::std::string::String,
-    ///Interval in milliseconds between exchanges with each feed peer. An instance that gets no reply from a feeder for about two intervals reads the store itself.
+    ///Interval in milliseconds between exchanges with each feed peer. An instance whose peers are further behind the store than these intervals explain reads the store itself.
     pub feed_every_ms: u64,
     ///Interval in milliseconds between reads of the declared configuration and of the upstreams' entries. Must be well below the time within which a draining upstream may get no more requests.
     pub follow_every_ms: u64,
--- a/crates/proto/src/setting_table.rs
+++ b/crates/proto/src/setting_table.rs
@@ -103,7 +103,7 @@
         key: "feed_every_ms",
         kind: SettingKind::Integer,
         default: Some("500"),
-        help: "Interval in milliseconds between exchanges with each feed peer. An instance that gets no reply from a feeder for about two intervals reads the store itself.",
+        help: "Interval in milliseconds between exchanges with each feed peer. An instance whose peers are further behind the store than these intervals explain reads the store itself.",
     },
     SettingSpec {
         section: "fleet",
--- a/crates/serve/src/config.rs
+++ b/crates/serve/src/config.rs
@@ -10,6 +10,7 @@
 use cowslip_authority::LeaseTimes;
 use cowslip_codec::{FLEET_SETTING_SECTIONS, SettingError, load_settings};
 use cowslip_fleet::{Locality, RetryBudgetLimits};
+use cowslip_membership::FeedTimes;
 use cowslip_proto::FleetEntrySettings;
 use cowslip_usage::WindowTimes;
 use num_traits::ToPrimitive;
@@ -17,14 +18,14 @@
 
 use crate::error::{BadSettingsSnafu, Error, ReadSettingsSnafu};
 
-/// Time after the end of a usage window from which its request starts are reported: two of the
-/// intervals at which instances write them.
-const SETTLE_MS: u64 = 2_400;
+/// Time after the end of a usage window from which its request starts are reported: two feed
+/// exchanges, one interval of a reader's writes and reserve.
+const SETTLE_MS: u64 = 3_200;
 /// Time reserved for the report of a window before the window counts as late.
 const REPORT_MARGIN_MS: u64 = 500;
 /// Time allowed for a feed exchange: a round trip between regions and reserve for a busy instance.
 const EXCHANGE_MARGIN_MS: u64 = 200;
-/// Least time for which a feeder's reply is valid. With less, one busy second would make an
+/// Least time allowed for two feed exchanges. With less, one busy second would make an
 /// instance read the store itself.
 const MIN_FEED_VALID_MS: u64 = 1_200;
 
@@ -142,10 +143,17 @@
         Duration::from_millis(self.settings.fleet.feed_every_ms)
     }
 
-    /// Returns the time for which a feeder's reply is valid: two exchanges, one of which may be
-    /// lost.
-    pub(crate) fn feed_valid_ms(&self) -> u64 {
-        (2 * self.settings.fleet.feed_every_ms + EXCHANGE_MARGIN_MS).max(MIN_FEED_VALID_MS)
+    /// Returns the times of the feeds. Between two reads of a reader and the feed that follows, one
+    /// exchange may be lost.
+    pub(crate) fn feed_times(&self) -> FeedTimes {
+        let fleet = &self.settings.fleet;
+        let two_exchanges_ms =
+            (2 * fleet.feed_every_ms + EXCHANGE_MARGIN_MS).max(MIN_FEED_VALID_MS);
+        FeedTimes {
+            max_age_ms: fleet.follow_every_ms + two_exchanges_ms,
+            hop_ms: fleet.feed_every_ms,
+            request_ms: two_exchanges_ms,
+        }
     }
 
     /// Returns the time from the stop signal until the platform kills the process.
--- a/crates/serve/src/hub/feed.rs
+++ b/crates/serve/src/hub/feed.rs
@@ -6,6 +6,7 @@
     decode_digest_hex, encode_hex, holder_to_proto, start_windows_from_proto,
     start_windows_to_proto,
 };
+use cowslip_membership::FeedRole;
 use cowslip_name::Name;
 use cowslip_proto as proto;
 
@@ -29,10 +30,21 @@
         self.roster_reads.succeed(now_ms, limit)
     }
 
+    /// Returns the time of the newest read of the store that this instance's state is based on.
+    fn read_at_ms(&self, now_ms: u64) -> Option<u64> {
+        let own_read_at_ms =
+            self.roster_reads.succeeded_at_ms().filter(|_| self.reads_store(now_ms));
+        own_read_at_ms.max(self.feed_topology.fed_read_at_ms())
+    }
+
     pub(super) fn build_feed(&self, link: &LinkState) -> (proto::FeedRequest, LinkState) {
         let now_ms = self.clock.now_ms();
         let reads_store = self.reads_store(now_ms);
-        let sends_starts = !self.feed_topology.must_read_store(now_ms) || self.starts.has_failed();
+        let is_reader = self.feed_topology.role() == FeedRole::Reader;
+        // Readers also write request starts; each sends its own to the other, so that the loss of
+        // one loses none.
+        let sends_starts =
+            is_reader || !self.feed_topology.must_read_store(now_ms) || self.starts.has_failed();
         let starts = self.starts.changed_since(link.sent_starts).filter(|_| sends_starts);
         let request = proto::FeedRequest {
             from: holder_to_proto(&self.identity),
@@ -40,8 +52,8 @@
             failure_domain: self.config.settings.instance.failure_domain.clone(),
             reads_store,
             declaration_offset: self.declaration.as_ref().map(|record| record.offset),
-            wants_roster: !self.feed_topology.is_feeder() || !reads_store || !self.is_roster_known,
-            wants_instances: !self.feed_topology.must_read_store(now_ms),
+            wants_roster: !is_reader || !reads_store || !self.is_roster_known,
+            wants_instances: self.feed_topology.wants_feeders(now_ms),
             seen: link.received_cursor.clone(),
             true_ms: self.cluster_ms(),
             suspects: self.suspects_since(link.sent_suspects),
@@ -89,9 +101,8 @@
             .as_ref()
             .filter(|record| request.declaration_offset.is_none_or(|offset| offset < record.offset))
             .map(to_proto);
-        let reads_store = self.reads_store(now_ms);
         let sends_roster = request.wants_roster && self.is_roster_known;
-        let sends_instances = request.wants_instances && reads_store;
+        let sends_instances = request.wants_instances && !self.instances.is_fed();
         // A missing entry may only be late, so a removal is sent once the registry has dropped the
         // upstream.
         let is_final = |record: &&StoredRecord| {
@@ -99,7 +110,7 @@
         };
         let roster = self.roster_records.changed_since(cursor.roster).filter(|_| sends_roster);
         proto::FeedReply {
-            reads_store,
+            read_age_ms: self.read_at_ms(now_ms).map(|at_ms| now_ms.saturating_sub(at_ms)),
             declaration,
             roster: roster.filter(is_final).map(to_proto).collect(),
             instances: self.instances.changed_since(cursor.instances).filter(|_| sends_instances),
@@ -132,9 +143,7 @@
         if let Some(list) = feed.instances {
             self.on_instance_list(&list);
         }
-        if feed.reads_store {
-            self.feed_topology.on_feed_received(now_ms, from);
-        }
+        self.feed_topology.on_feed_received(now_ms, from, feed.read_age_ms);
     }
 
     fn on_suspects(&mut self, suspects: &[proto::SuspectRequest]) {
--- a/crates/serve/src/hub/instances.rs
+++ b/crates/serve/src/hub/instances.rs
@@ -11,12 +11,14 @@
 use crate::platform::Platform;
 
 /// Age from which an instance's entry is ignored.
-const ENTRY_TTL_MS: u64 = 60_000; // three times the interval at which instances write their entries
+const ENTRY_TTL_MS: u64 = 120_000; // three times the interval at which instances write their entries
 
 /// The system's instances, read from their own entries or received from a feeder.
 #[derive(Debug, Default)]
 pub(super) struct Instances {
     entries: BTreeMap<Name, proto::InstanceEntry>,
+    /// Whether the store or a feeder has provided a list.
+    is_known: bool,
     /// Number of all instances, if a feeder sent the list; `entries` then holds the feeders and the
     /// peers that have sent feed requests since.
     fed_count: Option<u32>,
@@ -27,9 +29,11 @@
 }
 
 impl Instances {
-    pub(super) fn clear(&mut self) {
+    /// Starts a complete list, whose entries follow.
+    pub(super) fn on_list(&mut self) {
         self.entries.clear();
         self.fed_count = None;
+        self.is_known = true;
     }
 
     pub(super) fn on_entry(&mut self, entry: proto::InstanceEntry) {
@@ -55,7 +59,7 @@
     }
 
     fn apply_fed_list(&mut self, list: &proto::FeederList) {
-        self.clear();
+        self.on_list();
         self.fed_count = Some(list.count);
         list.feeders.iter().cloned().for_each(|entry| self.on_entry(entry));
     }
@@ -127,7 +131,7 @@
     pub(super) fn update_links(&mut self) {
         let now_ms = self.clock.now_ms();
         let cluster_ms = self.cluster_ms();
-        if !self.instances.is_fed() {
+        if self.instances.is_known && !self.instances.is_fed() {
             let locality = &self.config.locality;
             self.feed_topology.set_live_instances(self.instances.live(cluster_ms).map(|entry| {
                 let location = location_in(locality, entry.failure_domain.clone());
--- a/crates/serve/src/hub/message.rs
+++ b/crates/serve/src/hub/message.rs
@@ -56,6 +56,8 @@
     HandleFeed { feed: Box<proto::FeedRequest>, reply: ReplySender<proto::FeedReply> },
     /// Applies a peer's reply to a feed request.
     ApplyFeed { from: Name, feed: Box<proto::FeedReply> },
+    /// Reports that an exchange with a peer failed.
+    FeedFailed { peer: Name },
     /// Sets the lease that this instance holds, if it holds one.
     SetLease { lease: Option<HeldLease> },
     /// Asks for the fencing token of an unexpired lease of this instance.
--- a/crates/serve/src/hub/mod.rs
+++ b/crates/serve/src/hub/mod.rs
@@ -17,7 +17,7 @@
     DeclaredConfig, RetryBudget, UpstreamChange, UpstreamHealth, UpstreamRegistry, plan_capacity,
     plan_roles,
 };
-use cowslip_membership::FeedTopology;
+use cowslip_membership::{FeedRole, FeedTopology};
 use cowslip_poison::Suspects;
 use cowslip_task::send_reply;
 use cowslip_usage::{ClusterClock, StartCounters, StartWindows, WindowTimes};
@@ -101,9 +101,12 @@
         let poison_limit = config.settings.limits.poison_limit as usize;
         let location =
             location_in(&config.locality, config.settings.instance.failure_domain.clone());
-        let feed_topology =
-            FeedTopology::new(identity.instance.clone(), location, config.feed_valid_ms());
-        metrics.is_reader.set(1);
+        let feed_topology = FeedTopology::new(
+            identity.instance.clone(),
+            location,
+            config.feed_times(),
+            clock.now_ms(),
+        );
         Self {
             platform,
             clock,
@@ -123,7 +126,7 @@
             suspects: Suspects::new(poison_limit, MAX_SUSPECTS),
             instances: Instances::default(),
             feed_topology,
-            is_store_reader: true,
+            is_store_reader: false,
             feed_peers: Vec::new(),
             cluster_clock: ClusterClock::new(clock.now_ms(), unix_ms()),
             window_times: config.window_times(),
@@ -177,6 +180,7 @@
             HubMessage::BuildFeed { link, reply } => send_reply(&reply, self.build_feed(&link)),
             HubMessage::HandleFeed { feed, reply } => send_reply(&reply, self.handle_feed(*feed)),
             HubMessage::ApplyFeed { from, feed } => self.apply_feed(&from, *feed),
+            HubMessage::FeedFailed { peer } => self.feed_topology.on_feed_failed(&peer),
             HubMessage::SetLease { lease } => {
                 self.metrics.is_holder.set(i64::from(lease.is_some()));
                 self.lease = lease;
@@ -233,7 +237,14 @@
     }
 
     fn read_mode(&self, topic: Topic) -> ReadMode {
-        if !self.feed_topology.must_read_store(self.clock.now_ms()) {
+        let now_ms = self.clock.now_ms();
+        let must_read = match topic {
+            Topic::Instances => self.feed_topology.must_read_instances(now_ms),
+            Topic::Declaration | Topic::Roster | Topic::Lease | Topic::Starts => {
+                self.feed_topology.must_read_store(now_ms)
+            }
+        };
+        if !must_read {
             ReadMode::Skip
         } else if topic == Topic::Instances && self.instances.is_fed() {
             ReadMode::Restart
@@ -249,10 +260,10 @@
             return;
         }
         if is_store_reader {
-            let why = if self.feed_topology.is_feeder() {
-                "this instance is a feeder"
-            } else {
-                "no feeder has replied lately"
+            let why = match self.feed_topology.role() {
+                FeedRole::Reader => "this instance reads for the others",
+                FeedRole::Feeder => "no reader has fed this instance lately",
+                FeedRole::Fed => "no feeder has fed this instance lately",
             };
             event!(Event::StoreReadingStarted, why = why);
         } else {
--- a/crates/serve/src/hub/records.rs
+++ b/crates/serve/src/hub/records.rs
@@ -24,6 +24,11 @@
 }
 
 impl RosterReads {
+    /// Returns the time of the newest successful read.
+    pub(super) fn succeeded_at_ms(&self) -> Option<u64> {
+        self.succeeded_at_ms
+    }
+
     /// Returns whether the newest read succeeded, less than `limit` ago.
     pub(super) fn succeed(&self, now_ms: u64, limit: Duration) -> bool {
         let is_recent = |at_ms| u128::from(now_ms.saturating_sub(at_ms)) < limit.as_millis();
@@ -254,7 +259,7 @@
 
     fn on_instances(&mut self, records: Vec<StoredRecord>, is_list: bool) {
         if is_list {
-            self.instances.clear();
+            self.instances.on_list();
         }
         for record in records {
             if record.value.is_empty() {
--- a/crates/serve/src/run.rs
+++ b/crates/serve/src/run.rs
@@ -40,9 +40,15 @@
 /// Time that the store holds a read of the instances' entries: changes arrive at once, so an
 /// instance knows its peers before it needs them.
 const INSTANCES_WAIT_MS: u64 = 4_000;
-/// Delay between two reads of the instances' entries, so that entries written together arrive in
-/// one read.
-const INSTANCES_DELAY: Duration = Duration::from_secs(1);
+/// Delay before the first read of the instances' entries, so that instances that start together
+/// find each other in it.
+const INSTANCES_FIRST_DELAY: Duration = Duration::from_millis(400);
+/// Shortest delay between two reads of the instances' entries, so that entries written together
+/// arrive in one read.
+const INSTANCES_MIN_DELAY: Duration = Duration::from_secs(1);
+/// Longest delay between two reads of the instances' entries: a new instance finds the others by its
+/// own first read, so these only need to learn of it in time to replace a feeder.
+const INSTANCES_MAX_DELAY: Duration = Duration::from_secs(8);
 /// Most connections at each of the addresses for the balancer and for operators.
 const CONTROL_CONNECTIONS: usize = 64;
 /// Idle time after which such a connection is closed.
@@ -171,8 +177,7 @@
             (*metrics).clone(),
             links,
         );
-        let read_topic = |topic: Topic, delay: Duration, wait_ms: u64| {
-            let schedule = PollSchedule { delay, wait_ms };
+        let read_topic = |topic: Topic, schedule: PollSchedule| {
             run_topic_reader(platform.clone(), hub.clone(), (*metrics).clone(), topic, schedule)
                 .boxed_local()
         };
@@ -189,9 +194,20 @@
         let tasks = [
             hub_task.run(messages).boxed_local(),
             run_ticker(hub.clone()).boxed_local(),
-            read_topic(Topic::Declaration, Duration::ZERO, DECLARATION_WAIT_MS),
-            read_topic(Topic::Roster, config.follow_every(), 0),
-            read_topic(Topic::Instances, INSTANCES_DELAY, INSTANCES_WAIT_MS),
+            read_topic(
+                Topic::Declaration,
+                PollSchedule::regular(Duration::ZERO, DECLARATION_WAIT_MS),
+            ),
+            read_topic(Topic::Roster, PollSchedule::regular(config.follow_every(), 0)),
+            read_topic(
+                Topic::Instances,
+                PollSchedule {
+                    first_delay: INSTANCES_FIRST_DELAY,
+                    min_delay: INSTANCES_MIN_DELAY,
+                    max_delay: INSTANCES_MAX_DELAY,
+                    wait_ms: INSTANCES_WAIT_MS,
+                },
+            ),
             run_links(hub.clone(), config.feed_every(), link_commands).boxed_local(),
             run_registration(platform.clone(), hub.clone(), entry).boxed_local(),
             run_starts(platform.clone(), hub.clone()).boxed_local(),
--- a/crates/serve/src/tasks/links.rs
+++ b/crates/serve/src/tasks/links.rs
@@ -75,6 +75,7 @@
                 }
                 Err(why) => {
                     self.connection = None;
+                    self.hub.send(HubMessage::FeedFailed { peer: self.peer.name.clone() }).await;
                     if self.failures == 0 {
                         event!(Event::PeerUnreachable, peer = self.peer.name, why = why);
                     }
--- a/crates/serve/src/tasks/registration.rs
+++ b/crates/serve/src/tasks/registration.rs
@@ -13,7 +13,7 @@
 use crate::platform::{Platform, Topic};
 
 /// Interval between writes of the entry; readers ignore an entry that is three times as old.
-const WRITE_EVERY: Duration = Duration::from_secs(20);
+const WRITE_EVERY: Duration = Duration::from_secs(40);
 /// Retry delay of the first write, until which no peer knows this instance.
 const FIRST_RETRY_DELAY: Duration = Duration::from_secs(1);
 /// Retry delay of later writes, during which the previous entry still counts.
--- a/crates/serve/src/tasks/starts.rs
+++ b/crates/serve/src/tasks/starts.rs
@@ -12,8 +12,8 @@
 use crate::hub::HubMessage;
 use crate::platform::{Appended, Platform, StoreError, Topic};
 
-/// Interval between writes; a killed instance loses the starts of at most this time.
-const WRITE_EVERY: Duration = Duration::from_millis(1_200);
+/// Interval between writes of a reader; other instances send it their starts more often.
+const WRITE_EVERY: Duration = Duration::from_secs(2);
 
 /// Writes changed starts until the process ends.
 pub(crate) async fn run_starts<P>(platform: P, hub: HubHandle)
--- a/crates/serve/src/tasks/topic_reader.rs
+++ b/crates/serve/src/tasks/topic_reader.rs
@@ -16,12 +16,24 @@
 /// How often a topic is read, and how long each read may wait.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct PollSchedule {
-    /// Delay between the end of a read and the next.
-    pub(crate) delay: Duration,
+    /// Delay before the first read.
+    pub(crate) first_delay: Duration,
+    /// Delay between the end of the first read and the next; each further one is twice as long, up
+    /// to `max_delay`.
+    pub(crate) min_delay: Duration,
+    /// Longest delay between the end of a read and the next.
+    pub(crate) max_delay: Duration,
     /// Time that the store may hold a read until a record arrives, in milliseconds.
     pub(crate) wait_ms: u64,
 }
 
+impl PollSchedule {
+    /// Returns a schedule that reads from the start on, always with the same delay.
+    pub(crate) fn regular(delay: Duration, wait_ms: u64) -> Self {
+        Self { first_delay: Duration::ZERO, min_delay: delay, max_delay: delay, wait_ms }
+    }
+}
+
 /// Reads a topic until the process ends: first the newest record of each key, then the records
 /// after them. Reads nothing while feeders read for this instance.
 pub(crate) async fn run_topic_reader<P>(
@@ -34,11 +46,14 @@
     P: Platform,
 {
     let mut next = None;
+    let mut delay = schedule.min_delay;
     let mut store = StoreAvailability::new(topic, "reading");
+    compio::time::sleep(schedule.first_delay).await;
     loop {
         match hub.request(|reply| HubMessage::ReadMode { topic, reply }).await {
             Some(ReadMode::Skip) => {
                 next = None;
+                delay = schedule.min_delay;
                 compio::time::sleep(SKIP_INTERVAL).await;
                 continue;
             }
@@ -61,7 +76,8 @@
                 let is_list = next.is_none();
                 next = Some(page.next_offset);
                 forward(&hub, topic, page, is_list).await;
-                compio::time::sleep(schedule.delay).await;
+                compio::time::sleep(delay).await;
+                delay = (delay * 2).min(schedule.max_delay);
             }
             // The next records were removed: start again from the newest record of each key.
             Err(StoreError::Expired) => next = None,
