Bound answers without an end

(2) A body in chunks of five bytes took eight times its size, as each chunk kept its read buffer: 35 MiB for the store's replies. (3) The body of a refusal was read in the background without a time limit, and the body of an error response to a stream without the request's deadline. (4) Up to 16 MiB were buffered a response, on machines of 160 MB. (5) A peer could hold a connection and a request without limit of time. (6) A failed accept was repeated without a pause, which spins while no descriptor is free.

Now a connection's stream yields after 16 reads that succeed at once (FairStream); bodies are copied; heads and read buffers are limited to 64 KiB, responses to 4 MiB, refusals to 64 KiB and 1 s; connections between instances to 32 requests at a time, 16 KiB of headers, 2 s a request and 5 s of silence.

Ruled out: hyper's own limits (100 headers, 400 KB of head) bound one message only, not the time in which the others wait.

--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -6,10 +6,10 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use compio::net::TcpStream;
 use cyper_core::HyperStream;
-use http_body_util::{BodyExt, Limited};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response};
@@ -18,7 +18,10 @@
 
 use crate::body::Body;
 use crate::error::{ConnectSnafu, Error, HttpSnafu, TimedOutSnafu, TooLargeSnafu};
+use crate::fair_stream::FairStream;
 
+/// Largest head of a response, in bytes; also bounds the read buffer of a connection.
+const MAX_HEAD_BYTES: usize = 65_536;
 /// Maximum number of idle connections kept per address.
 const MAX_IDLE_PER_ADDRESS: usize = 64;
 /// Delay before a returned connection is reused. Surplus bytes after a response arrive within this
@@ -91,8 +94,11 @@
         SockRef::from(&tcp)
             .set_tcp_user_timeout(Some(self.options.user_timeout))
             .context(ConnectSnafu { address })?;
-        let (sender, connection) =
-            http1::handshake(HyperStream::new_plain(tcp)).await.context(HttpSnafu)?;
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
+            .handshake(FairStream::new(HyperStream::new_plain(tcp)))
+            .await
+            .context(HttpSnafu)?;
         compio::runtime::spawn(async move {
             // The sender of a request gets the error of its connection.
             let _ = connection.await;
@@ -216,12 +222,17 @@
 ///
 /// # Errors
 /// Returns [`Error::TooLarge`] for a longer body and [`Error::Http`] for an incomplete one.
-pub async fn read_body(body: Incoming, limit_bytes: usize) -> Result<Bytes, Error> {
-    match Limited::new(body, limit_bytes).collect().await {
-        Ok(content) => Ok(content.to_bytes()),
-        Err(error) => match error.downcast::<hyper::Error>() {
-            Ok(source) => Err(Error::Http { source: *source }),
-            Err(_) => TooLargeSnafu { limit_bytes }.fail(),
-        },
+pub async fn read_body(mut body: Incoming, limit_bytes: usize) -> Result<Bytes, Error> {
+    // Chunks are copied, since each one keeps the whole read buffer that it arrived in, and a body
+    // may consist of tiny ones.
+    let mut content = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        // Trailers are ignored.
+        let Ok(chunk) = frame.context(HttpSnafu)?.into_data() else { continue };
+        if content.len() + chunk.len() > limit_bytes {
+            return TooLargeSnafu { limit_bytes }.fail();
+        }
+        content.extend_from_slice(&chunk);
     }
+    Ok(content.freeze())
 }
--- /dev/null
+++ b/crates/net/src/fair_stream.rs
@@ -0,0 +1,66 @@
+//! A stream that yields to other tasks although data is always available.
+
+use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
+
+use hyper::rt::{Read, ReadBufCursor, Write};
+
+/// Successive reads that succeed at once before the stream yields.
+const MAX_READY_READS: u32 = 16;
+
+/// Wraps a connection's stream. `hyper` reads on in one poll as long as bytes arrive that complete
+/// no message, so a server that sends interim responses without end would stop all other tasks of
+/// the thread.
+#[derive(Debug)]
+pub(crate) struct FairStream<S> {
+    inner: S,
+    ready_reads: u32,
+}
+
+impl<S> FairStream<S> {
+    pub(crate) fn new(inner: S) -> Self {
+        Self { inner, ready_reads: 0 }
+    }
+}
+
+impl<S> Read for FairStream<S>
+where
+    S: Read + Unpin,
+{
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        if self.ready_reads >= MAX_READY_READS {
+            self.ready_reads = 0;
+            context.waker().wake_by_ref();
+            return Poll::Pending;
+        }
+        let polled = Pin::new(&mut self.inner).poll_read(context, buffer);
+        self.ready_reads = if polled.is_ready() { self.ready_reads + 1 } else { 0 };
+        Poll::Ready(ready!(polled))
+    }
+}
+
+impl<S> Write for FairStream<S>
+where
+    S: Write + Unpin,
+{
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.inner).poll_write(context, buffer)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_shutdown(context)
+    }
+}
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -5,6 +5,7 @@
 mod body;
 mod client;
 mod error;
+mod fair_stream;
 mod peer;
 mod server;
 
--- a/crates/net/src/peer.rs
+++ b/crates/net/src/peer.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use compio::net::{TcpListener, TcpStream};
 use cyper_core::HyperStream;
+use futures_util::{FutureExt, TryFutureExt};
 use h2::client::SendRequest;
 use h2::{RecvStream, client, server};
 use http::{Request, Response, StatusCode};
@@ -18,6 +19,15 @@
 };
 use crate::server::accept;
 
+/// Largest header block of a request or response between instances, in bytes.
+const MAX_HEADER_LIST_BYTES: u32 = 16_384;
+/// Most requests of a peer that are served at the same time.
+const MAX_STREAMS: u32 = 32;
+/// Time for which the server keeps a connection without a new request open.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
+/// Longest wait for the body of a request.
+const REQUEST_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// HTTP/2 connection to a peer.
 #[derive(Debug)]
 pub struct PeerConnection {
@@ -35,7 +45,11 @@
             let tcp = TcpStream::connect(address).await.context(ConnectSnafu { address })?;
             let _ = tcp.set_nodelay(true);
             let io = HyperStream::new_plain(tcp).compat();
-            client::handshake(io).await.context(H2Snafu)
+            client::Builder::new()
+                .max_header_list_size(MAX_HEADER_LIST_BYTES)
+                .handshake(io)
+                .await
+                .context(H2Snafu)
         };
         let (sender, connection) = with_timeout(timeout, connect).await?;
         compio::runtime::spawn(async move {
@@ -125,14 +139,23 @@
 {
     let _ = tcp.set_nodelay(true);
     let io = HyperStream::new_plain(tcp).compat();
-    let mut connection = server::handshake(io).await.context(H2Snafu)?;
-    while let Some(accepted) = connection.accept().await {
+    let handshake = server::Builder::new()
+        .max_header_list_size(MAX_HEADER_LIST_BYTES)
+        .max_concurrent_streams(MAX_STREAMS)
+        .handshake(io);
+    let mut connection = with_timeout(IDLE_TIMEOUT, handshake.map_err(into_error)).await?;
+    loop {
+        // An idle connection is closed, as its peer may be gone.
+        let accepting = connection.accept().map(Ok);
+        let Some(accepted) = with_timeout(IDLE_TIMEOUT, accepting).await? else { return Ok(()) };
         let (request, mut respond) = accepted.context(H2Snafu)?;
         let handler = handler.clone();
         compio::runtime::spawn(async move {
             let path = request.uri().path().to_owned();
-            let result = match read_stream(request.into_body(), limit_bytes).await {
+            let reading = read_stream(request.into_body(), limit_bytes);
+            let result = match with_timeout(REQUEST_TIMEOUT, reading).await {
                 Ok(body) => handler(path, body).await,
+                Err(Error::TimedOut { .. }) => Err(StatusCode::REQUEST_TIMEOUT),
                 Err(_) => Err(StatusCode::PAYLOAD_TOO_LARGE),
             };
             let (status, body) = match result {
@@ -148,5 +171,8 @@
         })
         .detach();
     }
-    Ok(())
+}
+
+fn into_error(source: h2::Error) -> Error {
+    Error::H2 { source }
 }
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -18,10 +18,14 @@
 
 use crate::body::Body;
 use crate::error::{Error, ListenSnafu};
+use crate::fair_stream::FairStream;
 
 /// Smallest read buffer that `hyper` accepts, in bytes.
 const MIN_BUFFER_BYTES: usize = 8_192;
 
+/// Delay after a failed accept.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
+
 /// Limits of a server on its clients.
 #[derive(Clone, Copy, Debug)]
 pub struct ServerLimits {
@@ -73,8 +77,9 @@
         let stopped = pin!(stop.recv());
         match select(accepted, stopped).await {
             Either::Left((Ok((tcp, _)), _)) => return Some(tcp),
-            // A failed accept concerns one connection only, such as one that was reset early.
-            Either::Left((Err(_), _)) => {}
+            // A connection was reset early, or the process has no free descriptor until another
+            // one closes.
+            Either::Left((Err(_), _)) => compio::time::sleep(ACCEPT_RETRY_DELAY).await,
             Either::Right(_) => return None,
         }
     }
@@ -96,7 +101,7 @@
         .timer(CompioTimer)
         .header_read_timeout(limits.idle_timeout)
         .max_buf_size(limits.max_header_bytes.max(MIN_BUFFER_BYTES))
-        .serve_connection(HyperStream::new_plain(tcp), service);
+        .serve_connection(FairStream::new(HyperStream::new_plain(tcp)), service);
     let mut connection = pin!(connection);
     let stopped = pin!(stop.recv());
     // An error concerns this client only: it disconnected, or violated the protocol and got an
--- a/crates/serve/src/caller/exchange.rs
+++ b/crates/serve/src/caller/exchange.rs
@@ -19,7 +19,11 @@
 /// must not be sent while the upstream closes the connection.
 const KEEP_ALIVE_PERCENT: u64 = 60;
 /// Largest buffered response, in bytes.
-const MAX_RESPONSE_BYTES: usize = 16_777_216; // far above the responses of services without streams
+const MAX_RESPONSE_BYTES: usize = 4_194_304; // far above the responses of services without streams
+/// Largest body of a refusal, and the time within which it is read so that the connection can be
+/// reused.
+const MAX_REFUSAL_BYTES: usize = 65_536;
+const REFUSAL_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Why a send yielded no usable response.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -161,7 +165,9 @@
 }
 
 async fn read_to_end(body: Incoming, connection: UpstreamConnection, client: Client) {
-    if read_body(body, MAX_RESPONSE_BYTES).await.is_ok() {
+    // Otherwise the connection is closed, and the next request opens a new one.
+    let reading = compio::time::timeout(REFUSAL_TIMEOUT, read_body(body, MAX_REFUSAL_BYTES));
+    if matches!(reading.await, Ok(Ok(_))) {
         let _ = connection.return_to_pool(&client);
     }
 }
--- a/crates/serve/src/caller/stream.rs
+++ b/crates/serve/src/caller/stream.rs
@@ -43,9 +43,11 @@
         }
         Ok((upstream, response)) => {
             let client = &request.shared.client;
-            match buffer_response(&request.caller_request, &upstream, client, response).await {
-                Ok((parts, body, _)) => caller_response(&request, parts, body),
-                Err(_) => reject(&request, &ErrorResponse::OUTCOME_UNKNOWN),
+            let reading = buffer_response(&request.caller_request, &upstream, client, response);
+            match compio::time::timeout(request.remaining(), reading).await {
+                Ok(Ok((parts, body, _))) => caller_response(&request, parts, body),
+                Ok(Err(_)) => reject(&request, &ErrorResponse::OUTCOME_UNKNOWN),
+                Err(_) => reject(&request, &request.timeout_response()),
             }
         }
         Err(error_response) => reject(&request, &error_response),
