Check callers' requests before any rule looks at them

Cause: GET /stock/../bookings and its escaped forms passed through the open route /stock/ and reached the service as written; of two Authorization headers the first one decided; HTTP/1.1 without a host, or with two, was served; a key with one escaped character went to the service, and cowslip-platform had no check for a key outside Authorization at all.

The new crate ingress decides for both daemons: a path in normal form, one host, one key, no tunnel, HTTP/1.1, and no part with the caller's key, plain or escaped as in URIs or JSON. What isn't so gets a 400 before any rule looks at it.

Ruled out: to normalize and forward (the platform wants the path as it came).

--- a/crates/entry/src/caller/error.rs
+++ b/crates/entry/src/caller/error.rs
@@ -1,5 +1,6 @@
 //! Error responses to callers, in the format of the OpenAI-compatible API.
 
+use cowslip_ingress::Defect;
 use cowslip_net::{Body, full_body};
 use http::{Response, StatusCode};
 use serde_json::json;
@@ -28,11 +29,6 @@
         Self::not_run(StatusCode::BAD_REQUEST, "bad_request", "the request is malformed");
     pub(crate) const TOO_LARGE: Self =
         Self::not_run(StatusCode::PAYLOAD_TOO_LARGE, "too_large", "the body is too large");
-    pub(crate) const KEY_IN_REQUEST: Self = Self::not_run(
-        StatusCode::BAD_REQUEST,
-        "key_in_request",
-        "the path or body holds the caller's key, which no upstream may see",
-    );
     pub(crate) const KEY_REUSED: Self = Self::not_run(
         StatusCode::UNPROCESSABLE_ENTITY,
         "idempotency_key_reused",
@@ -51,6 +47,11 @@
         is_not_run: false,
     };
 
+    /// Returns the error for a request that is refused before any rule looks at it.
+    pub(crate) const fn from_defect(defect: Defect) -> Self {
+        Self::not_run(StatusCode::BAD_REQUEST, defect.code(), defect.message())
+    }
+
     /// Returns the error for a request that was not admitted.
     pub(crate) const fn from_admission_error(error: AdmissionError) -> Self {
         let (status, code, message) = match error {
--- a/crates/entry/src/caller/request.rs
+++ b/crates/entry/src/caller/request.rs
@@ -3,12 +3,15 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use cowslip_ingress::{Defect, check_head, exposes_key};
 use cowslip_net::{Error, read_body};
-use http::{HeaderMap, Method, Request};
+use http::{HeaderMap, HeaderName, Method, Request};
 use hyper::body::Incoming;
 
 use super::error::CallerError;
 
+/// Header with the key under which a call runs at most once.
+const IDEMPOTENCY_KEY: &str = "idempotency-key";
 /// Longest idempotency key, in bytes.
 const MAX_IDEMPOTENCY_KEY_BYTES: usize = 255;
 
@@ -30,6 +33,7 @@
         max_body_bytes: usize,
     ) -> Result<(Self, Option<String>), CallerError> {
         let (head, body) = request.into_parts();
+        check_head(&head).map_err(CallerError::from_defect)?;
         let bearer = bearer(&head.headers);
         let path = head.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned();
         let idempotency_key = idempotency_key(&head.headers)?;
@@ -38,22 +42,19 @@
             Error::TooLarge { .. } => CallerError::TOO_LARGE,
             _ => CallerError::BAD_REQUEST,
         })?;
-        let request = Self { method: head.method, path, content_type, idempotency_key, body };
-        match bearer.as_deref() {
-            Some(key) if request.contains(key) => Err(CallerError::KEY_IN_REQUEST),
-            _ => Ok((request, bearer)),
+        // The other headers are neither forwarded nor recorded.
+        let kept_headers: HeaderMap = ["content-type", IDEMPOTENCY_KEY]
+            .into_iter()
+            .filter_map(|name| {
+                Some((HeaderName::from_static(name), head.headers.get(name)?.clone()))
+            })
+            .collect();
+        let is_exposed = |key: &str| exposes_key(key, &head.uri, &kept_headers, &body);
+        if bearer.as_deref().is_some_and(is_exposed) {
+            return Err(CallerError::from_defect(Defect::ExposedKey));
         }
-    }
-
-    /// Whether any part that is forwarded to an upstream or recorded in the log contains the API
-    /// key.
-    fn contains(&self, key: &str) -> bool {
-        let in_body = self.body.windows(key.len().max(1)).any(|window| window == key.as_bytes());
-        let in_text = |text: &str| text.contains(key);
-        in_body
-            || in_text(&self.path)
-            || self.content_type.as_deref().is_some_and(in_text)
-            || self.idempotency_key.as_deref().is_some_and(in_text)
+        let request = Self { method: head.method, path, content_type, idempotency_key, body };
+        Ok((request, bearer))
     }
 
     /// Returns the BLAKE3 digest of the method, path and body, each prefixed by its length.
@@ -76,7 +77,7 @@
 }
 
 fn idempotency_key(headers: &HeaderMap) -> Result<Option<Arc<str>>, CallerError> {
-    match headers.get("idempotency-key").map(|value| value.to_str()) {
+    match headers.get(IDEMPOTENCY_KEY).map(|value| value.to_str()) {
         None => Ok(None),
         Some(Ok(key)) if !key.is_empty() && key.len() <= MAX_IDEMPOTENCY_KEY_BYTES => {
             Ok(Some(Arc::from(key)))
--- a/crates/serve/src/caller/server.rs
+++ b/crates/serve/src/caller/server.rs
@@ -7,6 +7,7 @@
 use compio::net::TcpListener;
 use cowslip_clock::Clock;
 use cowslip_fleet::{Prompt, RetrySafety};
+use cowslip_ingress::{Defect, check_head, exposes_key};
 use cowslip_net::{Body, Client, ClientOptions, Error, ServerLimits, read_body, serve_http};
 use http::{Request, Response};
 use hyper::body::Incoming;
@@ -75,6 +76,7 @@
     async fn serve(self, request: Request<Incoming>) -> Result<Response<Body>, ErrorResponse> {
         let started_ms = self.shared.clock.now_ms();
         let (parts, body) = request.into_parts();
+        check_head(&parts).map_err(|defect| self.reject_defect("", defect))?;
         let head = self.shared.platform.decode_request_head(&parts).map_err(|why| {
             event!(Event::RequestRefused, request = "", reason = why, status = 400);
             ErrorResponse::bad_head(why)
@@ -100,6 +102,10 @@
             Ok(Err(_)) => return Err(ErrorResponse::INCOMPLETE_BODY),
             Err(_) => return Err(ErrorResponse::LATE_BODY),
         };
+        let is_exposed = |key: &String| exposes_key(key, &parts.uri, &parts.headers, &body);
+        if head.api_key.as_ref().is_some_and(is_exposed) {
+            return Err(self.reject_defect(&head.attempt_id, Defect::ExposedKey));
+        }
         let caller_request =
             CallerRequest { head, method: parts.method, path, headers: parts.headers, body };
         let unplaced = UnplacedRequest {
@@ -134,6 +140,18 @@
         })
     }
 
+    fn reject_defect(&self, attempt_id: &str, defect: Defect) -> ErrorResponse {
+        let error_response = ErrorResponse::bad_head(defect.code());
+        event!(
+            Event::RequestRefused,
+            request = attempt_id,
+            reason = error_response.reason,
+            status = error_response.status.as_u16()
+        );
+        self.shared.metrics.requests.with_label_values(&["refused"]).inc();
+        error_response
+    }
+
     fn reject(&self, attempt_id: &str, rejection: Rejection) -> ErrorResponse {
         let error_response = ErrorResponse::from_rejection(rejection);
         event!(
