Hold the parts of a body once while it is read

A growing buffer is copied into one of twice its size, so up to 6 MiB were held for a body of 4. The bound stays; parts of 64 KiB are kept as they are and joined at the end.

--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -22,6 +22,8 @@
 
 /// Largest head of a response, in bytes; also bounds the read buffer of a connection.
 const MAX_HEAD_BYTES: usize = 65_536;
+/// Size from which a part of a body is kept as it is while the rest is read, in bytes.
+const SEGMENT_BYTES: usize = 65_536;
 /// Maximum number of idle connections kept per address.
 const MAX_IDLE_PER_ADDRESS: usize = 64;
 /// Delay before a returned connection is reused. Surplus bytes after a response arrive within this
@@ -224,15 +226,25 @@
 /// Returns [`Error::TooLarge`] for a longer body and [`Error::Http`] for an incomplete one.
 pub async fn read_body(mut body: Incoming, limit_bytes: usize) -> Result<Bytes, Error> {
     // Chunks are copied, since each one keeps the whole read buffer that it arrived in, and a body
-    // may consist of tiny ones.
-    let mut content = BytesMut::new();
+    // may consist of tiny ones. One buffer for all would be held twice whenever it grows.
+    let mut full_segments: Vec<Bytes> = Vec::new();
+    let mut segment = BytesMut::new();
+    let mut total_bytes = 0;
     while let Some(frame) = body.frame().await {
         // Trailers are ignored.
         let Ok(chunk) = frame.context(HttpSnafu)?.into_data() else { continue };
-        if content.len() + chunk.len() > limit_bytes {
+        total_bytes += chunk.len();
+        if total_bytes > limit_bytes {
             return TooLargeSnafu { limit_bytes }.fail();
         }
-        content.extend_from_slice(&chunk);
+        segment.extend_from_slice(&chunk);
+        if segment.len() >= SEGMENT_BYTES {
+            full_segments.push(segment.split().freeze());
+        }
+    }
+    if full_segments.is_empty() {
+        return Ok(segment.freeze());
     }
-    Ok(content.freeze())
+    full_segments.push(segment.freeze());
+    Ok(full_segments.concat().into())
 }
