--- a/crates/serve/src/caller/server.rs
+++ b/crates/serve/src/caller/server.rs
@@ -76,11 +76,13 @@
     async fn serve(self, request: Request<Incoming>) -> Result<Response<Body>, ErrorResponse> {
         let started_ms = self.shared.clock.now_ms();
         let (parts, body) = request.into_parts();
-        check_head(&parts).map_err(|defect| self.reject_defect("", defect))?;
-        let head = self.shared.platform.decode_request_head(&parts).map_err(|why| {
-            event!(Event::RequestRefused, request = "", reason = why, status = 400);
-            ErrorResponse::bad_head(why)
-        })?;
+        check_head(&parts)
+            .map_err(|defect| self.reject("", ErrorResponse::bad_head(defect.code())))?;
+        let head = self
+            .shared
+            .platform
+            .decode_request_head(&parts)
+            .map_err(|why| self.reject("", ErrorResponse::bad_head(why)))?;
         let path = parts.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned();
         let query =
             RouteQuery { host: head.host.clone(), path: path.clone(), key: head.api_key.clone() };
@@ -90,21 +92,26 @@
             .request(|reply| HubMessage::Authorize { query, reply })
             .await
             .unwrap_or(Err(Rejection::NotReady))
-            .map_err(|rejection| self.reject(&head.attempt_id, rejection))?;
+            .map_err(|rejection| {
+                self.reject(&head.attempt_id, ErrorResponse::from_rejection(rejection))
+            })?;
         let authorized = authorized_request.authorized;
         let timeout_ms =
             head.timeout_ms.unwrap_or(DEFAULT_TIMEOUT_MS).min(authorized.route.timeout_ms);
         let deadline_ms = started_ms + timeout_ms;
         let reading = read_body(body, authorized_request.max_body_bytes);
-        let body = match compio::time::timeout(Duration::from_millis(timeout_ms), reading).await {
-            Ok(Ok(body)) => body,
-            Ok(Err(Error::TooLarge { .. })) => return Err(ErrorResponse::TOO_LARGE),
-            Ok(Err(_)) => return Err(ErrorResponse::INCOMPLETE_BODY),
-            Err(_) => return Err(ErrorResponse::LATE_BODY),
+        let reading = compio::time::timeout(Duration::from_millis(timeout_ms), reading);
+        let body = match reading.await {
+            Ok(Ok(body)) => Ok(body),
+            Ok(Err(Error::TooLarge { .. })) => Err(ErrorResponse::TOO_LARGE),
+            Ok(Err(_)) => Err(ErrorResponse::INCOMPLETE_BODY),
+            Err(_) => Err(ErrorResponse::LATE_BODY),
         };
+        let body = body.map_err(|response| self.reject(&head.attempt_id, response))?;
         let is_exposed = |key: &String| exposes_key(key, &parts.uri, &parts.headers, &body);
         if head.api_key.as_ref().is_some_and(is_exposed) {
-            return Err(self.reject_defect(&head.attempt_id, Defect::ExposedKey));
+            let error_response = ErrorResponse::bad_head(Defect::ExposedKey.code());
+            return Err(self.reject(&head.attempt_id, error_response));
         }
         let caller_request =
             CallerRequest { head, method: parts.method, path, headers: parts.headers, body };
@@ -120,7 +127,10 @@
             .request(|reply| HubMessage::Place { request: Box::new(unplaced), reply })
             .await
             .unwrap_or(Err(Rejection::NotReady))
-            .map_err(|rejection| self.reject(&caller_request.head.attempt_id, rejection))?;
+            .map_err(|rejection| {
+                let error_response = ErrorResponse::from_rejection(rejection);
+                self.reject(&caller_request.head.attempt_id, error_response)
+            })?;
         let retry_safety = authorized.route.retry_safety;
         let request = InFlightRequest::new(
             self.shared,
@@ -140,20 +150,8 @@
         })
     }
 
-    fn reject_defect(&self, attempt_id: &str, defect: Defect) -> ErrorResponse {
-        let error_response = ErrorResponse::bad_head(defect.code());
-        event!(
-            Event::RequestRefused,
-            request = attempt_id,
-            reason = error_response.reason,
-            status = error_response.status.as_u16()
-        );
-        self.shared.metrics.requests.with_label_values(&["refused"]).inc();
-        error_response
-    }
-
-    fn reject(&self, attempt_id: &str, rejection: Rejection) -> ErrorResponse {
-        let error_response = ErrorResponse::from_rejection(rejection);
+    /// Logs and counts a request that ends before it is placed.
+    fn reject(&self, attempt_id: &str, error_response: ErrorResponse) -> ErrorResponse {
         event!(
             Event::RequestRefused,
             request = attempt_id,
