Forward vectored writes through the yielding stream

Found on the last reading: FairStream implemented only the required methods of hyper's Write, so hyper took the connection for one without vectored writes and copied head and body of every message into one buffer, on the data path of all callers and upstreams. HyperStream has vectored writes; the wrapper passes them on now. Behaviour is the same; not measured. endless, requests and hostile_callers passed.

--- a/crates/net/src/fair_stream.rs
+++ b/crates/net/src/fair_stream.rs
@@ -56,6 +56,18 @@
         Pin::new(&mut self.inner).poll_write(context, buffer)
     }
 
+    fn is_write_vectored(&self) -> bool {
+        self.inner.is_write_vectored()
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffers: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.inner).poll_write_vectored(context, buffers)
+    }
+
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         Pin::new(&mut self.inner).poll_flush(context)
     }
