Search for short API keys again

Found on the last reading: the check of cowslip-entry that the new crate replaced looked for keys of any length, the new one only from 8 bytes on, so a request that exposed the key csk_a_1 went through. Keys of cowslip-entry have 6 bytes at least; from that length on they are searched for. A lower limit stays, since a key of one letter would refuse nearly every request of its caller. The new table failed for csk_a_1 before.

--- a/crates/ingress/src/api_key.rs
+++ b/crates/ingress/src/api_key.rs
@@ -7,7 +7,7 @@
 use percent_encoding::percent_decode;
 
 /// Shortest key that is searched for; shorter ones occur in ordinary text.
-const MIN_KEY_BYTES: usize = 8;
+const MIN_KEY_BYTES: usize = 6;
 
 /// Returns whether the target, a header other than `authorization`, or the body contains the key, as
 /// it is or with characters escaped as in URIs or JSON.
--- a/crates/ingress/tests/requests.rs
+++ b/crates/ingress/tests/requests.rs
@@ -222,3 +222,23 @@
         );
     }
 }
+
+#[test]
+fn short_keys_are_found_unless_they_occur_in_ordinary_text() {
+    struct Case {
+        key: &'static str,
+        is_exposed: bool,
+    }
+    let cases = [
+        Case { key: "csk_a_1", is_exposed: true },
+        // The shortest key that `cowslip-entry` accepts.
+        Case { key: "csk_a_", is_exposed: true },
+        Case { key: "a", is_exposed: false },
+        Case { key: "", is_exposed: false },
+    ];
+    for Case { key, is_exposed } in cases {
+        let target = "/a".parse().expect("a target");
+        let headers = HeaderMap::new();
+        assert_eq!(exposes_key(key, &target, &headers, b"a csk_a_1"), is_exposed, "{key:?}");
+    }
+}
