Use one piece for what the change had written twice

RosterReads answered the same question by two methods, and the hub put them together again: one method remains.

--- a/crates/serve/src/hub/feed.rs
+++ b/crates/serve/src/hub/feed.rs
@@ -26,15 +26,17 @@
 {
     /// Returns whether this instance's own reads of the upstreams' entries succeed.
     pub(super) fn reads_store(&self, now_ms: u64) -> bool {
+        self.own_read_at_ms(now_ms).is_some()
+    }
+
+    fn own_read_at_ms(&self, now_ms: u64) -> Option<u64> {
         let limit = self.config.follow_every() * MAX_MISSED_READS;
-        self.roster_reads.succeed(now_ms, limit)
+        self.roster_reads.recent_at_ms(now_ms, limit)
     }
 
     /// Returns the time of the newest read of the store that this instance's state is based on.
     fn read_at_ms(&self, now_ms: u64) -> Option<u64> {
-        let own_read_at_ms =
-            self.roster_reads.succeeded_at_ms().filter(|_| self.reads_store(now_ms));
-        own_read_at_ms.max(self.feed_topology.fed_read_at_ms())
+        self.own_read_at_ms(now_ms).max(self.feed_topology.fed_read_at_ms())
     }
 
     pub(super) fn build_feed(&self, link: &LinkState) -> (proto::FeedRequest, LinkState) {
--- a/crates/serve/src/hub/records.rs
+++ b/crates/serve/src/hub/records.rs
@@ -24,15 +24,10 @@
 }
 
 impl RosterReads {
-    /// Returns the time of the newest successful read.
-    pub(super) fn succeeded_at_ms(&self) -> Option<u64> {
-        self.succeeded_at_ms
-    }
-
-    /// Returns whether the newest read succeeded, less than `limit` ago.
-    pub(super) fn succeed(&self, now_ms: u64, limit: Duration) -> bool {
-        let is_recent = |at_ms| u128::from(now_ms.saturating_sub(at_ms)) < limit.as_millis();
-        !self.has_failed && self.succeeded_at_ms.is_some_and(is_recent)
+    /// Returns the time of the newest read if it succeeded less than `limit` ago.
+    pub(super) fn recent_at_ms(&self, now_ms: u64, limit: Duration) -> Option<u64> {
+        let is_recent = |at_ms: &u64| u128::from(now_ms.saturating_sub(*at_ms)) < limit.as_millis();
+        self.succeeded_at_ms.filter(is_recent).filter(|_| !self.has_failed)
     }
 }
 
