Log the prompt segments and the phase of requests lost with an upstream

Requests without valid token counts keep their segments; they are still placed as requests of unknown size.

--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -42,10 +42,10 @@
 }
 
 impl Prompt {
-    /// Returns the id of the last segment of the longest prefix that other requests may share.
-    fn shared_segment_id(&self) -> Option<u64> {
-        let last_shared = self.segments.len().checked_sub(2)?;
-        self.segments.get(last_shared).map(|segment| segment.id)
+    /// Returns the ids of the segments that other requests may share, in order.
+    pub fn shared_segment_ids(&self) -> impl DoubleEndedIterator<Item = u64> {
+        let shared_count = self.segments.len().saturating_sub(1);
+        self.segments.iter().take(shared_count).map(|segment| segment.id)
     }
 }
 
@@ -157,7 +157,7 @@
 where
     F: Fn(&Upstream) -> Load,
 {
-    let key = prompt.shared_segment_id().unwrap_or(tie_breaker);
+    let key = prompt.shared_segment_ids().next_back().unwrap_or(tie_breaker);
     let mut ranked: Vec<(&'a Arc<Upstream>, u64)> =
         prefill_engines.iter().map(|up| (*up, affinity(key, &up.id))).collect();
     ranked.sort_by_key(|(_, weight)| std::cmp::Reverse(*weight));
--- a/crates/serve/src/caller/server.rs
+++ b/crates/serve/src/caller/server.rs
@@ -6,7 +6,7 @@
 use async_channel::Receiver;
 use compio::net::TcpListener;
 use cowslip_clock::Clock;
-use cowslip_fleet::{Prompt, RetrySafety};
+use cowslip_fleet::RetrySafety;
 use cowslip_ingress::{Defect, check_head, exposes_key};
 use cowslip_net::{Body, Client, ClientOptions, Error, ServerLimits, read_body, serve_http};
 use http::{Request, Response};
@@ -115,10 +115,14 @@
         }
         let caller_request =
             CallerRequest { head, method: parts.method, path, headers: parts.headers, body };
+        let prompt = caller_request.head.prompt.as_ref();
         let unplaced = UnplacedRequest {
             attempt_id: caller_request.head.attempt_id.clone(),
             authorized: authorized.clone(),
-            prompt: caller_request.head.prompt.clone().filter(has_tokens),
+            prompt: prompt.filter(|prompt| prompt.tokens > 0).cloned(),
+            shared_segments: prompt
+                .map(|prompt| prompt.shared_segment_ids().collect())
+                .unwrap_or_default(),
             request_digest: request_digest(&caller_request, authorized.workspace.as_deref()),
         };
         let assignment = self
@@ -163,10 +167,6 @@
     }
 }
 
-fn has_tokens(prompt: &Prompt) -> bool {
-    prompt.tokens > 0
-}
-
 /// Hashes the caller's workspace, method, path and body; equal requests have the same digest at all
 /// instances.
 fn request_digest(caller_request: &CallerRequest, workspace: Option<&str>) -> [u8; 32] {
--- a/crates/serve/src/hub/message.rs
+++ b/crates/serve/src/hub/message.rs
@@ -134,6 +134,8 @@
     pub(crate) attempt_id: Arc<str>,
     pub(crate) authorized: Authorized,
     pub(crate) prompt: Option<Prompt>,
+    /// Ids of the prompt segments that other requests may share.
+    pub(crate) shared_segments: Arc<[u64]>,
     pub(crate) request_digest: RequestDigest,
 }
 
--- a/crates/serve/src/hub/requests.rs
+++ b/crates/serve/src/hub/requests.rs
@@ -31,6 +31,8 @@
     authorized: Authorized,
     service: Arc<str>,
     pub(super) request_digest: RequestDigest,
+    /// Ids of the prompt segments that other requests may share.
+    pub(super) shared_segments: Arc<[u64]>,
     /// Upstream that runs the prefill, until the prefill ends.
     prefill_upstream: Option<Arc<str>>,
     /// Upstream that serves the request.
@@ -97,6 +99,7 @@
             authorized: unplaced.authorized,
             service,
             request_digest: unplaced.request_digest,
+            shared_segments: unplaced.shared_segments,
             prefill_upstream: prefill_upstream.as_ref().map(|up| up.id.clone()),
             tried: vec![upstream.id.clone()],
             upstream: upstream.clone(),
@@ -279,7 +282,14 @@
 
     pub(super) fn on_upstream_lost(&mut self, id: u64, upstream: &Arc<str>) {
         let Some(request) = self.in_flight.get(&id) else { return };
-        event!(Event::RequestSuspected, request = request.attempt_id, upstream = upstream);
+        let phase = if request.prefill_upstream.is_some() { "prefill" } else { "serve" };
+        event!(
+            Event::RequestSuspected,
+            request = request.attempt_id,
+            upstream = upstream,
+            phase = phase,
+            segments = format_segments(&request.shared_segments)
+        );
         // An id that is not a valid name cannot be sent to peers, so its loss is only logged.
         if let Ok(name) = Name::new(upstream) {
             self.suspects.on_upstream_lost(request.request_digest, name);
@@ -301,3 +311,9 @@
         }
     }
 }
+
+/// Formats segment ids in hex as callers send them, separated by commas.
+pub(super) fn format_segments(segments: &[u64]) -> String {
+    let ids: Vec<String> = segments.iter().map(|id| format!("{id:x}")).collect();
+    ids.join(",")
+}
