Quarantine prompt segments that crash engines

What callers saw: while a twentieth of one kind of request held a segment that crashes engines, 12 to 113 requests a second failed, nearly all of them sound ones in flight at an engine that another request crashed.

Cause: a quarantine knew whole requests only, by a digest of workspace, method, path and body. Requests with the segment differ in all of these, so none was ever counted twice. The class of fault: evidence keyed by the identity of a request, where the cause is a property that requests share.

Ruled out: late gossip (no request had three losses) and retries (16 to 75 requests of about 1,000 to 1,700 were lost twice).

Fix: losses are counted for each shared segment of the requests that an engine served when it was lost. Three upstreams lost over half a second or more, without a success since, quarantine a segment, unless a segment with more losses accounts for them; of segments with the same losses, the last one in the prompt is taken. A success clears its segments. Instances exchange losses and successes with their ages, so that they agree. Requests are checked when they are placed, after their prefill and before a retry. A crash that closes a stream without a length before its first event is no success.

--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -42,7 +42,8 @@
 }
 
 impl Prompt {
-    /// Returns the ids of the segments that other requests may share, in order.
+    /// Iterates over the ids of the segments that other requests may share, in order.
+    #[must_use]
     pub fn shared_segment_ids(&self) -> impl DoubleEndedIterator<Item = u64> {
         let shared_count = self.segments.len().saturating_sub(1);
         self.segments.iter().take(shared_count).map(|segment| segment.id)
--- a/crates/proto/src/generated.rs
+++ b/crates/proto/src/generated.rs
@@ -455,6 +455,42 @@
     pub idempotency_key: ::std::string::String,
     pub workspace: cowslip_name::Name,
 }
+///Prompt segment of a request that an upstream served to its end after losses with the segment.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "Prompt segment of a request that an upstream served to its end after losses with the segment.",
+///  "type": "object",
+///  "required": [
+///    "age_ms",
+///    "segment"
+///  ],
+///  "properties": {
+///    "age_ms": {
+///      "description": "Time since the newest success in milliseconds.",
+///      "type": "integer",
+///      "format": "uint64"
+///    },
+///    "segment": {
+///      "description": "Identifier of the segment.",
+///      "type": "integer",
+///      "format": "uint64"
+///    }
+///  },
+///  "additionalProperties": false
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct ClearedSegment {
+    ///Time since the newest success in milliseconds.
+    pub age_ms: u64,
+    ///Identifier of the segment.
+    pub segment: u64,
+}
 ///Freshness of the configuration.
 ///
 /// <details><summary>JSON schema</summary>
@@ -887,6 +923,7 @@
 ///    "incarnation",
 ///    "instances",
 ///    "roster",
+///    "segments",
 ///    "suspects"
 ///  ],
 ///  "properties": {
@@ -905,6 +942,11 @@
 ///      "type": "integer",
 ///      "format": "uint64"
 ///    },
+///    "segments": {
+///      "description": "Version of the suspect and cleared prompt segments.",
+///      "type": "integer",
+///      "format": "uint64"
+///    },
 ///    "suspects": {
 ///      "description": "Version of the suspect requests.",
 ///      "type": "integer",
@@ -924,6 +966,8 @@
     pub instances: u64,
     ///Version of the upstreams' entries.
     pub roster: u64,
+    ///Version of the suspect and cleared prompt segments.
+    pub segments: u64,
     ///Version of the suspect requests.
     pub suspects: u64,
 }
@@ -941,6 +985,7 @@
 ///    "place",
 ///    "read_age_ms",
 ///    "roster",
+///    "segments",
 ///    "suspects",
 ///    "true_ms"
 ///  ],
@@ -985,6 +1030,9 @@
 ///        "$ref": "#/definitions/StoredRecord"
 ///      }
 ///    },
+///    "segments": {
+///      "$ref": "#/definitions/SegmentChanges"
+///    },
 ///    "suspects": {
 ///      "description": "Suspect requests that changed after `seen`.",
 ///      "type": "array",
@@ -1014,6 +1062,7 @@
     pub read_age_ms: ::std::option::Option<u64>,
     ///Records of the upstreams' entries that changed after `seen`; empty if they are not wanted. A removal is held back until it is certain.
     pub roster: ::std::vec::Vec<StoredRecord>,
+    pub segments: SegmentChanges,
     ///Suspect requests that changed after `seen`.
     pub suspects: ::std::vec::Vec<SuspectRequest>,
     ///Estimate of the cluster time by the replying instance, in Unix milliseconds.
@@ -1034,6 +1083,7 @@
 ///    "peer_address",
 ///    "reads_store",
 ///    "seen",
+///    "segments",
 ///    "starts",
 ///    "suspects",
 ///    "true_ms",
@@ -1074,6 +1124,9 @@
 ///        }
 ///      ]
 ///    },
+///    "segments": {
+///      "$ref": "#/definitions/SegmentChanges"
+///    },
 ///    "starts": {
 ///      "description": "Request starts that changed since the sender's last request, where the sender does not write them to the store itself or failed to.",
 ///      "type": "array",
@@ -1119,6 +1172,7 @@
     pub reads_store: bool,
     ///Cursor of the last reply that the sender got from the receiver; null before the first reply.
     pub seen: ::std::option::Option<FeedCursor>,
+    pub segments: SegmentChanges,
     ///Request starts that changed since the sender's last request, where the sender does not write them to the store itself or failed to.
     pub starts: ::std::vec::Vec<InstanceRequestStarts>,
     ///Suspect requests that changed since the sender's last request.
@@ -2091,7 +2145,7 @@
 ///      "format": "uint64"
 ///    },
 ///    "poison_limit": {
-///      "description": "Number of upstreams lost while they ran the same request, at which the request is refused. At least 1.",
+///      "description": "Number of upstreams lost while they ran the same request, or requests with the same prompt segment, at which such requests are refused. At least 1.",
 ///      "type": "integer",
 ///      "format": "uint32"
 ///    },
@@ -2132,7 +2186,7 @@
     pub max_header_bytes: u32,
     ///Number of prompt tokens at an engine, from this instance's requests without an output token yet, at which the instance sends it no further request. At least 1. Used by cowslip-entry only.
     pub max_waiting_tokens: u64,
-    ///Number of upstreams lost while they ran the same request, at which the request is refused. At least 1.
+    ///Number of upstreams lost while they ran the same request, or requests with the same prompt segment, at which such requests are refused. At least 1.
     pub poison_limit: u32,
     ///Longest time in milliseconds that a model request is queued for an engine before it is refused as not run. Used by cowslip-entry only.
     pub queue_deadline_ms: u64,
@@ -3721,6 +3775,87 @@
         value.parse()
     }
 }
+///What an instance has learned of prompt segments that may crash upstreams.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "What an instance has learned of prompt segments that may crash upstreams.",
+///  "type": "object",
+///  "required": [
+///    "cleared",
+///    "suspects"
+///  ],
+///  "properties": {
+///    "cleared": {
+///      "description": "Segments that were cleared.",
+///      "type": "array",
+///      "items": {
+///        "$ref": "#/definitions/ClearedSegment"
+///      }
+///    },
+///    "suspects": {
+///      "description": "Suspect segments that changed.",
+///      "type": "array",
+///      "items": {
+///        "$ref": "#/definitions/SuspectSegment"
+///      }
+///    }
+///  },
+///  "additionalProperties": false
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct SegmentChanges {
+    ///Segments that were cleared.
+    pub cleared: ::std::vec::Vec<ClearedSegment>,
+    ///Suspect segments that changed.
+    pub suspects: ::std::vec::Vec<SuspectSegment>,
+}
+///Loss of an upstream that served a request with a prompt segment.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "Loss of an upstream that served a request with a prompt segment.",
+///  "type": "object",
+///  "required": [
+///    "age_ms",
+///    "started_at_ms",
+///    "upstream"
+///  ],
+///  "properties": {
+///    "age_ms": {
+///      "description": "Time since the loss in milliseconds.",
+///      "type": "integer",
+///      "format": "uint64"
+///    },
+///    "started_at_ms": {
+///      "description": "Start of the upstream's incarnation in Unix milliseconds, 0 if it is not known.",
+///      "type": "integer",
+///      "format": "uint64"
+///    },
+///    "upstream": {
+///      "$ref": "#/definitions/Name"
+///    }
+///  },
+///  "additionalProperties": false
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct SegmentLoss {
+    ///Time since the loss in milliseconds.
+    pub age_ms: u64,
+    ///Start of the upstream's incarnation in Unix milliseconds, 0 if it is not known.
+    pub started_at_ms: u64,
+    pub upstream: cowslip_name::Name,
+}
 ///Plain service that callers reach beside the models.
 ///
 /// <details><summary>JSON schema</summary>
@@ -4538,6 +4673,52 @@
     ///Upstreams that were lost while they ran the request.
     pub upstreams: ::std::vec::Vec<cowslip_name::Name>,
 }
+///Prompt segment of requests that were in flight at upstreams when they were lost, and so may have made them crash.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "Prompt segment of requests that were in flight at upstreams when they were lost, and so may have made them crash.",
+///  "type": "object",
+///  "required": [
+///    "losses",
+///    "position",
+///    "segment"
+///  ],
+///  "properties": {
+///    "losses": {
+///      "description": "Newest losses since the last success of a request with the segment.",
+///      "type": "array",
+///      "items": {
+///        "$ref": "#/definitions/SegmentLoss"
+///      }
+///    },
+///    "position": {
+///      "description": "Highest position of the segment in a prompt, from 0.",
+///      "type": "integer",
+///      "format": "uint32"
+///    },
+///    "segment": {
+///      "description": "Identifier of the segment.",
+///      "type": "integer",
+///      "format": "uint64"
+///    }
+///  },
+///  "additionalProperties": false
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct SuspectSegment {
+    ///Newest losses since the last success of a request with the segment.
+    pub losses: ::std::vec::Vec<SegmentLoss>,
+    ///Highest position of the segment in a prompt, from 0.
+    pub position: u32,
+    ///Identifier of the segment.
+    pub segment: u64,
+}
 ///Newest term of one scope.
 ///
 /// <details><summary>JSON schema</summary>
--- a/crates/proto/src/setting_table.rs
+++ b/crates/proto/src/setting_table.rs
@@ -243,7 +243,7 @@
         key: "poison_limit",
         kind: SettingKind::Integer,
         default: Some("3"),
-        help: "Number of upstreams lost while they ran the same request, at which the request is refused. At least 1.",
+        help: "Number of upstreams lost while they ran the same request, or requests with the same prompt segment, at which such requests are refused. At least 1.",
     },
     SettingSpec {
         section: "limits",
--- a/crates/serve/src/caller/relay.rs
+++ b/crates/serve/src/caller/relay.rs
@@ -135,7 +135,12 @@
         let keep_alive =
             self.connection.take().and_then(|connection| connection.return_to_pool(client));
         self.request.report_outcome(&self.upstream, SendOutcome::Responded, keep_alive).await;
-        self.request.send(HubMessage::RequestSucceeded { id: self.request.assignment_id }).await;
+        // A crash may close a stream without a length before its first event.
+        if self.has_started {
+            self.request
+                .send(HubMessage::RequestSucceeded { id: self.request.assignment_id })
+                .await;
+        }
         StreamEnd::Complete
     }
 
--- a/crates/serve/src/events.rs
+++ b/crates/serve/src/events.rs
@@ -29,6 +29,8 @@
     RequestSuspected = 505, Warn, "an upstream was lost while a request was in flight there";
     PrefillEnded = 506, Info, "a disaggregated prefill ended";
     StreamStarted = 507, Info, "the first event of a stream arrived";
+    SegmentQuarantined = 508, Warn, "requests with a prompt segment are refused, it may crash upstreams";
+    SegmentReleased = 509, Info, "requests with a prompt segment are no longer refused";
     PeerUnreachable = 600, Warn, "a peer is unreachable";
     PeerReachable = 601, Info, "a peer is reachable again";
     PeerMessageMalformed = 602, Warn, "a peer sent a malformed message";
--- a/crates/serve/src/hub/feed.rs
+++ b/crates/serve/src/hub/feed.rs
@@ -59,12 +59,14 @@
             seen: link.received_cursor.clone(),
             true_ms: self.cluster_ms(),
             suspects: self.suspects_since(link.sent_suspects),
+            segments: self.segments_since(now_ms, link.sent_segments),
             starts: starts.map(|(key, windows)| to_proto_starts(key, &windows)).collect(),
         };
         let next_link = LinkState {
             received_cursor: link.received_cursor.clone(),
             sent_starts: if sends_starts { self.starts.version() } else { link.sent_starts },
             sent_suspects: self.suspects.version(),
+            sent_segments: self.segment_suspects.version(),
         };
         (request, next_link)
     }
@@ -83,6 +85,7 @@
     pub(super) fn handle_feed(&mut self, request: proto::FeedRequest) -> proto::FeedReply {
         let now_ms = self.clock.now_ms();
         self.on_suspects(&request.suspects);
+        self.on_segments(now_ms, &request.segments);
         self.instances.on_feed_request(&request);
         self.feed_topology.on_feed_request(now_ms, &request.from.instance, request.reads_store);
         for peer_starts in request.starts {
@@ -93,6 +96,7 @@
             incarnation: self.identity.incarnation,
             roster: 0,
             suspects: 0,
+            segments: 0,
             instances: 0,
         };
         let cursor = request.seen.filter(|cursor| cursor.incarnation == self.identity.incarnation);
@@ -118,10 +122,12 @@
             instances: self.instances.changed_since(cursor.instances).filter(|_| sends_instances),
             true_ms: self.cluster_ms(),
             suspects: self.suspects_since(cursor.suspects),
+            segments: self.segments_since(now_ms, cursor.segments),
             place: proto::FeedCursor {
                 incarnation: self.identity.incarnation,
                 roster: if sends_roster { self.roster_records.version() } else { cursor.roster },
                 suspects: self.suspects.version(),
+                segments: self.segment_suspects.version(),
                 instances: if sends_instances {
                     self.instances.version()
                 } else {
@@ -135,6 +141,7 @@
         let now_ms = self.clock.now_ms();
         self.cluster_clock.on_estimate(now_ms, feed.true_ms);
         self.on_suspects(&feed.suspects);
+        self.on_segments(now_ms, &feed.segments);
         if let Some(record) = feed.declaration {
             self.on_declaration(from_proto(record), "instance");
         }
--- a/crates/serve/src/hub/message.rs
+++ b/crates/serve/src/hub/message.rs
@@ -111,6 +111,8 @@
     pub(crate) sent_starts: u64,
     /// Version of the suspects up to which the peer has received them.
     pub(crate) sent_suspects: u64,
+    /// Version of the suspect segments up to which the peer has received them.
+    pub(crate) sent_segments: u64,
 }
 
 /// The parts of a request's head that decide its route and workspace.
--- a/crates/serve/src/hub/mod.rs
+++ b/crates/serve/src/hub/mod.rs
@@ -5,8 +5,9 @@
 mod message;
 mod records;
 mod requests;
+mod segments;
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 
 use async_channel::{Receiver, Sender};
@@ -18,7 +19,7 @@
     plan_roles,
 };
 use cowslip_membership::{FeedRole, FeedTopology};
-use cowslip_poison::Suspects;
+use cowslip_poison::{SegmentId, SegmentSuspects, Suspects};
 use cowslip_task::send_reply;
 use cowslip_usage::{ClusterClock, StartCounters, StartWindows, WindowTimes};
 
@@ -70,6 +71,9 @@
     next_assignment_id: u64,
     retry_budget: RetryBudget,
     suspects: Suspects,
+    segment_suspects: SegmentSuspects,
+    /// Quarantined segments as last logged.
+    quarantined_segments: BTreeSet<SegmentId>,
     instances: Instances,
     feed_topology: FeedTopology,
     /// Whether this instance reads the store itself, as last logged.
@@ -124,6 +128,8 @@
             next_assignment_id: 1,
             retry_budget: RetryBudget::new(config.retry_budget_limits()),
             suspects: Suspects::new(poison_limit, MAX_SUSPECTS),
+            segment_suspects: SegmentSuspects::new(segments::limits(poison_limit)),
+            quarantined_segments: BTreeSet::new(),
             instances: Instances::default(),
             feed_topology,
             is_store_reader: false,
@@ -161,11 +167,7 @@
                 send_reply(&reply, self.on_prefill_ended(id));
             }
             HubMessage::RequestStarted { id } => self.on_request_started(id),
-            HubMessage::RequestSucceeded { id } => {
-                if let Some(request) = self.in_flight.get(&id) {
-                    self.suspects.on_success(&request.request_digest);
-                }
-            }
+            HubMessage::RequestSucceeded { id } => self.on_request_succeeded(id),
             HubMessage::RequestEnded { id } => self.on_request_ended(id),
             HubMessage::SendEnded { upstream, outcome, keep_alive } => {
                 self.health.on_outcome(self.clock.now_ms(), &upstream, outcome);
--- a/crates/serve/src/hub/requests.rs
+++ b/crates/serve/src/hub/requests.rs
@@ -7,8 +7,9 @@
     Authorized, Denial, Load, Placement, PlacementRequest, Prompt, RetrySafety, Upstream, place,
 };
 use cowslip_name::Name;
-use cowslip_poison::RequestDigest;
+use cowslip_poison::{LostUpstream, RequestDigest};
 
+use super::segments::format_segments;
 use super::{
     Assignment, AuthorizedRequest, Hub, Rejection, RetryReason, RouteQuery, UnplacedRequest,
 };
@@ -63,7 +64,7 @@
     }
 
     pub(super) fn place(&mut self, unplaced: UnplacedRequest) -> Result<Assignment, Rejection> {
-        if self.suspects.is_quarantined(&unplaced.request_digest) {
+        if self.is_quarantined(&unplaced.request_digest, &unplaced.shared_segments) {
             return Err(Rejection::Quarantined);
         }
         let service = unplaced
@@ -176,7 +177,7 @@
         if reason == RetryReason::MayHaveRun && (!may_retry || request.attempts >= max_attempts) {
             return Err(Rejection::NoRetries);
         }
-        if self.suspects.is_quarantined(&request.request_digest) {
+        if self.is_quarantined(&request.request_digest, &request.shared_segments) {
             return Err(Rejection::Quarantined);
         }
         let service = request.service.clone();
@@ -219,7 +220,7 @@
 
     /// Handles the end of a prefill, successful or not. A prefill may take longer than an engine
     /// takes to drain and leave, so another engine is picked if the assigned one no longer accepts
-    /// work.
+    /// work. A request that was quarantined meanwhile is rejected.
     pub(super) fn on_prefill_ended(&mut self, id: u64) -> Result<Arc<Upstream>, Rejection> {
         let now_ms = self.clock.now_ms();
         let request = self.in_flight.get_mut(&id).ok_or(Rejection::NoUpstream)?;
@@ -229,6 +230,10 @@
         if let Some(prefill_upstream) = &prefill_upstream {
             self.release_prefill(prefill_upstream);
         }
+        let Some(request) = self.in_flight.get(&id) else { return Err(Rejection::NoUpstream) };
+        if self.is_quarantined(&request.request_digest, &request.shared_segments) {
+            return Err(Rejection::Quarantined);
+        }
         let is_assigned =
             |up: &Arc<Upstream>| up.id == assigned.id && up.started_at_ms == assigned.started_at_ms;
         if self.registry.eligible(now_ms, &service).any(is_assigned) {
@@ -280,19 +285,32 @@
         }
     }
 
+    /// Clears the request and its segments of earlier losses.
+    pub(super) fn on_request_succeeded(&mut self, id: u64) {
+        let Some(request) = self.in_flight.get(&id) else { return };
+        self.suspects.on_success(&request.request_digest);
+        self.segment_suspects.on_success(self.clock.now_ms(), &request.shared_segments, 0);
+        self.update_quarantined_segments();
+    }
+
     pub(super) fn on_upstream_lost(&mut self, id: u64, upstream: &Arc<str>) {
         let Some(request) = self.in_flight.get(&id) else { return };
-        let phase = if request.prefill_upstream.is_some() { "prefill" } else { "serve" };
+        let is_serving = request.prefill_upstream.is_none();
         event!(
             Event::RequestSuspected,
             request = request.attempt_id,
             upstream = upstream,
-            phase = phase,
+            phase = if is_serving { "serve" } else { "prefill" },
             segments = format_segments(&request.shared_segments)
         );
         // An id that is not a valid name cannot be sent to peers, so its loss is only logged.
-        if let Ok(name) = Name::new(upstream) {
-            self.suspects.on_upstream_lost(request.request_digest, name);
+        let Ok(name) = Name::new(upstream) else { return };
+        self.suspects.on_upstream_lost(request.request_digest, name.clone());
+        if is_serving {
+            let lost = LostUpstream { name, started_at_ms: request.upstream.started_at_ms };
+            let now_ms = self.clock.now_ms();
+            self.segment_suspects.on_upstream_lost(now_ms, &request.shared_segments, &lost);
+            self.update_quarantined_segments();
         }
     }
 
@@ -311,9 +329,3 @@
         }
     }
 }
-
-/// Formats segment ids in hex as callers send them, separated by commas.
-pub(super) fn format_segments(segments: &[u64]) -> String {
-    let ids: Vec<String> = segments.iter().map(|id| format!("{id:x}")).collect();
-    ids.join(",")
-}
--- /dev/null
+++ b/crates/serve/src/hub/segments.rs
@@ -0,0 +1,108 @@
+//! Prompt segments that may crash upstreams: their quarantine, and what peers exchange about them.
+
+use std::collections::BTreeSet;
+
+use cowslip_poison::{LostUpstream, RequestDigest, SegmentId, SegmentLimits, SegmentReport};
+use cowslip_proto as proto;
+
+use super::Hub;
+use crate::events::{Event, event};
+use crate::platform::Platform;
+
+/// Shortest time between the first and the last loss that quarantine a segment.
+const MIN_LOSS_SPAN_MS: u64 = 500; // a failing host or link breaks all of its connections within this time
+/// Time from the newest loss to the end of a quarantine; one further loss starts it again.
+const QUARANTINE_MS: u64 = 600_000;
+/// Most prompt segments that are remembered as suspects.
+const MAX_SUSPECT_SEGMENTS: usize = 1_024;
+/// Most suspect segments, and cleared ones, in one message.
+const MAX_SEGMENTS_PER_MESSAGE: usize = 64;
+
+/// Returns the limits with a quarantine after `losses` lost upstreams.
+pub(super) fn limits(losses: usize) -> SegmentLimits {
+    SegmentLimits {
+        losses,
+        min_span_ms: MIN_LOSS_SPAN_MS,
+        hold_ms: QUARANTINE_MS,
+        capacity: MAX_SUSPECT_SEGMENTS,
+    }
+}
+
+/// Formats segment ids in hex as callers send them, separated by commas.
+pub(super) fn format_segments(segments: &[SegmentId]) -> String {
+    let ids: Vec<String> = segments.iter().map(|id| format!("{id:x}")).collect();
+    ids.join(",")
+}
+
+impl<P> Hub<P>
+where
+    P: Platform,
+{
+    /// Returns whether upstreams were lost too often with this request or with one of its shared
+    /// segments.
+    pub(super) fn is_quarantined(&self, digest: &RequestDigest, segments: &[SegmentId]) -> bool {
+        let now_ms = self.clock.now_ms();
+        self.suspects.is_quarantined(digest)
+            || self.segment_suspects.quarantined_segment(now_ms, segments).is_some()
+    }
+
+    /// Logs which segments are quarantined since the last call and which no longer are.
+    pub(super) fn update_quarantined_segments(&mut self) {
+        let quarantined: BTreeSet<SegmentId> = self.segment_suspects.quarantined().collect();
+        if quarantined == self.quarantined_segments {
+            return;
+        }
+        for segment in quarantined.difference(&self.quarantined_segments) {
+            event!(Event::SegmentQuarantined, segment = format_segments(&[*segment]));
+        }
+        for segment in self.quarantined_segments.difference(&quarantined) {
+            event!(Event::SegmentReleased, segment = format_segments(&[*segment]));
+        }
+        let count = i64::try_from(quarantined.len()).unwrap_or(i64::MAX);
+        self.metrics.quarantined_segments.set(count);
+        self.quarantined_segments = quarantined;
+    }
+
+    pub(super) fn segments_since(&self, now_ms: u64, version: u64) -> proto::SegmentChanges {
+        let suspects = self.segment_suspects.changed_since(now_ms, version);
+        let cleared = self.segment_suspects.cleared_since(now_ms, version);
+        proto::SegmentChanges {
+            suspects: suspects.into_iter().take(MAX_SEGMENTS_PER_MESSAGE).map(to_proto).collect(),
+            cleared: cleared
+                .take(MAX_SEGMENTS_PER_MESSAGE)
+                .map(|(segment, age_ms)| proto::ClearedSegment { segment, age_ms })
+                .collect(),
+        }
+    }
+
+    pub(super) fn on_segments(&mut self, now_ms: u64, changes: &proto::SegmentChanges) {
+        for cleared in &changes.cleared {
+            self.segment_suspects.on_success(now_ms, &[cleared.segment], cleared.age_ms);
+        }
+        for suspect in &changes.suspects {
+            self.segment_suspects.on_report(now_ms, &from_proto(suspect));
+        }
+        self.update_quarantined_segments();
+    }
+}
+
+fn to_proto(report: SegmentReport) -> proto::SuspectSegment {
+    let losses = report.losses.into_iter().map(|(upstream, age_ms)| proto::SegmentLoss {
+        upstream: upstream.name,
+        started_at_ms: upstream.started_at_ms,
+        age_ms,
+    });
+    proto::SuspectSegment {
+        segment: report.segment,
+        position: report.position,
+        losses: losses.collect(),
+    }
+}
+
+fn from_proto(suspect: &proto::SuspectSegment) -> SegmentReport {
+    let losses = suspect.losses.iter().map(|loss| {
+        let name = loss.upstream.clone();
+        (LostUpstream { name, started_at_ms: loss.started_at_ms }, loss.age_ms)
+    });
+    SegmentReport { segment: suspect.segment, position: suspect.position, losses: losses.collect() }
+}
--- a/crates/serve/src/metrics.rs
+++ b/crates/serve/src/metrics.rs
@@ -27,6 +27,7 @@
     "cowslip_is_holder",
     "cowslip_peers",
     "cowslip_is_reader",
+    "cowslip_quarantined_segments",
 ];
 
 /// The metrics of this instance.
@@ -59,6 +60,8 @@
     pub(crate) peers: IntGauge,
     /// 1 while this instance reads the store itself.
     pub(crate) is_reader: IntGauge,
+    /// Prompt segments whose requests are refused.
+    pub(crate) quarantined_segments: IntGauge,
 }
 
 impl Metrics {
@@ -102,6 +105,10 @@
             is_holder: gauge("cowslip_is_holder", "1 while this instance holds the lease")?,
             peers: gauge("cowslip_peers", "Other instances to which there are links")?,
             is_reader: gauge("cowslip_is_reader", "1 while this instance reads the store itself")?,
+            quarantined_segments: gauge(
+                "cowslip_quarantined_segments",
+                "Prompt segments whose requests are refused",
+            )?,
             registry,
         })
     }
