Follow what upstreams announce about further requests

Cause: of a response only its execution status was used. An upstream left for an instance when its entry said so or was gone, and a refusal backed off for one second, and only while another upstream was healthy.

Now the registry keeps, by incarnation, that an upstream announced its leaving and until when it is on hold. Both exclude it from placement, after a prefill and on retries, and outlive an entry that expires and reappears and a role change. When all upstreams of a service are on hold, the caller is refused at once with the time until the first hold ends. A response of another upstream (421) or to another attempt announces nothing.

--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -10,6 +10,8 @@
 /// Longest quarantine of an upstream whose entry seems to be outdated: a role change takes three
 /// seconds, and the next entry comes more than one second later.
 const ROLE_MISMATCH_QUARANTINE_MS: u64 = 4_500;
+/// Number of remembered announcements from which on those of unregistered upstreams are dropped.
+const MAX_ANNOUNCEMENTS: usize = 4_096;
 
 /// Phase of a request that an engine runs.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
@@ -48,6 +50,8 @@
 pub enum LeaveReason {
     /// The entry states that the upstream is draining.
     Draining,
+    /// The upstream stated in a response that it is leaving.
+    Announced,
     /// The entry was removed, or a later incarnation replaced it.
     Gone,
 }
@@ -63,6 +67,17 @@
     Role(Arc<str>, Option<EngineRole>),
 }
 
+/// What an incarnation of an upstream has stated in its responses.
+#[derive(Clone, Copy, Debug, Default)]
+struct Announcement {
+    /// Start of the incarnation in Unix milliseconds.
+    started_at_ms: u64,
+    /// Whether the incarnation is leaving.
+    is_leaving: bool,
+    /// Time until which the incarnation wants no requests from this instance.
+    held_until_ms: u64,
+}
+
 #[derive(Clone, Debug)]
 struct Registration {
     upstream: Arc<Upstream>,
@@ -77,6 +92,9 @@
 #[derive(Clone, Debug, Default)]
 pub struct UpstreamRegistry {
     registrations: BTreeMap<Arc<str>, Registration>,
+    /// Statements of upstreams by id. They outlive the registration, since an entry that expires
+    /// may reappear.
+    announcements: BTreeMap<Arc<str>, Announcement>,
     /// End of the grace period after an outage of the store, in which removals are delayed.
     grace_until_ms: u64,
 }
@@ -181,13 +199,71 @@
         }
     }
 
-    /// Iterates over the upstreams of a service that take new work and are not quarantined.
+    /// Records that an incarnation stated that it is leaving; it takes no work from now on.
+    pub fn on_leaving(&mut self, id: &Arc<str>, started_at_ms: u64) -> Vec<UpstreamChange> {
+        let Some(announcement) = self.announcement_mut(id, started_at_ms) else {
+            return Vec::new();
+        };
+        if std::mem::replace(&mut announcement.is_leaving, true) {
+            return Vec::new();
+        }
+        vec![UpstreamChange::Left(id.clone(), LeaveReason::Announced)]
+    }
+
+    /// Records that an incarnation wants no requests from this instance until `until_ms`.
+    pub fn on_hold(&mut self, id: &Arc<str>, started_at_ms: u64, until_ms: u64) {
+        if let Some(announcement) = self.announcement_mut(id, started_at_ms) {
+            announcement.held_until_ms = announcement.held_until_ms.max(until_ms);
+        }
+    }
+
+    /// Returns the statements of an incarnation; `None` if a later one has made some.
+    fn announcement_mut(&mut self, id: &Arc<str>, started_at_ms: u64) -> Option<&mut Announcement> {
+        if self.announcements.len() >= MAX_ANNOUNCEMENTS {
+            let registrations = &self.registrations;
+            self.announcements.retain(|id, _| registrations.contains_key(id));
+        }
+        let announcement = self.announcements.entry(id.clone()).or_default();
+        if announcement.started_at_ms < started_at_ms {
+            *announcement = Announcement { started_at_ms, ..Announcement::default() };
+        }
+        (announcement.started_at_ms == started_at_ms).then_some(announcement)
+    }
+
+    fn announcement(&self, upstream: &Upstream) -> Announcement {
+        let found = self.announcements.get(&upstream.id).copied();
+        found.filter(|known| known.started_at_ms == upstream.started_at_ms).unwrap_or_default()
+    }
+
+    /// Iterates over the upstreams of a service that are neither draining nor leaving.
+    fn staying(&self, service: &str) -> impl Iterator<Item = &Registration> {
+        self.registrations.values().filter(move |registration| {
+            let upstream = &registration.upstream;
+            !upstream.is_draining
+                && *upstream.service == *service
+                && !self.announcement(upstream).is_leaving
+        })
+    }
+
+    /// Iterates over the upstreams of a service that take new work from this instance and are not
+    /// quarantined.
     pub fn eligible(&self, now_ms: u64, service: &str) -> impl Iterator<Item = &Arc<Upstream>> {
-        self.registrations
-            .values()
-            .filter(move |registration| registration.quarantined_until_ms <= now_ms)
+        self.staying(service)
+            .filter(move |registration| {
+                registration.quarantined_until_ms <= now_ms
+                    && self.announcement(&registration.upstream).held_until_ms <= now_ms
+            })
             .map(|registration| &registration.upstream)
-            .filter(move |upstream| !upstream.is_draining && *upstream.service == *service)
+    }
+
+    /// Returns the time at which the first upstream of the service takes requests again that now
+    /// wants none; `None` if there is no such upstream.
+    #[must_use]
+    pub fn first_hold_end_ms(&self, now_ms: u64, service: &str) -> Option<u64> {
+        self.staying(service)
+            .map(|registration| self.announcement(&registration.upstream).held_until_ms)
+            .filter(|until_ms| now_ms < *until_ms)
+            .min()
     }
 
     /// Iterates over the upstreams of a service that are not draining.
--- a/crates/fleet/tests/registry.rs
+++ b/crates/fleet/tests/registry.rs
@@ -27,6 +27,10 @@
     List(&'static [&'static str]),
     StoreRecovered,
     RoleMismatch,
+    /// This incarnation stated that it is leaving.
+    Leaving(u64),
+    /// This incarnation wants no requests until this time.
+    Hold(u64, u64),
 }
 
 struct Case {
@@ -37,7 +41,7 @@
 }
 
 use EngineRole::{Decode, Prefill};
-use Step::{Entry, List, Remove, RoleMismatch, StoreRecovered};
+use Step::{Entry, Hold, Leaving, List, Remove, RoleMismatch, StoreRecovered};
 
 const CASES: &[Case] = &[
     Case { name: "ready", steps: &[(0, Entry(1, false, Decode))], at_ms: 0, is_eligible: true },
@@ -106,6 +110,59 @@
         at_ms: 9_000,
         is_eligible: true,
     },
+    Case {
+        name: "leaving by its own response",
+        steps: &[(0, Entry(1, false, Decode)), (5, Leaving(1))],
+        at_ms: 5,
+        is_eligible: false,
+    },
+    Case {
+        name: "leaving, and its entry expires and reappears",
+        steps: &[
+            (0, Entry(1, false, Decode)),
+            (5, Leaving(1)),
+            (6, Remove),
+            (7, Entry(1, false, Decode)),
+        ],
+        at_ms: 9_000,
+        is_eligible: false,
+    },
+    Case {
+        name: "a new incarnation after leaving",
+        steps: &[(0, Entry(1, false, Decode)), (5, Leaving(1)), (6, Entry(2, false, Decode))],
+        at_ms: 6,
+        is_eligible: true,
+    },
+    Case {
+        name: "a late response of a former incarnation",
+        steps: &[(0, Entry(2, false, Decode)), (5, Hold(2, 6)), (7, Leaving(1))],
+        at_ms: 7,
+        is_eligible: true,
+    },
+    Case {
+        name: "on hold",
+        steps: &[(0, Entry(1, false, Decode)), (5, Hold(1, 800)), (6, Hold(1, 300))],
+        at_ms: 799,
+        is_eligible: false,
+    },
+    Case {
+        name: "after the hold",
+        steps: &[(0, Entry(1, false, Decode)), (5, Hold(1, 800))],
+        at_ms: 800,
+        is_eligible: true,
+    },
+    Case {
+        name: "on hold over a role change and an expired entry",
+        steps: &[
+            (0, Entry(1, false, Decode)),
+            (5, Hold(1, 800)),
+            (6, Entry(1, false, Prefill)),
+            (7, Remove),
+            (8, Entry(1, false, Prefill)),
+        ],
+        at_ms: 799,
+        is_eligible: false,
+    },
     Case {
         name: "quarantined after a role mismatch",
         steps: &[(0, Entry(1, false, Decode)), (5, RoleMismatch)],
@@ -139,6 +196,12 @@
                 List(ids) => drop(registry.on_list(*now_ms, ids.iter().copied())),
                 StoreRecovered => registry.on_store_recovered(*now_ms),
                 RoleMismatch => registry.on_role_mismatch(*now_ms, "up"),
+                Leaving(started_at_ms) => {
+                    drop(registry.on_leaving(&Arc::from("up"), *started_at_ms));
+                }
+                Hold(started_at_ms, until_ms) => {
+                    registry.on_hold(&Arc::from("up"), *started_at_ms, *until_ms);
+                }
             }
         }
         registry.on_tick(*at_ms);
--- a/crates/poison/tests/segments.rs
+++ b/crates/poison/tests/segments.rs
@@ -38,117 +38,119 @@
     }
 }
 
+struct Case {
+    name: &'static str,
+    steps: &'static [Step],
+    now_ms: u64,
+    quarantined: &'static [SegmentId],
+}
+
+const CASES: &[Case] = &[
+    Case {
+        name: "two losses",
+        steps: &[Lost(0, 1, &[WITH_DEADLY]), Lost(600, 2, &[WITH_DEADLY])],
+        now_ms: 700,
+        quarantined: &[],
+    },
+    Case {
+        name: "three losses without any success: the last segment",
+        steps: &[
+            Lost(0, 1, &[WITH_DEADLY]),
+            Lost(600, 2, &[WITH_DEADLY]),
+            Lost(900, 3, &[WITH_DEADLY]),
+        ],
+        now_ms: 1_000,
+        quarantined: &[DEADLY],
+    },
+    Case {
+        name: "three losses at once",
+        steps: &[
+            Lost(0, 1, &[WITH_DEADLY]),
+            Lost(10, 2, &[WITH_DEADLY]),
+            Lost(20, 3, &[WITH_DEADLY]),
+        ],
+        now_ms: 1_000,
+        quarantined: &[],
+    },
+    Case {
+        name: "one upstream lost three times in one incarnation",
+        steps: &[
+            Lost(0, 1, &[WITH_DEADLY]),
+            Lost(600, 1, &[WITH_DEADLY]),
+            Lost(900, 1, &[WITH_DEADLY]),
+        ],
+        now_ms: 1_000,
+        quarantined: &[],
+    },
+    Case {
+        name: "a success clears the segments of its request",
+        steps: &[
+            Lost(0, 1, &[WITH_RARE]),
+            Lost(600, 2, &[WITH_RARE]),
+            Lost(900, 3, &[WITH_RARE]),
+            Success(950, WITH_RARE),
+        ],
+        now_ms: 1_000,
+        quarantined: &[],
+    },
+    Case {
+        name: "a sound request beside the deadly one at each loss",
+        steps: &[
+            Lost(0, 1, &[WITH_DEADLY, WITH_RARE]),
+            Lost(600, 2, &[WITH_DEADLY, WITH_RARE]),
+            Lost(900, 3, &[WITH_DEADLY, WITH_RARE]),
+            Lost(1_200, 4, &[WITH_DEADLY]),
+        ],
+        now_ms: 1_300,
+        quarantined: &[DEADLY],
+    },
+    Case {
+        name: "two deadly segments",
+        steps: &[
+            Lost(0, 1, &[WITH_DEADLY]),
+            Lost(300, 4, &[&[RARE]]),
+            Lost(600, 2, &[WITH_DEADLY]),
+            Lost(800, 5, &[&[RARE]]),
+            Lost(900, 3, &[WITH_DEADLY]),
+            Lost(950, 6, &[&[RARE]]),
+            Success(960, &[COMMON]),
+        ],
+        now_ms: 1_000,
+        quarantined: &[RARE, DEADLY],
+    },
+    Case {
+        name: "the time of the quarantine has passed",
+        steps: &[
+            Lost(0, 1, &[WITH_DEADLY]),
+            Lost(600, 2, &[WITH_DEADLY]),
+            Lost(900, 3, &[WITH_DEADLY]),
+        ],
+        now_ms: 60_900,
+        quarantined: &[],
+    },
+    Case {
+        name: "one further loss after that",
+        steps: &[
+            Lost(0, 1, &[WITH_DEADLY]),
+            Lost(600, 2, &[WITH_DEADLY]),
+            Lost(900, 3, &[WITH_DEADLY]),
+            Lost(61_000, 4, &[WITH_DEADLY]),
+        ],
+        now_ms: 61_001,
+        quarantined: &[DEADLY],
+    },
+];
+
 #[test]
 fn only_the_segment_that_explains_the_losses_is_quarantined() {
-    struct Case {
-        name: &'static str,
-        steps: &'static [Step],
-        now_ms: u64,
-        quarantined: &'static [SegmentId],
-    }
-    let cases = [
-        Case {
-            name: "two losses",
-            steps: &[Lost(0, 1, &[WITH_DEADLY]), Lost(600, 2, &[WITH_DEADLY])],
-            now_ms: 700,
-            quarantined: &[],
-        },
-        Case {
-            name: "three losses without any success: the last segment",
-            steps: &[
-                Lost(0, 1, &[WITH_DEADLY]),
-                Lost(600, 2, &[WITH_DEADLY]),
-                Lost(900, 3, &[WITH_DEADLY]),
-            ],
-            now_ms: 1_000,
-            quarantined: &[DEADLY],
-        },
-        Case {
-            name: "three losses at once",
-            steps: &[
-                Lost(0, 1, &[WITH_DEADLY]),
-                Lost(10, 2, &[WITH_DEADLY]),
-                Lost(20, 3, &[WITH_DEADLY]),
-            ],
-            now_ms: 1_000,
-            quarantined: &[],
-        },
-        Case {
-            name: "one upstream lost three times in one incarnation",
-            steps: &[
-                Lost(0, 1, &[WITH_DEADLY]),
-                Lost(600, 1, &[WITH_DEADLY]),
-                Lost(900, 1, &[WITH_DEADLY]),
-            ],
-            now_ms: 1_000,
-            quarantined: &[],
-        },
-        Case {
-            name: "a success clears the segments of its request",
-            steps: &[
-                Lost(0, 1, &[WITH_RARE]),
-                Lost(600, 2, &[WITH_RARE]),
-                Lost(900, 3, &[WITH_RARE]),
-                Success(950, WITH_RARE),
-            ],
-            now_ms: 1_000,
-            quarantined: &[],
-        },
-        Case {
-            name: "a sound request beside the deadly one at each loss",
-            steps: &[
-                Lost(0, 1, &[WITH_DEADLY, WITH_RARE]),
-                Lost(600, 2, &[WITH_DEADLY, WITH_RARE]),
-                Lost(900, 3, &[WITH_DEADLY, WITH_RARE]),
-                Lost(1_200, 4, &[WITH_DEADLY]),
-            ],
-            now_ms: 1_300,
-            quarantined: &[DEADLY],
-        },
-        Case {
-            name: "two deadly segments",
-            steps: &[
-                Lost(0, 1, &[WITH_DEADLY]),
-                Lost(300, 4, &[&[RARE]]),
-                Lost(600, 2, &[WITH_DEADLY]),
-                Lost(800, 5, &[&[RARE]]),
-                Lost(900, 3, &[WITH_DEADLY]),
-                Lost(950, 6, &[&[RARE]]),
-                Success(960, &[COMMON]),
-            ],
-            now_ms: 1_000,
-            quarantined: &[RARE, DEADLY],
-        },
-        Case {
-            name: "the time of the quarantine has passed",
-            steps: &[
-                Lost(0, 1, &[WITH_DEADLY]),
-                Lost(600, 2, &[WITH_DEADLY]),
-                Lost(900, 3, &[WITH_DEADLY]),
-            ],
-            now_ms: 60_900,
-            quarantined: &[],
-        },
-        Case {
-            name: "one further loss after that",
-            steps: &[
-                Lost(0, 1, &[WITH_DEADLY]),
-                Lost(600, 2, &[WITH_DEADLY]),
-                Lost(900, 3, &[WITH_DEADLY]),
-                Lost(61_000, 4, &[WITH_DEADLY]),
-            ],
-            now_ms: 61_001,
-            quarantined: &[DEADLY],
-        },
-    ];
-    for Case { name, steps, now_ms, quarantined } in cases {
+    for Case { name, steps, now_ms, quarantined } in CASES {
         let mut suspects = SegmentSuspects::new(LIMITS);
         apply(&mut suspects, steps);
         let actual: Vec<SegmentId> = [COMMON, RARE, DEADLY]
             .into_iter()
-            .filter(|segment| suspects.quarantined_segment(now_ms, &[*segment]).is_some())
+            .filter(|segment| suspects.quarantined_segment(*now_ms, &[*segment]).is_some())
             .collect();
-        assert_eq!(actual, quarantined, "{name}");
+        assert_eq!(actual, *quarantined, "{name}");
     }
 }
 
--- a/crates/serve/src/caller/buffered.rs
+++ b/crates/serve/src/caller/buffered.rs
@@ -71,11 +71,10 @@
 {
     let may_have_run_before = request.may_have_run();
     request.mark_may_have_run();
-    let (platform, client) = (&request.shared.platform, &request.shared.client);
+    let client = &request.shared.client;
     let operation = Operation::Serve { prefilled: None, after_event: None };
     let response = exchange(
-        platform,
-        client,
+        &request.shared,
         &request.caller_request,
         &request.upstream_request(upstream, operation),
     )
--- a/crates/serve/src/caller/error_response.rs
+++ b/crates/serve/src/caller/error_response.rs
@@ -45,6 +45,7 @@
             Rejection::NoRoute => error(StatusCode::NOT_FOUND, "no_route"),
             Rejection::BadKey => error(StatusCode::UNAUTHORIZED, "bad_key"),
             Rejection::NoUpstream => not_run("no_upstream", RETRY_AFTER_MS),
+            Rejection::AllHold { retry_after_ms } => not_run("upstreams_hold", retry_after_ms),
             Rejection::Quarantined => not_run("suspected_of_crashes", RETRY_AFTER_MS),
             Rejection::NoRetries => not_run("no_repeat_left", RETRY_AFTER_MS),
         }
--- a/crates/serve/src/caller/exchange.rs
+++ b/crates/serve/src/caller/exchange.rs
@@ -8,10 +8,13 @@
 use http::response::Parts;
 use hyper::body::Incoming;
 
+use super::shared::Shared;
 use crate::events::{Event, event};
+use crate::hub::HubMessage;
 use crate::platform::{
     CallerRequest, ExecutionStatus, Operation, Platform, ResponseHead, UpstreamRequest,
 };
+use crate::tasks::HubHandle;
 
 /// Keep-alive time of connections whose upstream states none.
 const DEFAULT_KEEP_ALIVE_MS: u64 = 2_000;
@@ -92,14 +95,14 @@
 
 /// Sends a request and waits for the head of its response.
 pub(super) async fn exchange<P>(
-    platform: &P,
-    client: &Client,
+    shared: &Shared<P>,
     caller_request: &CallerRequest,
     upstream_request: &UpstreamRequest<'_>,
 ) -> Result<UpstreamResponse, Failure>
 where
     P: Platform,
 {
+    let (platform, client) = (&shared.platform, &shared.client);
     let upstream = upstream_request.upstream;
     let request = platform.upstream_request(caller_request, upstream_request).map_err(|error| {
         log_failure(caller_request, upstream, Failure::NotArrived, &error.to_string());
@@ -116,6 +119,7 @@
     })?;
     let (parts, body) = response.into_parts();
     let head = platform.decode_response_head(&parts);
+    announce(&shared.hub, caller_request, upstream, &head).await;
     if let Err((failure, why)) = check_response(caller_request, upstream_request.operation, &head) {
         log_failure(caller_request, upstream, failure, why);
         if matches!(failure, Failure::NotRun | Failure::Misdirected) {
@@ -129,13 +133,39 @@
     Ok(UpstreamResponse { parts, body, connection })
 }
 
+/// Reports to the hub what the upstream states about further requests. A response that is not from
+/// this upstream, or not to this request, states nothing about it.
+async fn announce(
+    hub: &HubHandle,
+    caller_request: &CallerRequest,
+    upstream: &Upstream,
+    head: &ResponseHead,
+) {
+    let has_statement = head.is_leaving || head.hold_ms.is_some();
+    let is_other_upstream = head.execution == ExecutionStatus::Misdirected;
+    if !has_statement || is_other_upstream || !is_for_attempt(caller_request, head) {
+        return;
+    }
+    hub.send(HubMessage::Announced {
+        upstream: upstream.id.clone(),
+        started_at_ms: upstream.started_at_ms,
+        is_leaving: head.is_leaving,
+        hold_ms: head.hold_ms,
+    })
+    .await;
+}
+
+fn is_for_attempt(caller_request: &CallerRequest, head: &ResponseHead) -> bool {
+    head.attempt_id.as_deref() == Some(&*caller_request.head.attempt_id)
+}
+
 /// Checks that a response belongs to this request and comes from the intended upstream.
 fn check_response(
     caller_request: &CallerRequest,
     operation: Operation<'_>,
     head: &ResponseHead,
 ) -> Result<(), (Failure, &'static str)> {
-    if head.attempt_id.as_deref() != Some(&*caller_request.head.attempt_id) {
+    if !is_for_attempt(caller_request, head) {
         return Err((Failure::Spoilt, "the response names another attempt"));
     }
     match head.execution {
--- a/crates/serve/src/caller/relay.rs
+++ b/crates/serve/src/caller/relay.rs
@@ -171,14 +171,7 @@
                 Operation::Serve { prefilled: None, after_event: self.events.last_id() };
             let upstream_request = self.request.upstream_request(&self.upstream, operation);
             let shared = &self.request.shared;
-            match exchange(
-                &shared.platform,
-                &shared.client,
-                &self.request.caller_request,
-                &upstream_request,
-            )
-            .await
-            {
+            match exchange(shared, &self.request.caller_request, &upstream_request).await {
                 Ok(response) if response.parts.status.is_success() => {
                     let (_, incoming, connection) = response.split();
                     self.connection = Some(connection);
--- a/crates/serve/src/caller/stream.rs
+++ b/crates/serve/src/caller/stream.rs
@@ -88,10 +88,8 @@
             prefilled: held_prefill.as_ref().map(|prefill| &prefill.prefilled),
             after_event: None,
         };
-        let (platform, client) = (&request.shared.platform, &request.shared.client);
         let result = exchange(
-            platform,
-            client,
+            &request.shared,
             &request.caller_request,
             &request.upstream_request(&upstream, operation),
         )
@@ -171,7 +169,7 @@
     let upstream_request = request.upstream_request(prefill_upstream, Operation::Prefill);
     let exchanging = async {
         let response =
-            exchange(platform, client, &request.caller_request, &upstream_request).await?;
+            exchange(&request.shared, &request.caller_request, &upstream_request).await?;
         buffer_response(&request.caller_request, prefill_upstream, client, response).await
     };
     let started_ms = request.shared.clock.now_ms();
--- a/crates/serve/src/hub/message.rs
+++ b/crates/serve/src/hub/message.rs
@@ -41,6 +41,8 @@
     SendEnded { upstream: Arc<str>, outcome: SendOutcome, keep_alive: Option<Duration> },
     /// Reports that the connection to an upstream broke while it may have run the request.
     UpstreamLost { id: u64, upstream: Arc<str> },
+    /// Reports what an upstream stated about further requests in a response.
+    Announced { upstream: Arc<str>, started_at_ms: u64, is_leaving: bool, hold_ms: Option<u64> },
     /// Reports that an upstream's identity or role differs from its entry.
     Misdirected { upstream: Arc<str> },
     /// Delivers records of a topic; a list holds the newest record of every key.
@@ -173,6 +175,8 @@
     BadKey,
     /// No upstream accepts work.
     NoUpstream,
+    /// All upstreams that accept work want none from this instance for this time.
+    AllHold { retry_after_ms: u64 },
     /// Too many upstreams were lost while they ran the request.
     Quarantined,
     /// The route's attempts or the shared retry budget are used up.
--- a/crates/serve/src/hub/mod.rs
+++ b/crates/serve/src/hub/mod.rs
@@ -160,6 +160,9 @@
             HubMessage::Place { request, reply } => send_reply(&reply, self.place(*request)),
             HubMessage::Retry { id, reason, reply } => send_reply(&reply, self.retry(id, reason)),
             HubMessage::AcquireRetry { id, reply } => send_reply(&reply, self.acquire_retry(id)),
+            HubMessage::Announced { upstream, started_at_ms, is_leaving, hold_ms } => {
+                self.on_announced(&upstream, started_at_ms, is_leaving, hold_ms);
+            }
             HubMessage::Misdirected { upstream } => {
                 self.registry.on_role_mismatch(self.clock.now_ms(), &upstream);
             }
--- a/crates/serve/src/hub/requests.rs
+++ b/crates/serve/src/hub/requests.rs
@@ -16,6 +16,9 @@
 use crate::events::{Event, event};
 use crate::platform::Platform;
 
+/// Longest time for which an upstream gets no requests at its own wish.
+const MAX_HOLD_MS: u64 = 3_600_000;
+
 /// Load that this instance itself puts on an upstream.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct LocalLoad {
@@ -77,7 +80,7 @@
         self.retry_budget.on_request(now_ms, &service);
         let placement = self
             .pick_placement(&service, unplaced.prompt.as_ref(), None, &[])
-            .ok_or(Rejection::NoUpstream)?;
+            .ok_or_else(|| self.no_upstream(&service))?;
         let Placement { prefill_upstream, upstream } = placement;
         let id = self.next_assignment_id;
         self.next_assignment_id += 1;
@@ -139,6 +142,15 @@
             .or_else(|| place_among(eligible.iter().copied().filter(untried).collect()))
     }
 
+    /// Returns why no upstream of the service can be picked.
+    fn no_upstream(&self, service: &str) -> Rejection {
+        let now_ms = self.clock.now_ms();
+        match self.registry.first_hold_end_ms(now_ms, service) {
+            Some(end_ms) => Rejection::AllHold { retry_after_ms: end_ms.saturating_sub(now_ms) },
+            None => Rejection::NoUpstream,
+        }
+    }
+
     fn load(&self, now_ms: u64, upstream: &Upstream) -> Load {
         let local = self.loads.get(&upstream.id).copied().unwrap_or_default();
         Load {
@@ -152,6 +164,25 @@
         }
     }
 
+    /// Applies what an upstream stated in a response about further requests.
+    pub(super) fn on_announced(
+        &mut self,
+        upstream: &Arc<str>,
+        started_at_ms: u64,
+        is_leaving: bool,
+        hold_ms: Option<u64>,
+    ) {
+        if is_leaving {
+            let changes = self.registry.on_leaving(upstream, started_at_ms);
+            self.on_upstream_changes(&changes, "response");
+        }
+        if let Some(hold_ms) = hold_ms {
+            let until_ms = self.clock.now_ms() + hold_ms.min(MAX_HOLD_MS);
+            event!(Event::UpstreamHeld, upstream = upstream, hold_ms = hold_ms);
+            self.registry.on_hold(upstream, started_at_ms, until_ms);
+        }
+    }
+
     pub(super) fn on_connection_pooled(&mut self, upstream: Arc<str>, keep_alive: Duration) {
         let now_ms = self.clock.now_ms();
         if !self.pooled_until_ms.contains_key(&upstream) {
@@ -183,7 +214,7 @@
         let service = request.service.clone();
         let placement = self
             .pick_placement(&service, None, None, &request.tried)
-            .ok_or(Rejection::NoUpstream)?;
+            .ok_or_else(|| self.no_upstream(&service))?;
         let instances = self.instances.count();
         if reason != RetryReason::NotArrived
             && !self.retry_budget.try_acquire(now_ms, &service, instances)
@@ -243,7 +274,7 @@
             .and_then(|id| self.registry.get(&id))
             .map(|up| up.failure_domain.clone());
         let placement = self.pick_placement(&service, None, preferred_domain.as_deref(), &[]);
-        let chosen = placement.ok_or(Rejection::NoUpstream)?.upstream;
+        let chosen = placement.ok_or_else(|| self.no_upstream(&service))?.upstream;
         self.release_queued(&assigned.id);
         self.loads.entry(chosen.id.clone()).or_default().queued += 1;
         if let Some(request) = self.in_flight.get_mut(&id) {
--- a/crates/serve/src/platform.rs
+++ b/crates/serve/src/platform.rs
@@ -279,6 +279,10 @@
     pub keep_alive_ms: Option<u64>,
     /// Whether the connection closes after this response.
     pub closes_connection: bool,
+    /// Whether the upstream states that it is leaving.
+    pub is_leaving: bool,
+    /// Time for which the upstream wants no further requests, in milliseconds, if it states one.
+    pub hold_ms: Option<u64>,
 }
 
 /// Execution of a request, as its response states it.
