Keep malformed entries of upstreams away from peers

Reported from other systems: one odd entry among those of the upstreams (nested very deeply, a number too large, a port out of range) ended the machines that read the list, or stopped them from following it.

Played here with nine such entries on four processes: none ended and all followed the list, since the decoder bounds nesting and a record that does not decode is skipped. Found beside it: readers sent the odd entries on to all peers, up to 256 KB each (36 log lines where the two readers make 18), so enough of them exceed the largest peer message and end the feeds; an error quoted the whole value in the log; port 0 and a field of a wrong type that is not otherwise used were accepted.

--- a/crates/serve/src/hub/records.rs
+++ b/crates/serve/src/hub/records.rs
@@ -16,6 +16,9 @@
 /// Most removals of upstreams that are kept for peers, enough for hours of replacements.
 const MAX_KEPT_REMOVALS: usize = 512;
 
+/// Most keys with malformed records that are remembered.
+const MAX_MALFORMED_RECORDS: usize = 512;
+
 /// Results of this instance's own reads of the upstreams' entries.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct RosterReads {
@@ -37,6 +40,8 @@
 pub(super) struct RosterRecords {
     records: BTreeMap<Arc<str>, VersionedRecord>,
     version: u64,
+    /// Offset of the newest malformed record of each key. These are not sent to peers.
+    malformed: BTreeMap<Arc<str>, u64>,
 }
 
 #[derive(Debug)]
@@ -58,7 +63,16 @@
     }
 
     fn is_known(&self, record: &StoredRecord) -> bool {
-        self.records.get(&record.key).is_some_and(|row| row.record.offset >= record.offset)
+        let known = self.records.get(&record.key).map(|row| row.record.offset);
+        known.max(self.malformed.get(&record.key).copied()) >= Some(record.offset)
+    }
+
+    /// Remembers a malformed record, so that it is logged once.
+    fn mark_malformed(&mut self, record: &StoredRecord) {
+        if self.malformed.len() >= MAX_MALFORMED_RECORDS {
+            self.malformed.clear();
+        }
+        self.malformed.insert(record.key.clone(), record.offset);
     }
 
     fn has_entry(&self, key: &str) -> bool {
@@ -204,7 +218,8 @@
                         upstream = upstream,
                         why = why
                     );
-                    Vec::new()
+                    self.roster_records.mark_malformed(&record);
+                    return;
                 }
             }
         };
