--- a/crates/serve/src/caller/error_response.rs
+++ b/crates/serve/src/caller/error_response.rs
@@ -7,6 +7,9 @@
 
 /// Retry delay of requests that did not run.
 const RETRY_AFTER_MS: u64 = 400; // by then the routing knows which upstreams have left or failed
+/// Retry delay of requests that may crash upstreams: most are refused for minutes, but one that was
+/// suspected by chance is cleared sooner.
+const QUARANTINED_AFTER_MS: u64 = 30_000;
 /// Retry delay while no declared configuration is known.
 const NOT_READY_AFTER_MS: u64 = 700; // the interval at which the store is read
 
@@ -46,7 +49,7 @@
             Rejection::BadKey => error(StatusCode::UNAUTHORIZED, "bad_key"),
             Rejection::NoUpstream => not_run("no_upstream", RETRY_AFTER_MS),
             Rejection::AllHold { retry_after_ms } => not_run("upstreams_hold", retry_after_ms),
-            Rejection::Quarantined => not_run("suspected_of_crashes", RETRY_AFTER_MS),
+            Rejection::Quarantined => not_run("suspected_of_crashes", QUARANTINED_AFTER_MS),
             Rejection::NoRetries => not_run("no_repeat_left", RETRY_AFTER_MS),
         }
     }
--- a/crates/serve/src/hub/segments.rs
+++ b/crates/serve/src/hub/segments.rs
@@ -16,7 +16,7 @@
 /// Most prompt segments that are remembered as suspects.
 const MAX_SUSPECT_SEGMENTS: usize = 1_024;
 /// Most suspect segments, and cleared ones, in one message.
-const MAX_SEGMENTS_PER_MESSAGE: usize = 64;
+const MAX_SEGMENTS_PER_MESSAGE: usize = 256;
 
 /// Returns the limits with a quarantine after `losses` lost upstreams.
 pub(super) fn limits(losses: usize) -> SegmentLimits {
