Keep the distance of losses from before an instance's start

Peers report the age of each loss. The local clock counts from the start of the process and ages were subtracted without going below 0, so an instance that started later took all earlier losses for simultaneous and did not quarantine their segment. Found by reading; the test failed before (None for the segment). Times are signed now.

--- a/crates/poison/src/segments.rs
+++ b/crates/poison/src/segments.rs
@@ -38,19 +38,31 @@
     pub capacity: usize,
 }
 
+/// A time by the local clock in milliseconds; negative before the start of the instance, since peers
+/// report what they have seen earlier.
+type LocalMs = i64;
+
+fn local_ms(now_ms: u64, age_ms: u64) -> LocalMs {
+    now_ms.cast_signed().saturating_sub_unsigned(age_ms)
+}
+
+fn age_ms(now_ms: u64, at_ms: LocalMs) -> u64 {
+    u64::try_from(now_ms.cast_signed().saturating_sub(at_ms)).unwrap_or(0)
+}
+
 #[derive(Clone, Debug, Default)]
 struct Suspect {
     /// Highest position of the segment among a prompt's segments.
     position: u32,
-    /// Local time of each loss, in milliseconds.
-    losses: BTreeMap<LostUpstream, u64>,
+    /// Time of each loss.
+    losses: BTreeMap<LostUpstream, LocalMs>,
     /// Version of the newest change.
     changed_at: u64,
 }
 
 impl Suspect {
-    fn newest_ms(&self) -> u64 {
-        self.losses.values().copied().max().unwrap_or(0)
+    fn newest_ms(&self) -> LocalMs {
+        self.losses.values().copied().max().unwrap_or(LocalMs::MIN)
     }
 
     fn drop_oldest(&mut self) {
@@ -82,8 +94,8 @@
 pub struct SegmentSuspects {
     limits: SegmentLimits,
     suspects: BTreeMap<SegmentId, Suspect>,
-    /// Local time of the newest known success by segment, in milliseconds.
-    successes: HashMap<SegmentId, u64>,
+    /// Time of the newest known success by segment.
+    successes: HashMap<SegmentId, LocalMs>,
     /// Successes that contradict a loss, with the version at which they became known.
     cleared: BTreeMap<SegmentId, u64>,
     quarantined: BTreeSet<SegmentId>,
@@ -113,7 +125,7 @@
         upstream: &LostUpstream,
     ) {
         for (position, segment) in (0..).zip(segments) {
-            self.insert(*segment, position, upstream, now_ms);
+            self.insert(*segment, position, upstream, local_ms(now_ms, 0));
         }
         self.update_quarantine();
     }
@@ -121,13 +133,19 @@
     /// Applies a peer's report.
     pub fn on_report(&mut self, now_ms: u64, report: &SegmentReport) {
         for (upstream, age_ms) in &report.losses {
-            let at_ms = now_ms.saturating_sub(*age_ms);
+            let at_ms = local_ms(now_ms, *age_ms);
             self.insert(report.segment, report.position, upstream, at_ms);
         }
         self.update_quarantine();
     }
 
-    fn insert(&mut self, segment: SegmentId, position: u32, upstream: &LostUpstream, at_ms: u64) {
+    fn insert(
+        &mut self,
+        segment: SegmentId,
+        position: u32,
+        upstream: &LostUpstream,
+        at_ms: LocalMs,
+    ) {
         if self.successes.get(&segment).is_some_and(|success_ms| *success_ms >= at_ms) {
             // Tells the peer that reported the loss.
             self.version += 1;
@@ -164,10 +182,10 @@
     /// Records that an upstream served a request with these shared segments to its end, `age_ms` ago
     /// by this instance's or a peer's observation.
     pub fn on_success(&mut self, now_ms: u64, segments: &[SegmentId], age_ms: u64) {
-        let at_ms = now_ms.saturating_sub(age_ms);
+        let at_ms = local_ms(now_ms, age_ms);
         let mut has_cleared = false;
         for segment in segments {
-            let newest_ms = self.successes.entry(*segment).or_default();
+            let newest_ms = self.successes.entry(*segment).or_insert(at_ms);
             *newest_ms = at_ms.max(*newest_ms);
             let Some(suspect) = self.suspects.get_mut(segment) else { continue };
             let loss_count = suspect.losses.len();
@@ -183,7 +201,7 @@
             has_cleared = true;
         }
         if self.successes.len() > MAX_SUCCESSES {
-            self.successes.retain(|_, at_ms| *at_ms + SUCCESS_TTL_MS > now_ms);
+            self.successes.retain(|_, at_ms| self::age_ms(now_ms, *at_ms) < SUCCESS_TTL_MS);
             self.cleared.retain(|segment, _| self.successes.contains_key(segment));
         }
         if has_cleared {
@@ -206,13 +224,17 @@
         let mut accounted: BTreeSet<&LostUpstream> = BTreeSet::new();
         let mut quarantined = BTreeSet::new();
         for (id, suspect) in candidates {
-            let open: Vec<u64> = suspect
+            let open: Vec<LocalMs> = suspect
                 .losses
                 .iter()
                 .filter(|(upstream, _)| !accounted.contains(upstream))
                 .map(|(_, at_ms)| *at_ms)
                 .collect();
-            let span_ms = open.iter().max().unwrap_or(&0) - open.iter().min().unwrap_or(&0);
+            let span_ms = open
+                .iter()
+                .max()
+                .zip(open.iter().min())
+                .map_or(0, |(last, first)| last.abs_diff(*first));
             if open.len() >= self.limits.losses && span_ms >= self.limits.min_span_ms {
                 quarantined.insert(*id);
                 accounted.extend(suspect.losses.keys());
@@ -227,10 +249,9 @@
     pub fn quarantined_segment(&self, now_ms: u64, segments: &[SegmentId]) -> Option<SegmentId> {
         segments.iter().copied().find(|segment| {
             self.quarantined.contains(segment)
-                && self
-                    .suspects
-                    .get(segment)
-                    .is_some_and(|suspect| now_ms < suspect.newest_ms() + self.limits.hold_ms)
+                && self.suspects.get(segment).is_some_and(|suspect| {
+                    age_ms(now_ms, suspect.newest_ms()) < self.limits.hold_ms
+                })
         })
     }
 
@@ -260,7 +281,7 @@
                 losses: suspect
                     .losses
                     .iter()
-                    .map(|(upstream, at_ms)| (upstream.clone(), now_ms.saturating_sub(*at_ms)))
+                    .map(|(upstream, at_ms)| (upstream.clone(), age_ms(now_ms, *at_ms)))
                     .collect(),
             })
             .collect();
@@ -278,7 +299,7 @@
         self.cleared.iter().filter(move |(_, changed_at)| **changed_at > version).filter_map(
             move |(segment, _)| {
                 let at_ms = self.successes.get(segment)?;
-                Some((*segment, now_ms.saturating_sub(*at_ms)))
+                Some((*segment, age_ms(now_ms, *at_ms)))
             },
         )
     }
--- a/crates/poison/tests/segments.rs
+++ b/crates/poison/tests/segments.rs
@@ -184,6 +184,29 @@
     assert_eq!(first.version(), version, "a repeated exchange changes nothing");
 }
 
+#[test]
+fn losses_before_the_start_of_an_instance_keep_their_distance() {
+    let mut first = SegmentSuspects::new(LIMITS);
+    apply(
+        &mut first,
+        &[
+            Lost(20_000, 1, &[WITH_DEADLY]),
+            Lost(20_600, 2, &[WITH_DEADLY]),
+            Lost(20_900, 3, &[WITH_DEADLY]),
+            Lost(21_000, 4, &[WITH_RARE]),
+            Success(21_100, WITH_RARE),
+        ],
+    );
+    // The second instance starts at 30,000 by the clock of the first.
+    let mut second = SegmentSuspects::new(LIMITS);
+    for report in first.changed_since(30_100, 0) {
+        second.on_report(100, &report);
+    }
+    assert_eq!(second.quarantined_segment(100, WITH_DEADLY), Some(DEADLY));
+    assert_eq!(second.quarantined_segment(50_899, WITH_DEADLY), Some(DEADLY));
+    assert_eq!(second.quarantined_segment(50_900, WITH_DEADLY), None, "60 s after the last loss");
+}
+
 proptest! {
     #[test]
     fn quarantine_agrees_with_a_naive_version(
