--- a/crates/proto/src/generated.rs
+++ b/crates/proto/src/generated.rs
@@ -3207,6 +3207,44 @@
     ///Number of log entries after which the lease holder writes a new snapshot. Lower values shorten the start of an instance and write more. Used by cowslip-entry only.
     pub snapshot_every_entries: u64,
 }
+///Quarantined prompt segments, written to the store for instances that start when no peer knows them.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "Quarantined prompt segments, written to the store for instances that start when no peer knows them.",
+///  "type": "object",
+///  "required": [
+///    "segments",
+///    "written_at_ms"
+///  ],
+///  "properties": {
+///    "segments": {
+///      "description": "Quarantined segments.",
+///      "type": "array",
+///      "items": {
+///        "$ref": "#/definitions/SuspectSegment"
+///      }
+///    },
+///    "written_at_ms": {
+///      "description": "Cluster time of the write, in Unix milliseconds; the ages count from it.",
+///      "type": "integer",
+///      "format": "uint64"
+///    }
+///  },
+///  "additionalProperties": false
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct QuarantineEntry {
+    ///Quarantined segments.
+    pub segments: ::std::vec::Vec<SuspectSegment>,
+    ///Cluster time of the write, in Unix milliseconds; the ages count from it.
+    pub written_at_ms: u64,
+}
 ///Log entry as stored, not decoded.
 ///
 /// <details><summary>JSON schema</summary>
--- a/crates/serve/src/hub/message.rs
+++ b/crates/serve/src/hub/message.rs
@@ -70,6 +70,10 @@
     TakeStarts { reply: ReplySender<Vec<(Arc<str>, StartWindows)>> },
     /// Reports whether the write of the taken starts succeeded.
     StartsWritten { is_written: bool },
+    /// Takes the quarantined segments if the store lacks them and this instance writes them.
+    TakeQuarantine { reply: ReplySender<Option<proto::QuarantineEntry>> },
+    /// Reports that the write of the taken quarantine failed.
+    QuarantineNotWritten,
     /// Asks for all request starts that this instance knows, by the key of their records.
     KnownStarts { reply: ReplySender<BTreeMap<Arc<str>, StartWindows>> },
     /// Asks for the cluster time, in milliseconds.
--- a/crates/serve/src/hub/mod.rs
+++ b/crates/serve/src/hub/mod.rs
@@ -32,6 +32,7 @@
     Assignment, AuthorizedRequest, HeldLease, HubMessage, LinkState, Peer, PlannedOrders, ReadMode,
     Rejection, RetryReason, RouteQuery, SetPeers, UnplacedRequest,
 };
+pub(crate) use segments::QUARANTINE_KEY;
 
 use instances::{Instances, location_in};
 use records::{RosterReads, RosterRecords};
@@ -74,6 +75,8 @@
     segment_suspects: SegmentSuspects,
     /// Quarantined segments as last logged.
     quarantined_segments: BTreeSet<SegmentId>,
+    /// Quarantined segments in the store; `None` if that is not known.
+    stored_quarantine: Option<BTreeSet<SegmentId>>,
     instances: Instances,
     feed_topology: FeedTopology,
     /// Whether this instance reads the store itself, as last logged.
@@ -130,6 +133,7 @@
             suspects: Suspects::new(poison_limit, MAX_SUSPECTS),
             segment_suspects: SegmentSuspects::new(segments::limits(poison_limit)),
             quarantined_segments: BTreeSet::new(),
+            stored_quarantine: Some(BTreeSet::new()),
             instances: Instances::default(),
             feed_topology,
             is_store_reader: false,
@@ -194,6 +198,8 @@
             HubMessage::Plan { reply } => send_reply(&reply, self.plan_orders()),
             HubMessage::TakeStarts { reply } => send_reply(&reply, self.take_starts()),
             HubMessage::StartsWritten { is_written } => self.starts.on_write(is_written),
+            HubMessage::TakeQuarantine { reply } => send_reply(&reply, self.take_quarantine()),
+            HubMessage::QuarantineNotWritten => self.stored_quarantine = None,
             HubMessage::KnownStarts { reply } => {
                 let known = self.starts.changed_since(0);
                 send_reply(&reply, known.map(|(key, windows)| (key.clone(), windows)).collect());
--- a/crates/serve/src/hub/records.rs
+++ b/crates/serve/src/hub/records.rs
@@ -9,7 +9,7 @@
 use cowslip_fleet::{LeaveReason, UpstreamChange};
 use cowslip_proto as proto;
 
-use super::Hub;
+use super::{Hub, QUARANTINE_KEY};
 use crate::events::{Event, event};
 use crate::platform::{Page, Platform, StoredRecord, Topic};
 
@@ -272,6 +272,10 @@
             self.instances.on_list();
         }
         for record in records {
+            if &*record.key == QUARANTINE_KEY {
+                self.on_stored_quarantine(&record.value);
+                continue;
+            }
             if record.value.is_empty() {
                 self.instances.on_removed(&record.key);
                 continue;
--- a/crates/serve/src/hub/segments.rs
+++ b/crates/serve/src/hub/segments.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 
+use cowslip_codec::from_json;
 use cowslip_poison::{LostUpstream, RequestDigest, SegmentId, SegmentLimits, SegmentReport};
 use cowslip_proto as proto;
 
@@ -18,6 +19,9 @@
 /// Most suspect segments, and cleared ones, in one message.
 const MAX_SEGMENTS_PER_MESSAGE: usize = 256;
 
+/// Key of the quarantined segments among the entries of instances. No instance has this name.
+pub(crate) const QUARANTINE_KEY: &str = "quarantine/segments";
+
 /// Returns the limits with a quarantine after `losses` lost upstreams.
 pub(super) fn limits(losses: usize) -> SegmentLimits {
     SegmentLimits {
@@ -75,6 +79,48 @@
         }
     }
 
+    /// Takes the quarantined segments if they differ from those in the store. Only instances that read
+    /// the store write them.
+    pub(super) fn take_quarantine(&mut self) -> Option<proto::QuarantineEntry> {
+        let now_ms = self.clock.now_ms();
+        let is_stored = self.stored_quarantine.as_ref() == Some(&self.quarantined_segments);
+        if is_stored || !self.feed_topology.must_read_store(now_ms) {
+            return None;
+        }
+        self.stored_quarantine = Some(self.quarantined_segments.clone());
+        let reports = self.segment_suspects.changed_since(now_ms, 0);
+        let quarantined = reports
+            .into_iter()
+            .filter(|report| self.quarantined_segments.contains(&report.segment));
+        Some(proto::QuarantineEntry {
+            segments: quarantined.take(MAX_SEGMENTS_PER_MESSAGE).map(to_proto).collect(),
+            written_at_ms: self.cluster_ms(),
+        })
+    }
+
+    /// Applies the quarantined segments that an instance wrote to the store.
+    pub(super) fn on_stored_quarantine(&mut self, value: &[u8]) {
+        let entry: proto::QuarantineEntry = match from_json(value) {
+            Ok(entry) => entry,
+            Err(error) => {
+                event!(Event::RecordMalformed, topic = "Instances", why = error);
+                return;
+            }
+        };
+        let now_ms = self.clock.now_ms();
+        let entry_age_ms = self.cluster_ms().saturating_sub(entry.written_at_ms);
+        self.stored_quarantine =
+            Some(entry.segments.iter().map(|suspect| suspect.segment).collect());
+        for suspect in &entry.segments {
+            let mut report = from_proto(suspect);
+            for (_, age_ms) in &mut report.losses {
+                *age_ms = age_ms.saturating_add(entry_age_ms);
+            }
+            self.segment_suspects.on_report(now_ms, &report);
+        }
+        self.update_quarantined_segments();
+    }
+
     pub(super) fn on_segments(&mut self, now_ms: u64, changes: &proto::SegmentChanges) {
         for cleared in &changes.cleared {
             self.segment_suspects.on_success(now_ms, &[cleared.segment], cleared.age_ms);
--- a/crates/serve/src/run.rs
+++ b/crates/serve/src/run.rs
@@ -25,7 +25,8 @@
 use crate::platform::{Platform, Topic};
 use crate::tasks::{
     HubHandle, LeaseMessage, PollSchedule, deregister, run_duties, run_lease, run_links,
-    run_peer_server, run_registration, run_starts, run_ticker, run_topic_reader, write_starts,
+    run_peer_server, run_quarantine, run_registration, run_starts, run_ticker, run_topic_reader,
+    write_starts,
 };
 
 /// Most queued messages to the hub; senders wait while the queue is full.
@@ -211,6 +212,7 @@
             run_links(hub.clone(), config.feed_every(), link_commands).boxed_local(),
             run_registration(platform.clone(), hub.clone(), entry).boxed_local(),
             run_starts(platform.clone(), hub.clone()).boxed_local(),
+            run_quarantine(platform.clone(), hub.clone()).boxed_local(),
             run_lease(
                 platform.clone(),
                 hub.clone(),
