Apply a message's segment reports at once

A feeder got up to 256 reports in a message and computed the quarantine after each of them; now once for all. A caller is told the end of a hold only if no upstream of the service takes requests meanwhile.

--- a/crates/poison/src/segments.rs
+++ b/crates/poison/src/segments.rs
@@ -130,11 +130,16 @@
         self.update_quarantine();
     }
 
-    /// Applies a peer's report.
-    pub fn on_report(&mut self, now_ms: u64, report: &SegmentReport) {
-        for (upstream, age_ms) in &report.losses {
-            let at_ms = local_ms(now_ms, *age_ms);
-            self.insert(report.segment, report.position, upstream, at_ms);
+    /// Applies reports of a peer.
+    pub fn on_reports<I>(&mut self, now_ms: u64, reports: I)
+    where
+        I: IntoIterator<Item = SegmentReport>,
+    {
+        for report in reports {
+            for (upstream, age_ms) in &report.losses {
+                let at_ms = local_ms(now_ms, *age_ms);
+                self.insert(report.segment, report.position, upstream, at_ms);
+            }
         }
         self.update_quarantine();
     }
--- a/crates/poison/tests/segments.rs
+++ b/crates/poison/tests/segments.rs
@@ -159,9 +159,7 @@
     for (segment, age_ms) in from.cleared_since(now_ms, 0).collect::<Vec<_>>() {
         to.on_success(now_ms + delay_ms, &[segment], age_ms);
     }
-    for report in from.changed_since(now_ms, 0) {
-        to.on_report(now_ms + delay_ms, &report);
-    }
+    to.on_reports(now_ms + delay_ms, from.changed_since(now_ms, 0));
 }
 
 #[test]
@@ -199,9 +197,7 @@
     );
     // The second instance starts at 30,000 by the clock of the first.
     let mut second = SegmentSuspects::new(LIMITS);
-    for report in first.changed_since(30_100, 0) {
-        second.on_report(100, &report);
-    }
+    second.on_reports(100, first.changed_since(30_100, 0));
     assert_eq!(second.quarantined_segment(100, WITH_DEADLY), Some(DEADLY));
     assert_eq!(second.quarantined_segment(50_899, WITH_DEADLY), Some(DEADLY));
     assert_eq!(second.quarantined_segment(50_900, WITH_DEADLY), None, "60 s after the last loss");
--- a/crates/serve/src/hub/message.rs
+++ b/crates/serve/src/hub/message.rs
@@ -7,7 +7,7 @@
 
 use cowslip_fleet::{Authorized, CapacityOrder, Prompt, RoleOrder, SendOutcome, Upstream};
 use cowslip_name::Name;
-use cowslip_poison::RequestDigest;
+use cowslip_poison::{RequestDigest, SegmentId};
 use cowslip_proto as proto;
 pub(crate) use cowslip_task::ReplySender;
 use cowslip_usage::StartWindows;
@@ -143,7 +143,7 @@
     pub(crate) authorized: Authorized,
     pub(crate) prompt: Option<Prompt>,
     /// Ids of the prompt segments that other requests may share.
-    pub(crate) shared_segments: Arc<[u64]>,
+    pub(crate) shared_segments: Arc<[SegmentId]>,
     pub(crate) request_digest: RequestDigest,
 }
 
--- a/crates/serve/src/hub/requests.rs
+++ b/crates/serve/src/hub/requests.rs
@@ -7,7 +7,7 @@
     Authorized, Denial, Load, Placement, PlacementRequest, Prompt, RetrySafety, Upstream, place,
 };
 use cowslip_name::Name;
-use cowslip_poison::{LostUpstream, RequestDigest};
+use cowslip_poison::{LostUpstream, RequestDigest, SegmentId};
 
 use super::segments::format_segments;
 use super::{
@@ -36,7 +36,7 @@
     service: Arc<str>,
     pub(super) request_digest: RequestDigest,
     /// Ids of the prompt segments that other requests may share.
-    pub(super) shared_segments: Arc<[u64]>,
+    pub(super) shared_segments: Arc<[SegmentId]>,
     /// Upstream that runs the prefill, until the prefill ends.
     prefill_upstream: Option<Arc<str>>,
     /// Upstream that serves the request.
@@ -145,7 +145,8 @@
     /// Returns why no upstream of the service can be picked.
     fn no_upstream(&self, service: &str) -> Rejection {
         let now_ms = self.clock.now_ms();
-        match self.registry.first_hold_end_ms(now_ms, service) {
+        let has_eligible = self.registry.eligible(now_ms, service).next().is_some();
+        match self.registry.first_hold_end_ms(now_ms, service).filter(|_| !has_eligible) {
             Some(end_ms) => Rejection::AllHold { retry_after_ms: end_ms.saturating_sub(now_ms) },
             None => Rejection::NoUpstream,
         }
--- a/crates/serve/src/hub/segments.rs
+++ b/crates/serve/src/hub/segments.rs
@@ -111,13 +111,13 @@
         let entry_age_ms = self.cluster_ms().saturating_sub(entry.written_at_ms);
         self.stored_quarantine =
             Some(entry.segments.iter().map(|suspect| suspect.segment).collect());
-        for suspect in &entry.segments {
-            let mut report = from_proto(suspect);
+        let reports = entry.segments.iter().map(from_proto).map(|mut report| {
             for (_, age_ms) in &mut report.losses {
                 *age_ms = age_ms.saturating_add(entry_age_ms);
             }
-            self.segment_suspects.on_report(now_ms, &report);
-        }
+            report
+        });
+        self.segment_suspects.on_reports(now_ms, reports);
         self.update_quarantined_segments();
     }
 
@@ -125,9 +125,7 @@
         for cleared in &changes.cleared {
             self.segment_suspects.on_success(now_ms, &[cleared.segment], cleared.age_ms);
         }
-        for suspect in &changes.suspects {
-            self.segment_suspects.on_report(now_ms, &from_proto(suspect));
-        }
+        self.segment_suspects.on_reports(now_ms, changes.suspects.iter().map(from_proto));
         self.update_quarantined_segments();
     }
 }
