Probe quarantined segments so that one suspected by chance is served again

A segment is refused until it succeeds, but while it is refused only requests in flight can succeed. If all engines crash one after the other with no success in between, popular segments meet three losses that no other segment explains and were refused for ten minutes.

The lease holder now sends one request with a quarantined segment 30 s after the newest loss, and again after ever longer times; its success clears the segment at all instances. One instance only, since each probe with a segment that does crash engines loses one.

--- a/crates/poison/src/segments.rs
+++ b/crates/poison/src/segments.rs
@@ -9,6 +9,8 @@
 
 /// Most losses that are kept for a segment; the oldest are dropped first.
 const MAX_LOSSES: usize = 16;
+/// Most probes that double the time to the next one.
+const MAX_PROBE_DOUBLINGS: u32 = 5;
 /// Number of remembered successes from which on those older than [`SUCCESS_TTL_MS`] are dropped.
 const MAX_SUCCESSES: usize = 4_096;
 /// Time after which a remembered success may be dropped, in milliseconds: longer than a report of an
@@ -34,6 +36,8 @@
     pub min_span_ms: u64,
     /// Time from the newest loss to the end of the quarantine, in milliseconds.
     pub hold_ms: u64,
+    /// Time from the newest loss to the first probe, in milliseconds. It doubles with each probe.
+    pub probe_after_ms: u64,
     /// Maximum number of suspected segments.
     pub capacity: usize,
 }
@@ -58,9 +62,18 @@
     losses: BTreeMap<LostUpstream, LocalMs>,
     /// Version of the newest change.
     changed_at: u64,
+    /// Number of probes by this instance.
+    probe_count: u32,
+    /// Time of the newest probe.
+    probed_at_ms: Option<LocalMs>,
 }
 
 impl Suspect {
+    fn is_probe_due(&self, now_ms: u64, probe_after_ms: u64) -> bool {
+        let since_ms = self.probed_at_ms.unwrap_or(LocalMs::MIN).max(self.newest_ms());
+        age_ms(now_ms, since_ms) >= probe_after_ms << self.probe_count.min(MAX_PROBE_DOUBLINGS)
+    }
+
     fn newest_ms(&self) -> LocalMs {
         self.losses.values().copied().max().unwrap_or(LocalMs::MIN)
     }
@@ -260,6 +273,29 @@
         })
     }
 
+    /// Returns whether a request with quarantined segments may be sent as a probe, which clears them if
+    /// it succeeds, and records the probe. Only one instance may probe, or each of them would lose an
+    /// upstream.
+    pub fn try_probe(&mut self, now_ms: u64, segments: &[SegmentId]) -> bool {
+        let quarantined = segments.iter().filter(|segment| self.quarantined.contains(segment));
+        let quarantined: Vec<SegmentId> = quarantined.copied().collect();
+        let probe_after_ms = self.limits.probe_after_ms;
+        let is_due = |segment: &SegmentId| {
+            let suspect = self.suspects.get(segment);
+            suspect.is_some_and(|suspect| suspect.is_probe_due(now_ms, probe_after_ms))
+        };
+        if quarantined.is_empty() || !quarantined.iter().all(is_due) {
+            return false;
+        }
+        for segment in quarantined {
+            if let Some(suspect) = self.suspects.get_mut(&segment) {
+                suspect.probe_count += 1;
+                suspect.probed_at_ms = Some(local_ms(now_ms, 0));
+            }
+        }
+        true
+    }
+
     /// Returns the quarantined segments, including those whose time has passed and that a further
     /// loss would quarantine again.
     pub fn quarantined(&self) -> impl Iterator<Item = SegmentId> {
--- a/crates/serve/src/events.rs
+++ b/crates/serve/src/events.rs
@@ -33,6 +33,7 @@
     SegmentQuarantined = 508, Warn, "requests with a prompt segment are refused, it may crash upstreams";
     SegmentReleased = 509, Info, "requests with a prompt segment are no longer refused";
     QuarantineStored = 510, Info, "the quarantined prompt segments were written to the store";
+    SegmentProbed = 511, Warn, "a request with a quarantined prompt segment is sent to probe it";
     PeerUnreachable = 600, Warn, "a peer is unreachable";
     PeerReachable = 601, Info, "a peer is reachable again";
     PeerMessageMalformed = 602, Warn, "a peer sent a malformed message";
--- a/crates/serve/src/hub/requests.rs
+++ b/crates/serve/src/hub/requests.rs
@@ -37,6 +37,8 @@
     pub(super) request_digest: RequestDigest,
     /// Ids of the prompt segments that other requests may share.
     pub(super) shared_segments: Arc<[SegmentId]>,
+    /// Whether the request was sent although one of its segments is quarantined.
+    is_probe: bool,
     /// Upstream that runs the prefill, until the prefill ends.
     prefill_upstream: Option<Arc<str>>,
     /// Upstream that serves the request.
@@ -67,7 +69,9 @@
     }
 
     pub(super) fn place(&mut self, unplaced: UnplacedRequest) -> Result<Assignment, Rejection> {
-        if self.is_quarantined(&unplaced.request_digest, &unplaced.shared_segments) {
+        let (digest, segments) = (&unplaced.request_digest, &unplaced.shared_segments);
+        let is_quarantined = self.is_quarantined(digest, segments);
+        if is_quarantined && !self.try_probe(&unplaced.attempt_id, digest, segments) {
             return Err(Rejection::Quarantined);
         }
         let service = unplaced
@@ -104,6 +108,7 @@
             service,
             request_digest: unplaced.request_digest,
             shared_segments: unplaced.shared_segments,
+            is_probe: is_quarantined,
             prefill_upstream: prefill_upstream.as_ref().map(|up| up.id.clone()),
             tried: vec![upstream.id.clone()],
             upstream: upstream.clone(),
@@ -263,7 +268,9 @@
             self.release_prefill(prefill_upstream);
         }
         let Some(request) = self.in_flight.get(&id) else { return Err(Rejection::NoUpstream) };
-        if self.is_quarantined(&request.request_digest, &request.shared_segments) {
+        if !request.is_probe
+            && self.is_quarantined(&request.request_digest, &request.shared_segments)
+        {
             return Err(Rejection::Quarantined);
         }
         let is_assigned =
--- a/crates/serve/src/hub/segments.rs
+++ b/crates/serve/src/hub/segments.rs
@@ -14,6 +14,9 @@
 const MIN_LOSS_SPAN_MS: u64 = 500; // a failing host or link breaks all of its connections within this time
 /// Time from the newest loss to the end of a quarantine; one further loss starts it again.
 const QUARANTINE_MS: u64 = 600_000;
+/// Time from the newest loss to the first probe with a quarantined segment, longer than an outage of
+/// all engines usually takes.
+const PROBE_AFTER_MS: u64 = 30_000;
 /// Most prompt segments that are remembered as suspects.
 const MAX_SUSPECT_SEGMENTS: usize = 1_024;
 /// Most suspect segments, and cleared ones, in one message.
@@ -28,6 +31,7 @@
         losses,
         min_span_ms: MIN_LOSS_SPAN_MS,
         hold_ms: QUARANTINE_MS,
+        probe_after_ms: PROBE_AFTER_MS,
         capacity: MAX_SUSPECT_SEGMENTS,
     }
 }
@@ -50,6 +54,25 @@
             || self.segment_suspects.quarantined_segment(now_ms, segments).is_some()
     }
 
+    /// Returns whether a quarantined request may be sent as a probe of its segments. Only the lease
+    /// holder probes.
+    pub(super) fn try_probe(
+        &mut self,
+        attempt_id: &str,
+        digest: &RequestDigest,
+        segments: &[SegmentId],
+    ) -> bool {
+        let now_ms = self.clock.now_ms();
+        let is_probe = self.fence().is_some()
+            && !self.suspects.is_quarantined(digest)
+            && self.segment_suspects.try_probe(now_ms, segments);
+        if is_probe {
+            let segments = format_segments(segments);
+            event!(Event::SegmentProbed, request = attempt_id, segments = segments);
+        }
+        is_probe
+    }
+
     /// Logs which segments are quarantined since the last call and which no longer are.
     pub(super) fn update_quarantined_segments(&mut self) {
         let quarantined: BTreeSet<SegmentId> = self.segment_suspects.quarantined().collect();
