--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-rustc --edition 2021 -O review/standins/main.rs -o target/review/standins
+rustc --edition 2024 -O review/standins/main.rs -o target/review/standins
--- a/review/standins/proxy.rs
+++ b/review/standins/proxy.rs
@@ -24,7 +24,8 @@
                 let is_silent = Arc::new(AtomicBool::new(false));
                 channels.lock().unwrap().push(is_silent.clone());
                 let _ = (near.set_nodelay(true), far.set_nodelay(true));
-                let (near_reader, far_reader) = (near.try_clone().unwrap(), far.try_clone().unwrap());
+                let (near_reader, far_reader) =
+                    (near.try_clone().unwrap(), far.try_clone().unwrap());
                 let is_silent_too = is_silent.clone();
                 std::thread::spawn(move || forward(near_reader, far, &is_silent));
                 std::thread::spawn(move || forward(far_reader, near, &is_silent_too));
