End the daemons of a case also when its script is ended early

A script that was ended left its daemons and its temporary folder. The daemons now end with the stand-in, and the folder with the script.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,4 +3,12 @@
 # and 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review/standins ] || exit 2
-exec target/review/standins poison-same-ids review/3/record.txt
+folder=$(mktemp -d) || exit 2
+trap 'rm -rf "$folder"' EXIT
+trap 'kill "$case" 2>/dev/null; exit 2' TERM INT HUP
+TMPDIR=$folder target/review/standins poison-same-ids review/3/record.txt &
+case=$!
+wait "$case"
+code=$?
+[ "$code" -le 1 ] || exit 2
+exit "$code"
--- a/review/standins/entry.rs
+++ b/review/standins/entry.rs
@@ -2,6 +2,7 @@
 
 use std::fs;
 use std::net::{SocketAddr, TcpListener};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
@@ -123,9 +124,26 @@
     }
 }
 
+unsafe extern "C" {
+    fn prctl(option: i32, ...) -> i32;
+}
+
+/// Option of `prctl`: the signal that a process gets when its parent ends.
+const PR_SET_PDEATHSIG: i32 = 1;
+const SIGKILL: std::ffi::c_ulong = 9;
+
+/// Starts the daemon. It is killed when this program ends, however that happens.
 fn spawn(program: &str, settings: &Path, log: &Path) -> Child {
     let log = fs::OpenOptions::new().create(true).append(true).open(log).expect("a log file");
-    Command::new(program)
+    let mut command = Command::new(program);
+    // SAFETY: the closure only makes one system call.
+    unsafe {
+        command.pre_exec(|| match prctl(PR_SET_PDEATHSIG, SIGKILL) {
+            0 => Ok(()),
+            _ => Err(std::io::Error::last_os_error()),
+        });
+    }
+    command
         .arg(settings)
         .stdin(Stdio::null())
         .stdout(log.try_clone().expect("a log file"))
