Serve requests that a planned stop accepts to their end

A request at a silent upstream, whatever its route, ended with a closed connection and no status; one whose head arrived 3.5 s after SIGTERM was passed on.

Cause: requests were accepted without regard to the time left, and the process exited with requests in flight. Ruled out: responses lost after they were written, and connections in use closed by the graceful shutdown.

Change: StopSchedule decides which requests are accepted. At the end of service each request in flight gets a final response.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -9,6 +9,7 @@
 mod plan;
 mod registry;
 mod retry_budget;
+mod stop;
 
 pub use declared_config::{
     Authorized, CallerLimits, CapacityLimits, DeclaredConfig, Denial, KeyOwner, RetrySafety, Route,
@@ -21,3 +22,4 @@
     EngineRole, LeaveReason, STORE_RECOVERY_GRACE_MS, Upstream, UpstreamChange, UpstreamRegistry,
 };
 pub use retry_budget::{RetryBudget, RetryBudgetLimits};
+pub use stop::StopSchedule;
--- a/crates/serve/src/caller/buffered.rs
+++ b/crates/serve/src/caller/buffered.rs
@@ -19,8 +19,8 @@
     P: Platform,
 {
     let sending = send_until_response(&request, upstream);
-    let result = compio::time::timeout(request.remaining(), sending).await;
-    match result.unwrap_or_else(|_| Err(request.timeout_response())) {
+    let result = request.within_deadline(sending).await;
+    match result.unwrap_or_else(|expiry| Err(request.expiry_response(expiry))) {
         Ok((parts, body)) => caller_response(&request, parts, body),
         Err(error_response) => {
             request.on_error_response(&error_response);
--- a/crates/serve/src/caller/error_response.rs
+++ b/crates/serve/src/caller/error_response.rs
@@ -12,6 +12,8 @@
 const QUARANTINED_AFTER_MS: u64 = 30_000;
 /// Retry delay while no declared configuration is known.
 const NOT_READY_AFTER_MS: u64 = 700; // the interval at which the store is read
+/// Retry delay of requests at an instance that stops: others accept them at once.
+const STOPPING_AFTER_MS: u64 = 0;
 
 const fn not_run(reason: &'static str, retry_after_ms: u64) -> ErrorResponse {
     let status = StatusCode::SERVICE_UNAVAILABLE;
@@ -51,6 +53,7 @@
             Rejection::AllHold { retry_after_ms } => not_run("upstreams_hold", retry_after_ms),
             Rejection::Quarantined => not_run("suspected_of_crashes", QUARANTINED_AFTER_MS),
             Rejection::NoRetries => not_run("no_repeat_left", RETRY_AFTER_MS),
+            Rejection::Stopping => not_run("stopping", STOPPING_AFTER_MS),
         }
     }
 
--- a/crates/serve/src/caller/in_flight_request.rs
+++ b/crates/serve/src/caller/in_flight_request.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use cowslip_fleet::{Authorized, SendOutcome, Upstream};
+use cowslip_task::Expiry;
 
 use super::exchange::Failure;
 use super::shared::Shared;
@@ -50,6 +51,14 @@
         }
     }
 
+    /// Runs `work` until it ends, the deadline of the request passes, or service ends.
+    pub(super) async fn within_deadline<F>(&self, work: F) -> Result<F::Output, Expiry>
+    where
+        F: Future,
+    {
+        self.shared.service_end.within(self.remaining(), work).await
+    }
+
     /// Returns the time until the deadline.
     pub(super) fn remaining(&self) -> Duration {
         Duration::from_millis(self.deadline_ms.saturating_sub(self.shared.clock.now_ms()))
@@ -173,9 +182,14 @@
         self.shared.hub.send(message).await;
     }
 
-    /// Returns the error response for a request whose deadline has passed.
-    pub(super) fn timeout_response(&self) -> ErrorResponse {
-        if self.may_have_run() { ErrorResponse::TIMED_OUT } else { ErrorResponse::NOT_RUN_IN_TIME }
+    /// Returns the error response for a request that was given up.
+    pub(super) fn expiry_response(&self, expiry: Expiry) -> ErrorResponse {
+        match (expiry, self.may_have_run()) {
+            (Expiry::Deadline, true) => ErrorResponse::TIMED_OUT,
+            (Expiry::Deadline, false) => ErrorResponse::NOT_RUN_IN_TIME,
+            (Expiry::ServiceEnd, true) => ErrorResponse::OUTCOME_UNKNOWN,
+            (Expiry::ServiceEnd, false) => ErrorResponse::from_rejection(Rejection::Stopping),
+        }
     }
 
     /// Returns the error response for a request that gets no other upstream.
--- a/crates/serve/src/caller/relay.rs
+++ b/crates/serve/src/caller/relay.rs
@@ -6,6 +6,7 @@
 
 use cowslip_fleet::{SendOutcome, Upstream};
 use cowslip_net::ChunkSender;
+use cowslip_task::Expiry;
 use futures_util::future::{Either, select};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -82,13 +83,17 @@
     async fn run_to_end(&mut self, incoming: Incoming) -> StreamEnd {
         let remaining = self.request.remaining();
         let sender = self.sender.clone();
-        let relaying = pin!(compio::time::timeout(remaining, self.relay_all(incoming)));
+        let service_end = self.request.shared.service_end.clone();
+        let relaying = pin!(service_end.within(remaining, self.relay_all(incoming)));
         let closed = pin!(sender.closed());
         match select(relaying, closed).await {
             Either::Left((Ok(end), _)) => end,
-            Either::Left((Err(_), _)) => {
+            Either::Left((Err(Expiry::Deadline), _)) => {
                 StreamEnd::Interrupted("the deadline has passed".to_owned())
             }
+            Either::Left((Err(Expiry::ServiceEnd), _)) => {
+                StreamEnd::Interrupted("this instance stops".to_owned())
+            }
             Either::Right(_) => StreamEnd::CallerDisconnected,
         }
     }
--- a/crates/serve/src/caller/server.rs
+++ b/crates/serve/src/caller/server.rs
@@ -9,6 +9,7 @@
 use cowslip_fleet::RetrySafety;
 use cowslip_ingress::{Defect, check_head, exposes_key};
 use cowslip_net::{Body, Client, ClientOptions, Error, ServerLimits, read_body, serve_http};
+use cowslip_task::{Expiry, ServiceEnd};
 use http::{Request, Response};
 use hyper::body::Incoming;
 
@@ -45,12 +46,14 @@
 where
     P: Platform,
 {
+    /// Returns a server whose requests in flight end when `service_end` closes.
     pub(crate) fn new(
         platform: P,
         config: &Config,
         clock: Clock,
         metrics: Metrics,
         hub: HubHandle,
+        service_end: Receiver<()>,
     ) -> Self {
         let options =
             ClientOptions { connect_timeout: CONNECT_TIMEOUT, user_timeout: TCP_USER_TIMEOUT };
@@ -61,7 +64,8 @@
             idle_timeout: IDLE_TIMEOUT,
         };
         let client = Client::new(options);
-        let shared = Shared { platform, hub, client, clock, metrics };
+        let service_end = ServiceEnd::new(service_end);
+        let shared = Shared { platform, hub, client, clock, metrics, service_end };
         Self { shared, limits: Rc::new(limits) }
     }
 
@@ -100,12 +104,13 @@
             head.timeout_ms.unwrap_or(DEFAULT_TIMEOUT_MS).min(authorized.route.timeout_ms);
         let deadline_ms = started_ms + timeout_ms;
         let reading = read_body(body, authorized_request.max_body_bytes);
-        let reading = compio::time::timeout(Duration::from_millis(timeout_ms), reading);
-        let body = match reading.await {
+        let timeout = Duration::from_millis(timeout_ms);
+        let body = match self.shared.service_end.within(timeout, reading).await {
             Ok(Ok(body)) => Ok(body),
             Ok(Err(Error::TooLarge { .. })) => Err(ErrorResponse::TOO_LARGE),
             Ok(Err(_)) => Err(ErrorResponse::INCOMPLETE_BODY),
-            Err(_) => Err(ErrorResponse::LATE_BODY),
+            Err(Expiry::Deadline) => Err(ErrorResponse::LATE_BODY),
+            Err(Expiry::ServiceEnd) => Err(ErrorResponse::from_rejection(Rejection::Stopping)),
         };
         let body = body.map_err(|response| self.reject(&head.attempt_id, response))?;
         let is_exposed = |key: &String| exposes_key(key, &parts.uri, &parts.headers, &body);
@@ -124,6 +129,7 @@
                 .map(|prompt| prompt.shared_segment_ids().collect())
                 .unwrap_or_default(),
             request_digest: request_digest(&caller_request, authorized.workspace.as_deref()),
+            deadline_ms,
         };
         let assignment = self
             .shared
--- a/crates/serve/src/caller/shared.rs
+++ b/crates/serve/src/caller/shared.rs
@@ -2,11 +2,12 @@
 
 use cowslip_clock::Clock;
 use cowslip_net::Client;
+use cowslip_task::ServiceEnd;
 
 use crate::metrics::Metrics;
 use crate::tasks::HubHandle;
 
-/// Handles to the hub, the upstream client, the clock and the metrics.
+/// Handles to the hub, the upstream client, the clock and the metrics, and the end of service.
 #[derive(Clone, Debug)]
 pub(super) struct Shared<P> {
     pub(super) platform: P,
@@ -14,4 +15,5 @@
     pub(super) client: Client,
     pub(super) clock: Clock,
     pub(super) metrics: Metrics,
+    pub(super) service_end: ServiceEnd,
 }
--- a/crates/serve/src/caller/stream.rs
+++ b/crates/serve/src/caller/stream.rs
@@ -29,8 +29,8 @@
     P: Platform,
 {
     let opening = open_stream(&request, prefill_upstream, upstream);
-    let opened = compio::time::timeout(request.remaining(), opening).await;
-    match opened.unwrap_or_else(|_| Err(request.timeout_response())) {
+    let opened = request.within_deadline(opening).await;
+    match opened.unwrap_or_else(|expiry| Err(request.expiry_response(expiry))) {
         Ok((upstream, response)) if response.parts.status.is_success() => {
             let (parts, incoming, connection) = response.split();
             let head = request.shared.platform.caller_response_head(parts);
@@ -44,10 +44,10 @@
         Ok((upstream, response)) => {
             let client = &request.shared.client;
             let reading = buffer_response(&request.caller_request, &upstream, client, response);
-            match compio::time::timeout(request.remaining(), reading).await {
+            match request.within_deadline(reading).await {
                 Ok(Ok((parts, body, _))) => caller_response(&request, parts, body),
                 Ok(Err(_)) => reject(&request, &ErrorResponse::OUTCOME_UNKNOWN),
-                Err(_) => reject(&request, &request.timeout_response()),
+                Err(expiry) => reject(&request, &request.expiry_response(expiry)),
             }
         }
         Err(error_response) => reject(&request, &error_response),
--- a/crates/serve/src/hub/message.rs
+++ b/crates/serve/src/hub/message.rs
@@ -5,7 +5,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cowslip_fleet::{Authorized, CapacityOrder, Prompt, RoleOrder, SendOutcome, Upstream};
+use cowslip_fleet::{
+    Authorized, CapacityOrder, Prompt, RoleOrder, SendOutcome, StopSchedule, Upstream,
+};
 use cowslip_name::Name;
 use cowslip_poison::{RequestDigest, SegmentId};
 use cowslip_proto as proto;
@@ -81,7 +83,7 @@
     /// Asks whether this instance accepts new connections.
     Ready { reply: ReplySender<bool> },
     /// Reports that shutdown has begun.
-    Stop,
+    Stop { schedule: StopSchedule },
 }
 
 /// How this instance reads a topic of the store.
@@ -145,6 +147,8 @@
     /// Ids of the prompt segments that other requests may share.
     pub(crate) shared_segments: Arc<[SegmentId]>,
     pub(crate) request_digest: RequestDigest,
+    /// Local clock time at which the request times out, in milliseconds.
+    pub(crate) deadline_ms: u64,
 }
 
 /// The upstreams that a request was placed on.
@@ -185,6 +189,8 @@
     Quarantined,
     /// The route's attempts or the shared retry budget are used up.
     NoRetries,
+    /// This instance stops before the request would be sure to end.
+    Stopping,
 }
 
 /// A lease that this instance holds.
--- a/crates/serve/src/hub/mod.rs
+++ b/crates/serve/src/hub/mod.rs
@@ -15,8 +15,8 @@
 use cowslip_clock::{Clock, unix_ms};
 use cowslip_codec::{holder_to_proto, request_starts_key};
 use cowslip_fleet::{
-    DeclaredConfig, RetryBudget, UpstreamChange, UpstreamHealth, UpstreamRegistry, plan_capacity,
-    plan_roles,
+    DeclaredConfig, RetryBudget, StopSchedule, UpstreamChange, UpstreamHealth, UpstreamRegistry,
+    plan_capacity, plan_roles,
 };
 use cowslip_membership::{FeedRole, FeedTopology};
 use cowslip_poison::{SegmentId, SegmentSuspects, Suspects};
@@ -89,7 +89,8 @@
     starts_key: Arc<str>,
     /// Lease of this instance, as the lease task last reported it.
     lease: Option<HeldLease>,
-    is_stopping: bool,
+    /// Times of the planned stop, once it has begun.
+    stop: Option<StopSchedule>,
 }
 
 impl<P> Hub<P>
@@ -143,7 +144,7 @@
             starts: StartCounters::default(),
             starts_key: Arc::from(request_starts_key(&holder_to_proto(&identity))),
             lease: None,
-            is_stopping: false,
+            stop: None,
             config,
             identity,
             metrics,
@@ -206,7 +207,7 @@
             }
             HubMessage::ClusterTime { reply } => send_reply(&reply, self.cluster_ms()),
             HubMessage::Ready { reply } => send_reply(&reply, self.is_ready()),
-            HubMessage::Stop => self.is_stopping = true,
+            HubMessage::Stop { schedule } => self.stop = Some(schedule),
         }
     }
 
@@ -225,7 +226,7 @@
     }
 
     fn is_ready(&self) -> bool {
-        !self.is_stopping && self.declared_config.is_some() && self.is_roster_known
+        self.stop.is_none() && self.declared_config.is_some() && self.is_roster_known
     }
 
     fn fence(&self) -> Option<u64> {
@@ -289,7 +290,7 @@
         let now_ms = self.clock.now_ms();
         let window = self.window_times.window_of(self.cluster_ms());
         self.starts.forget_before(window.saturating_sub(KEPT_START_WINDOWS));
-        if self.is_stopping || self.feed_topology.must_read_store(now_ms) {
+        if self.stop.is_some() || self.feed_topology.must_read_store(now_ms) {
             self.starts.take_changed()
         } else {
             Vec::new()
--- a/crates/serve/src/hub/requests.rs
+++ b/crates/serve/src/hub/requests.rs
@@ -69,6 +69,10 @@
     }
 
     pub(super) fn place(&mut self, unplaced: UnplacedRequest) -> Result<Assignment, Rejection> {
+        let now_ms = self.clock.now_ms();
+        if self.stop.is_some_and(|schedule| !schedule.admits(now_ms, unplaced.deadline_ms)) {
+            return Err(Rejection::Stopping);
+        }
         let (digest, segments) = (&unplaced.request_digest, &unplaced.shared_segments);
         let is_quarantined = self.is_quarantined(digest, segments);
         if is_quarantined && !self.try_probe(&unplaced.attempt_id, digest, segments) {
@@ -80,7 +84,6 @@
             .pick_service(fastrand::u64(..))
             .ok_or(Rejection::NoUpstream)?
             .clone();
-        let now_ms = self.clock.now_ms();
         self.retry_budget.on_request(now_ms, &service);
         let placement = self
             .pick_placement(&service, unplaced.prompt.as_ref(), None, &[])
--- a/crates/serve/src/run.rs
+++ b/crates/serve/src/run.rs
@@ -7,8 +7,10 @@
 
 use async_channel::{Receiver, Sender};
 use compio::net::TcpListener;
+use compio::runtime::JoinHandle;
 use cowslip_authority::Holder;
 use cowslip_clock::Clock;
+use cowslip_fleet::StopSchedule;
 use cowslip_net::{Body, ServerLimits, bind, full_body, serve_http};
 use cowslip_proto as proto;
 use futures_util::future::{FutureExt, select};
@@ -54,11 +56,13 @@
 const CONTROL_CONNECTIONS: usize = 64;
 /// Idle time after which such a connection is closed.
 const CONTROL_IDLE: Duration = Duration::from_secs(30);
-/// Time for which new connections are accepted after the signal to stop: the balancer asks once a
-/// second and removes an instance after two negative replies.
-const BALANCER_GRACE: Duration = Duration::from_millis(3_200);
-/// Time before the end of the shutdown that is reserved for the final writes to the store.
-const FINAL_WRITES: Duration = Duration::from_millis(700);
+/// Longest wait for the release of the lease at shutdown.
+const STEP_DOWN_TIMEOUT: Duration = Duration::from_millis(700);
+/// Time in which callers get the final responses to requests that were still in flight at the end of
+/// service.
+const LAST_RESPONSES: Duration = Duration::from_millis(250);
+/// Longest time for the last writes to the store.
+const FINAL_WRITES: Duration = Duration::from_millis(350);
 
 /// Runs an instance until it receives SIGTERM or SIGINT.
 ///
@@ -113,7 +117,9 @@
     compio::runtime::spawn(peers).detach();
     spawn_control_server(listeners.ready, hub.clone(), metrics.clone());
     spawn_control_server(listeners.operator, hub.clone(), metrics.clone());
-    let server = CallerServer::new(platform.clone(), &config, clock, metrics, hub.clone());
+    let (end_service, service_end) = async_channel::bounded::<()>(1);
+    let server =
+        CallerServer::new(platform.clone(), &config, clock, metrics, hub.clone(), service_end);
     let callers = compio::runtime::spawn(run_caller_server(server, listeners.caller, stopped));
     event!(
         Event::Started,
@@ -124,15 +130,15 @@
     );
     compio::runtime::spawn(reload_on_signal(settings_path)).detach();
     wait_for_signal().await;
-    event!(Event::Stopping, grace_ms = config.stop_after().as_millis());
-    let stop_started_ms = clock.now_ms();
-    hub.send(HubMessage::Stop).await;
+    let stop_after_ms = u64::try_from(config.stop_after().as_millis()).unwrap_or(u64::MAX);
+    event!(Event::Stopping, grace_ms = stop_after_ms);
+    let schedule = StopSchedule::new(clock.now_ms(), stop_after_ms);
+    hub.send(HubMessage::Stop { schedule }).await;
     step_down(&lease).await;
-    compio::time::sleep(BALANCER_GRACE).await;
+    sleep_until(clock, schedule.accept_until_ms).await;
     drop(stop);
-    let elapsed = Duration::from_millis(clock.now_ms().saturating_sub(stop_started_ms));
-    let remaining = config.stop_after().saturating_sub(elapsed).saturating_sub(FINAL_WRITES);
-    let is_finished = compio::time::timeout(remaining, callers).await.is_ok();
+    let serving = time_until(clock, schedule.serve_until_ms);
+    let is_finished = finish_requests(callers, serving, end_service).await;
     let final_writes = async {
         if let Some(Err(error)) = write_starts(&platform, &hub).await {
             event!(Event::AppendFailed, topic = "Starts", why = format_args!("{error:?}"));
@@ -140,7 +146,7 @@
         deregister(&platform, instance.as_str()).await;
     };
     // The platform kills the process when the time for the shutdown is over.
-    let _ = compio::time::timeout(FINAL_WRITES / 2, final_writes).await;
+    let _ = compio::time::timeout(FINAL_WRITES, final_writes).await;
     event!(Event::Stopped, is_finished = is_finished);
     // The log thread needs a moment to write the last lines.
     compio::time::sleep(Duration::from_millis(20)).await;
@@ -239,11 +245,35 @@
     }
 }
 
+/// Returns the time until `at_ms` by the local clock.
+fn time_until(clock: Clock, at_ms: u64) -> Duration {
+    Duration::from_millis(at_ms.saturating_sub(clock.now_ms()))
+}
+
+/// Waits for the end of the callers' server. After `serving`, the requests in flight are ended by
+/// dropping `end_service`, and get their final responses. Returns whether the server has ended.
+async fn finish_requests(
+    callers: JoinHandle<()>,
+    serving: Duration,
+    end_service: Sender<()>,
+) -> bool {
+    let mut callers = pin!(callers);
+    if compio::time::timeout(serving, callers.as_mut()).await.is_ok() {
+        return true;
+    }
+    drop(end_service);
+    compio::time::timeout(LAST_RESPONSES, callers).await.is_ok()
+}
+
+async fn sleep_until(clock: Clock, at_ms: u64) {
+    compio::time::sleep(time_until(clock, at_ms)).await;
+}
+
 async fn step_down(lease: &Sender<LeaseMessage>) {
     let (reply, stepped_down) = async_channel::bounded(1);
     // The lease task replies after its last write, unless it has ended.
     if lease.send(LeaseMessage::StepDown { reply }).await.is_ok() {
-        let _ = compio::time::timeout(FINAL_WRITES, stepped_down.recv()).await;
+        let _ = compio::time::timeout(STEP_DOWN_TIMEOUT, stepped_down.recv()).await;
     }
 }
 
