Keep the signal handlers until the process ends

What callers saw: a second SIGTERM or SIGINT during a planned stop closed all their connections without responses; a second SIGHUP within about 0.1 ms of the first could do so at any time, and SIGHUP did at any time with cowslip-entry.

Cause: the future of a signal was awaited once and dropped, and the library then restores the signal's default action. Ruled out: a second stop sequence; the process ended by the signal itself.

Change: a thread receives the signals for the life of the process and passes them to the main task as messages, in both daemons (signal-hook).

--- a/crates/entry/src/error.rs
+++ b/crates/entry/src/error.rs
@@ -37,6 +37,12 @@
         /// Error of the runtime.
         source: std::io::Error,
     },
+    /// The signal handlers cannot be installed.
+    #[snafu(display("signals: {source}"))]
+    Signals {
+        /// Error of the operating system.
+        source: std::io::Error,
+    },
     /// The socket to the statsd server could not be set up.
     #[snafu(display("metrics: {source}"))]
     Metrics {
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -6,13 +6,13 @@
 use compio::net::TcpListener;
 use cowslip_net::bind;
 use cowslip_proto as proto;
-use futures_util::future::{FutureExt, select};
+use cowslip_task::{Signal, watch_signals};
+use futures_util::future::FutureExt;
 use snafu::ResultExt;
-use std::pin::pin;
 
 use crate::caller::{HandlerContext, run_caller_server, run_operator_server};
 use crate::config::Config;
-use crate::error::{Error, ListenSnafu, RuntimeSnafu};
+use crate::error::{Error, ListenSnafu, RuntimeSnafu, SignalsSnafu};
 use crate::events::Event;
 use crate::hub::{Hub, HubMessage, OutboundChannels};
 use crate::metrics::Metrics;
@@ -61,6 +61,7 @@
 }
 
 async fn run_tasks(config: Config) -> Result<(), Error> {
+    let signals = watch_signals().context(SignalsSnafu)?;
     let listeners = listen(&config).await?;
     let instance_name = config.settings.instance.name.clone();
     let metrics = Metrics::new(instance_name.as_str(), &config.settings.metrics.statsd_address)?;
@@ -78,7 +79,7 @@
     let callers =
         compio::runtime::spawn(run_caller_server(context, listeners.caller, stopped.clone()));
     Event::Started.emit(&instance_name, format_args!("callers at {}", config.caller_address));
-    wait_for_signal().await;
+    wait_for_stop(&signals).await;
     Event::Stopping.emit(&instance_name, format_args!("signal"));
     hub.request(|reply| HubMessage::Stop { reply }).await;
     drop(stop);
@@ -153,11 +154,8 @@
     let _ = compio::time::timeout(USAGE_FLUSH_TIMEOUT, work).await;
 }
 
-async fn wait_for_signal() {
-    let terminate = pin!(compio::signal::unix::signal(SIGTERM));
-    let interrupt = pin!(compio::signal::unix::signal(SIGINT));
-    select(terminate, interrupt).await;
+/// Waits for the signal to stop. The settings are read only at the start, so a signal to read them
+/// again changes nothing.
+async fn wait_for_stop(signals: &Receiver<Signal>) {
+    while let Ok(Signal::Reload) = signals.recv().await {}
 }
-
-const SIGINT: i32 = 2;
-const SIGTERM: i32 = 15;
--- a/crates/serve/src/run.rs
+++ b/crates/serve/src/run.rs
@@ -1,6 +1,6 @@
 //! Starts the tasks, and stops them in order.
 
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,14 +13,15 @@
 use cowslip_fleet::StopSchedule;
 use cowslip_net::{Body, ServerLimits, bind, full_body, serve_http};
 use cowslip_proto as proto;
-use futures_util::future::{FutureExt, select};
+use cowslip_task::{Signal, watch_signals};
+use futures_util::future::FutureExt;
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use snafu::ResultExt;
 
 use crate::caller::{CallerServer, run_caller_server};
 use crate::config::Config;
-use crate::error::{Error, ListenSnafu, RuntimeSnafu};
+use crate::error::{Error, ListenSnafu, RuntimeSnafu, SignalsSnafu};
 use crate::events::{Event, event};
 use crate::hub::{Hub, HubMessage};
 use crate::metrics::Metrics;
@@ -73,7 +74,7 @@
     P: Platform,
 {
     let runtime = compio::runtime::Runtime::new().context(RuntimeSnafu)?;
-    runtime.block_on(run_tasks(platform, config, settings_path.to_owned()))
+    runtime.block_on(run_tasks(platform, config, settings_path))
 }
 
 struct Listeners {
@@ -92,10 +93,11 @@
     })
 }
 
-async fn run_tasks<P>(platform: P, config: Config, settings_path: PathBuf) -> Result<(), Error>
+async fn run_tasks<P>(platform: P, config: Config, settings_path: &Path) -> Result<(), Error>
 where
     P: Platform,
 {
+    let signals = watch_signals().context(SignalsSnafu)?;
     let listeners = listen(&config).await?;
     let metrics = Metrics::new()?;
     let clock = Clock::new();
@@ -128,8 +130,7 @@
         domain = config.locality.failure_domain,
         incarnation = identity.incarnation
     );
-    compio::runtime::spawn(reload_on_signal(settings_path)).detach();
-    wait_for_signal().await;
+    wait_for_stop(&signals, settings_path).await;
     let stop_after_ms = u64::try_from(config.stop_after().as_millis()).unwrap_or(u64::MAX);
     event!(Event::Stopping, grace_ms = stop_after_ms);
     let schedule = StopSchedule::new(clock.now_ms(), stop_after_ms);
@@ -318,27 +319,13 @@
         .expect("constants form a response")
 }
 
-/// Checks the settings file on each SIGHUP, which the platform sends when the file has changed.
-/// Changes take effect at the next start; the handler also keeps the signal from ending the
-/// process.
-async fn reload_on_signal(path: PathBuf) {
-    loop {
-        if compio::signal::unix::signal(SIGHUP).await.is_err() {
-            return;
-        }
-        match Config::load(&path) {
+/// Waits for the signal to stop. Checks the settings file on each SIGHUP, which the platform sends
+/// when the file has changed; changes take effect at the next start.
+async fn wait_for_stop(signals: &Receiver<Signal>, settings_path: &Path) {
+    while let Ok(Signal::Reload) = signals.recv().await {
+        match Config::load(settings_path) {
             Ok(_) => event!(Event::Reloaded, holds = "from the next start"),
             Err(error) => event!(Event::Reloaded, why = error),
         }
     }
 }
-
-async fn wait_for_signal() {
-    let terminate = pin!(compio::signal::unix::signal(SIGTERM));
-    let interrupt = pin!(compio::signal::unix::signal(SIGINT));
-    select(terminate, interrupt).await;
-}
-
-const SIGHUP: i32 = 1;
-const SIGINT: i32 = 2;
-const SIGTERM: i32 = 15;
