End requests of cowslip-entry with a response when its grace is over

What callers saw: requests in flight when shutdown_grace_ms was over got a closed connection without a response, and streams were cut off.

Cause: the process exited with requests in flight. A body that stops half-way had no time limit either, so such a request was among them.

Change: both daemons end their callers' servers by one function and one message to all handlers; the time in which a body must arrive is 30 s.

Evidence: requests_in_flight_at_the_end_of_the_grace_get_final_responses fails with the daemon before (IncompleteMessage for the buffered request, an unexpected end for the stream) and passes with this one.

--- a/crates/entry/src/caller/context.rs
+++ b/crates/entry/src/caller/context.rs
@@ -5,6 +5,7 @@
 use cowslip_clock::Clock;
 use cowslip_net::{Client, ClientOptions};
 use cowslip_proto::LimitSettings;
+use cowslip_task::{Expiry, ServiceEnd};
 
 use super::error::CallerError;
 use crate::config::Config;
@@ -28,10 +29,18 @@
     pub(crate) clock: Clock,
     pub(crate) metrics: Metrics,
     pub(crate) instance_name: cowslip_name::Name,
+    pub(crate) service_end: ServiceEnd,
 }
 
 impl HandlerContext {
-    pub(crate) fn new(config: &Config, clock: Clock, metrics: Metrics, hub: HubHandle) -> Self {
+    /// Returns the context of handlers whose requests in flight end with `service_end`.
+    pub(crate) fn new(
+        config: &Config,
+        clock: Clock,
+        metrics: Metrics,
+        hub: HubHandle,
+        service_end: ServiceEnd,
+    ) -> Self {
         let options =
             ClientOptions { connect_timeout: CONNECT_TIMEOUT, user_timeout: USER_TIMEOUT };
         Self {
@@ -41,20 +50,37 @@
             clock,
             metrics,
             instance_name: config.settings.instance.name.clone(),
+            service_end,
         }
     }
 
     /// Returns the longest time that one request may take.
-    pub(crate) fn request_timeout(&self) -> Duration {
+    fn request_timeout(&self) -> Duration {
         Duration::from_millis(self.limits.request_deadline_ms)
     }
 
+    /// Runs work on a request that was admitted until it ends, the request's time is over, or service
+    /// ends.
+    pub(crate) async fn within_request_timeout<F, T>(&self, work: F) -> Result<T, CallerError>
+    where
+        F: Future<Output = Result<T, CallerError>>,
+    {
+        match self.service_end.within(self.request_timeout(), work).await {
+            Ok(result) => result,
+            Err(Expiry::Deadline) => Err(CallerError::DEADLINE),
+            Err(Expiry::ServiceEnd) => Err(CallerError::OUTCOME_UNKNOWN),
+        }
+    }
+
     /// Acquires an upstream for a request.
     pub(crate) async fn acquire(
         &self,
         request: AcquireRequest,
     ) -> Result<UpstreamPermit, CallerError> {
-        match self.hub.request(|reply| HubMessage::Acquire { request, reply }).await {
+        let acquiring = self.hub.request(|reply| HubMessage::Acquire { request, reply });
+        // Nothing was sent while a request is queued.
+        let acquired = self.service_end.within(self.request_timeout(), acquiring).await;
+        match acquired.unwrap_or(None) {
             Some(AcquireResult::Granted(grant)) => {
                 Ok(UpstreamPermit { context: self.clone(), grant: Some(grant) })
             }
--- a/crates/entry/src/caller/model.rs
+++ b/crates/entry/src/caller/model.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use cowslip_net::{Body, ChunkSender, body_channel, full_body, read_body};
+use futures_util::FutureExt;
 use http::{Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -53,9 +54,7 @@
     if fields.stream {
         streamed(context, request, permit).await
     } else {
-        let timeout = context.request_timeout();
-        let work = buffered(context, request, permit);
-        compio::time::timeout(timeout, work).await.unwrap_or(Err(CallerError::DEADLINE))
+        context.within_request_timeout(buffered(context, request, permit)).await
     }
 }
 
@@ -148,12 +147,13 @@
     request: CallerRequest,
     permit: UpstreamPermit,
 ) -> Result<Response<Body>, CallerError> {
-    let (response, permit) = open_response(context, &request, permit, None).await?;
+    let opening = open_response(context, &request, permit, None);
+    let (response, permit) = context.within_request_timeout(opening).await?;
     if response.status() != StatusCode::OK {
         let status = response.status();
-        let body = read_body(response.into_body(), MAX_RESPONSE_BYTES)
-            .await
-            .map_err(|_| CallerError::OUTCOME_UNKNOWN)?;
+        let reading = read_body(response.into_body(), MAX_RESPONSE_BYTES)
+            .map(|body| body.map_err(|_| CallerError::OUTCOME_UNKNOWN));
+        let body = context.within_request_timeout(reading).await?;
         permit.release(UpstreamOutcome::Finished, RequestUsage::default()).await;
         return Ok(json_response(status, String::from_utf8_lossy(&body).into_owned()));
     }
@@ -185,14 +185,9 @@
 
 impl StreamRelay {
     async fn run(mut self, response: Response<Incoming>, permit: UpstreamPermit) {
-        let timeout = self.context.request_timeout();
-        let chunks = self.chunks.clone();
-        let work = self.relay_all(response, permit);
-        let error = match compio::time::timeout(timeout, work).await {
-            Ok(Ok(())) => return,
-            Ok(Err(error)) => error,
-            Err(_) => CallerError::DEADLINE,
-        };
+        let (context, chunks) = (self.context.clone(), self.chunks.clone());
+        let relaying = self.relay_all(response, permit);
+        let Err(error) = context.within_request_timeout(relaying).await else { return };
         // The response head is already sent: the error becomes an event of the stream, which ends
         // without `[DONE]`.
         let event = format!("event: error\ndata: {}\n\n", error.body());
--- a/crates/entry/src/caller/server.rs
+++ b/crates/entry/src/caller/server.rs
@@ -5,6 +5,7 @@
 use async_channel::Receiver;
 use compio::net::TcpListener;
 use cowslip_net::{Body, ServerLimits, serve_http};
+use cowslip_task::Expiry;
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use serde_json::json;
@@ -18,13 +19,15 @@
 
 /// Longest idle time of a connection before it is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+/// Longest time in which the body of a request must arrive.
+const BODY_TIMEOUT: Duration = Duration::from_secs(30);
 /// Path prefix of services.
 const SERVICE_PREFIX: &str = "/services/";
 
 impl HandlerContext {
     async fn handle(self, request: Request<Incoming>) -> Response<Body> {
         let started_ms = self.clock.now_ms();
-        let response = match self.route(request).await {
+        let response = match Box::pin(self.route(request)).await {
             Ok(response) => response,
             Err(error) => {
                 if !error.is_not_run {
@@ -47,7 +50,12 @@
             _ => {}
         }
         let limit_bytes = usize::try_from(self.limits.max_body_bytes).unwrap_or(usize::MAX);
-        let (request, bearer) = CallerRequest::read(request, limit_bytes).await?;
+        let reading = CallerRequest::read(request, limit_bytes);
+        let read = self.service_end.within(BODY_TIMEOUT, reading).await;
+        let (request, bearer) = read.unwrap_or_else(|expiry| match expiry {
+            Expiry::Deadline => Err(CallerError::LATE_BODY),
+            Expiry::ServiceEnd => Err(CallerError::from_admission_error(AdmissionError::NotReady)),
+        })?;
         match (&request.method, path.as_str()) {
             (&Method::GET, "/v1/models") => self.models(bearer).await,
             (&Method::POST, "/v1/chat/completions" | "/v1/completions") => {
--- a/crates/entry/src/caller/service.rs
+++ b/crates/entry/src/caller/service.rs
@@ -56,7 +56,6 @@
     let acquire_request =
         AcquireRequest { bearer, route, prompt_tokens: 0, cost_tokens: 1, digest };
     let permit = context.acquire(acquire_request).await?;
-    let timeout = context.request_timeout();
     let work = async {
         match (&request.idempotency_key, permit.grant().is_idempotent) {
             (_, true) => call_with_retries(context, &request, &path, permit).await,
@@ -66,7 +65,7 @@
             }
         }
     };
-    compio::time::timeout(timeout, work).await.unwrap_or(Err(CallerError::DEADLINE))
+    context.within_request_timeout(work).await
 }
 
 /// Sends a call that is safe to retry to one upstream after another until one responds.
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -6,7 +6,7 @@
 use compio::net::TcpListener;
 use cowslip_net::bind;
 use cowslip_proto as proto;
-use cowslip_task::{Signal, watch_signals};
+use cowslip_task::{ServiceEnd, Signal, finish_requests, watch_signals};
 use futures_util::future::FutureExt;
 use snafu::ResultExt;
 
@@ -75,7 +75,9 @@
     compio::runtime::spawn(peers).detach();
     let operators = run_operator_server(listeners.operator, hub.clone(), stopped.clone());
     compio::runtime::spawn(operators).detach();
-    let context = HandlerContext::new(&config, clock, metrics, hub.clone());
+    let (end_service, service_end) = async_channel::bounded::<()>(1);
+    let service_end = ServiceEnd::new(service_end);
+    let context = HandlerContext::new(&config, clock, metrics, hub.clone(), service_end);
     let callers =
         compio::runtime::spawn(run_caller_server(context, listeners.caller, stopped.clone()));
     Event::Started.emit(&instance_name, format_args!("callers at {}", config.caller_address));
@@ -84,7 +86,7 @@
     hub.request(|reply| HubMessage::Stop { reply }).await;
     drop(stop);
     let grace = Duration::from_millis(config.settings.limits.shutdown_grace_ms);
-    let _ = compio::time::timeout(grace, callers).await;
+    finish_requests(callers, grace, end_service).await;
     flush_usage(&hub).await;
     Event::Stopped.emit(&instance_name, format_args!("shutdown is complete"));
     Ok(())
--- a/crates/harness/tests/request_handling.rs
+++ b/crates/harness/tests/request_handling.rs
@@ -274,3 +274,32 @@
         fleet.engines.iter_mut().map(|engine| usize::from(engine.process.has_exited())).sum();
     assert_eq!(crashed, POISON_LIMIT);
 }
+
+/// Requests in flight at the end of the grace were cut off without a response.
+#[test]
+fn requests_in_flight_at_the_end_of_the_grace_get_final_responses() {
+    const GRACE_MS: u64 = 500;
+    let _guard = lock_fleet();
+    let mut options = FleetOptions::default();
+    options.settings.push(("limits", "shutdown_grace_ms", GRACE_MS.to_string()));
+    options.engine_args = ["--step-ms", "200"].map(str::to_owned).to_vec();
+    let fleet = Fleet::start(options).expect("the fleet starts");
+    let api_keys = fleet.apply_initial_ticket(1).expect("the initial ticket applies");
+    let [buffered, streamed] =
+        [false, true].map(|is_streamed| chat_body("long", is_streamed, 1_000));
+    let tokens_before = generated_tokens(&fleet);
+    std::thread::scope(|scope| {
+        let pending =
+            [&buffered, &streamed].map(|body| scope.spawn(|| chat(&fleet, 0, &api_keys, body)));
+        fleet
+            .wait_until("the requests to run", || generated_tokens(&fleet) >= tokens_before + 2)
+            .expect("the requests run");
+        fleet.instances[0].process.signal(libc::SIGTERM);
+        let [buffered, streamed] =
+            pending.map(|sender| sender.join().expect("a complete response"));
+        assert_eq!((buffered.status, buffered.code().as_str()), (502, "outcome_unknown"));
+        assert!(
+            streamed.body.contains("event: error") && streamed.body.contains("outcome_unknown")
+        );
+    });
+}
--- a/crates/proto/src/generated.rs
+++ b/crates/proto/src/generated.rs
@@ -1404,7 +1404,7 @@
 ///      "format": "double"
 ///    },
 ///    "stop_after_s": {
-///      "description": "Time in seconds from the stop signal until the platform kills the process. Requests in flight are cut off shortly before, so that the last counts are written.",
+///      "description": "Time in seconds from the stop signal until the platform kills the process. Requests in flight get a final response shortly before, so that the last counts are written.",
 ///      "type": "number",
 ///      "format": "double"
 ///    },
@@ -1443,7 +1443,7 @@
     pub repeat_slack: f64,
     ///Length in seconds of the sliding window over which retries are limited.
     pub repeat_window_s: f64,
-    ///Time in seconds from the stop signal until the platform kills the process. Requests in flight are cut off shortly before, so that the last counts are written.
+    ///Time in seconds from the stop signal until the platform kills the process. Requests in flight get a final response shortly before, so that the last counts are written.
     pub stop_after_s: f64,
     ///Time in seconds after the end of a usage window by which it must be reported; a window that is older is not reported any more.
     pub usage_late_s: f64,
@@ -2165,7 +2165,7 @@
 ///      "format": "uint64"
 ///    },
 ///    "shutdown_grace_ms": {
-///      "description": "Longest wait in milliseconds for requests in flight at shutdown; those left are cut off. Used by cowslip-entry only.",
+///      "description": "Longest wait in milliseconds for requests in flight at shutdown; those left get a final response. Used by cowslip-entry only.",
 ///      "type": "integer",
 ///      "format": "uint64"
 ///    }
@@ -2194,7 +2194,7 @@
     pub request_deadline_ms: u64,
     ///Longest time in milliseconds that a request for a plain service is queued before it is refused as not run. Used by cowslip-entry only.
     pub service_deadline_ms: u64,
-    ///Longest wait in milliseconds for requests in flight at shutdown; those left are cut off. Used by cowslip-entry only.
+    ///Longest wait in milliseconds for requests in flight at shutdown; those left get a final response. Used by cowslip-entry only.
     pub shutdown_grace_ms: u64,
 }
 ///Row of the platform's instance list.
--- a/crates/proto/src/setting_table.rs
+++ b/crates/proto/src/setting_table.rs
@@ -152,7 +152,7 @@
         key: "stop_after_s",
         kind: SettingKind::Number,
         default: Some("8"),
-        help: "Time in seconds from the stop signal until the platform kills the process. Requests in flight are cut off shortly before, so that the last counts are written.",
+        help: "Time in seconds from the stop signal until the platform kills the process. Requests in flight get a final response shortly before, so that the last counts are written.",
     },
     SettingSpec {
         section: "fleet",
@@ -271,7 +271,7 @@
         key: "shutdown_grace_ms",
         kind: SettingKind::Integer,
         default: Some("120000"),
-        help: "Longest wait in milliseconds for requests in flight at shutdown; those left are cut off. Used by cowslip-entry only.",
+        help: "Longest wait in milliseconds for requests in flight at shutdown; those left get a final response. Used by cowslip-entry only.",
     },
     SettingSpec {
         section: "metrics",
--- a/crates/serve/src/caller/server.rs
+++ b/crates/serve/src/caller/server.rs
@@ -46,14 +46,14 @@
 where
     P: Platform,
 {
-    /// Returns a server whose requests in flight end when `service_end` closes.
+    /// Returns a server whose requests in flight end with `service_end`.
     pub(crate) fn new(
         platform: P,
         config: &Config,
         clock: Clock,
         metrics: Metrics,
         hub: HubHandle,
-        service_end: Receiver<()>,
+        service_end: ServiceEnd,
     ) -> Self {
         let options =
             ClientOptions { connect_timeout: CONNECT_TIMEOUT, user_timeout: TCP_USER_TIMEOUT };
@@ -64,7 +64,6 @@
             idle_timeout: IDLE_TIMEOUT,
         };
         let client = Client::new(options);
-        let service_end = ServiceEnd::new(service_end);
         let shared = Shared { platform, hub, client, clock, metrics, service_end };
         Self { shared, limits: Rc::new(limits) }
     }
--- a/crates/serve/src/run.rs
+++ b/crates/serve/src/run.rs
@@ -1,19 +1,17 @@
 //! Starts the tasks, and stops them in order.
 
 use std::path::Path;
-use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
 use compio::net::TcpListener;
-use compio::runtime::JoinHandle;
 use cowslip_authority::Holder;
 use cowslip_clock::Clock;
 use cowslip_fleet::StopSchedule;
 use cowslip_net::{Body, ServerLimits, bind, full_body, serve_http};
 use cowslip_proto as proto;
-use cowslip_task::{Signal, watch_signals};
+use cowslip_task::{ServiceEnd, Signal, finish_requests, watch_signals};
 use futures_util::future::FutureExt;
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
@@ -59,9 +57,6 @@
 const CONTROL_IDLE: Duration = Duration::from_secs(30);
 /// Longest wait for the release of the lease at shutdown.
 const STEP_DOWN_TIMEOUT: Duration = Duration::from_millis(700);
-/// Time in which callers get the final responses to requests that were still in flight at the end of
-/// service.
-const LAST_RESPONSES: Duration = Duration::from_millis(250);
 /// Longest time for the last writes to the store.
 const FINAL_WRITES: Duration = Duration::from_millis(350);
 
@@ -120,6 +115,7 @@
     spawn_control_server(listeners.ready, hub.clone(), metrics.clone());
     spawn_control_server(listeners.operator, hub.clone(), metrics.clone());
     let (end_service, service_end) = async_channel::bounded::<()>(1);
+    let service_end = ServiceEnd::new(service_end);
     let server =
         CallerServer::new(platform.clone(), &config, clock, metrics, hub.clone(), service_end);
     let callers = compio::runtime::spawn(run_caller_server(server, listeners.caller, stopped));
@@ -251,21 +247,6 @@
     Duration::from_millis(at_ms.saturating_sub(clock.now_ms()))
 }
 
-/// Waits for the end of the callers' server. After `serving`, the requests in flight are ended by
-/// dropping `end_service`, and get their final responses. Returns whether the server has ended.
-async fn finish_requests(
-    callers: JoinHandle<()>,
-    serving: Duration,
-    end_service: Sender<()>,
-) -> bool {
-    let mut callers = pin!(callers);
-    if compio::time::timeout(serving, callers.as_mut()).await.is_ok() {
-        return true;
-    }
-    drop(end_service);
-    compio::time::timeout(LAST_RESPONSES, callers).await.is_ok()
-}
-
 async fn sleep_until(clock: Clock, at_ms: u64) {
     compio::time::sleep(time_until(clock, at_ms)).await;
 }
--- a/crates/task/src/lib.rs
+++ b/crates/task/src/lib.rs
@@ -8,5 +8,5 @@
 
 pub use event::{EventRow, Level};
 pub use handle::{Handle, ReplySender, send_reply};
-pub use service_end::{Expiry, ServiceEnd};
+pub use service_end::{Expiry, ServiceEnd, finish_requests};
 pub use signals::{Signal, watch_signals};
--- a/crates/task/src/service_end.rs
+++ b/crates/task/src/service_end.rs
@@ -3,9 +3,14 @@
 use std::pin::pin;
 use std::time::Duration;
 
-use async_channel::Receiver;
+use async_channel::{Receiver, Sender};
+use compio::runtime::JoinHandle;
 use futures_util::future::{Either, select};
 
+/// Time in which callers get the final responses to requests that were still in flight at the end of
+/// service.
+const LAST_RESPONSES: Duration = Duration::from_millis(250);
+
 /// Why work on a request was given up.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Expiry {
@@ -44,3 +49,18 @@
         }
     }
 }
+
+/// Waits for the end of the callers' server. After `serving`, the requests in flight are ended by
+/// dropping `end_service`, and get their final responses. Returns whether the server has ended.
+pub async fn finish_requests(
+    callers: JoinHandle<()>,
+    serving: Duration,
+    end_service: Sender<()>,
+) -> bool {
+    let mut callers = pin!(callers);
+    if compio::time::timeout(serving, callers.as_mut()).await.is_ok() {
+        return true;
+    }
+    drop(end_service);
+    compio::time::timeout(LAST_RESPONSES, callers).await.is_ok()
+}
