Judge in one place how an exchange with an upstream ended

Cause: sending, buffering and relaying each decided a part of how an exchange ended, and only some of them reported the loss of the upstream. The body of an error response to a stream was read by a fourth place that reported nothing. Ruled out: a head that breaks off, which ended with 502 before the change too.

Change: response_end (fleet) judges ordered ends by kind, framing and progress, and interruptions by their kind; all places ask it. A close or reset after the request was sent is a loss. Bytes that are no response no longer accuse the request. A response that states no length and closes before its first byte is not whole.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -1,5 +1,5 @@
-//! Decisions about a declared fleet: which requests are authorized, where they run, whether they
-//! may be retried, and which upstreams and engine roles are ordered.
+//! Decisions about a declared fleet: which requests are authorized, where they run, how they ended,
+//! whether they may be retried, and which upstreams and engine roles are ordered.
 //!
 //! No function reads a clock, a socket or a random source, or depends on an encoding.
 
@@ -8,6 +8,7 @@
 mod placement;
 mod plan;
 mod registry;
+mod response_end;
 mod retry_budget;
 mod stop;
 
@@ -21,5 +22,6 @@
 pub use registry::{
     EngineRole, LeaveReason, STORE_RECOVERY_GRACE_MS, Upstream, UpstreamChange, UpstreamRegistry,
 };
+pub use response_end::{Failure, Framing, Interruption, Progress, ResponseKind, check_end};
 pub use retry_budget::{RetryBudget, RetryBudgetLimits};
 pub use stop::StopSchedule;
--- a/crates/net/src/error.rs
+++ b/crates/net/src/error.rs
@@ -62,3 +62,33 @@
         status: u16,
     },
 }
+
+impl Error {
+    /// Returns whether the connection could not be opened, or was closed or reset; otherwise it
+    /// carried bytes that are no valid message or exceed a limit, or took too long.
+    #[must_use]
+    pub fn is_disconnect(&self) -> bool {
+        match self {
+            Self::Connect { .. } => true,
+            Self::Http { source } => !source.is_parse() && !has_invalid_bytes(source),
+            Self::Listen { .. }
+            | Self::H2 { .. }
+            | Self::BuildRequest { .. }
+            | Self::TooLarge { .. }
+            | Self::TimedOut { .. }
+            | Self::Status { .. } => false,
+        }
+    }
+}
+
+/// Returns whether the cause of the error is a body with invalid framing.
+fn has_invalid_bytes(error: &hyper::Error) -> bool {
+    std::iter::successors(std::error::Error::source(error), |error| error.source())
+        .filter_map(|error| error.downcast_ref::<std::io::Error>())
+        .any(|error| {
+            matches!(
+                error.kind(),
+                std::io::ErrorKind::InvalidInput | std::io::ErrorKind::InvalidData
+            )
+        })
+}
--- a/crates/serve/src/caller/buffered.rs
+++ b/crates/serve/src/caller/buffered.rs
@@ -3,12 +3,12 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use cowslip_fleet::{RetrySafety, SendOutcome, Upstream};
+use cowslip_fleet::{Failure, RetrySafety, SendOutcome, Upstream};
 use cowslip_net::{Body, full_body};
 use http::Response;
 use http::response::Parts;
 
-use super::exchange::{BufferedResponse, Failure, buffer_response, exchange};
+use super::exchange::{BufferedResponse, buffer_response, exchange};
 use super::in_flight_request::InFlightRequest;
 use crate::hub::HubMessage;
 use crate::platform::{ErrorResponse, Operation, Platform};
--- a/crates/serve/src/caller/exchange.rs
+++ b/crates/serve/src/caller/exchange.rs
@@ -3,10 +3,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use cowslip_fleet::{SendOutcome, Upstream};
-use cowslip_net::{Client, Connection, SendError, read_body};
+use cowslip_fleet::{Failure, Framing, Interruption, Progress, ResponseKind, Upstream, check_end};
+use cowslip_net::{Client, Connection, Error, SendError, read_body};
 use http::response::Parts;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 
 use super::shared::Shared;
 use crate::events::{Event, event};
@@ -27,46 +27,25 @@
 /// reused.
 const MAX_REFUSAL_BYTES: usize = 65_536;
 const REFUSAL_TIMEOUT: Duration = Duration::from_secs(1);
-
-/// Why a send yielded no usable response.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) enum Failure {
-    /// No byte of the request was sent, so it did not run.
-    NotArrived,
-    /// The upstream stated that the request was not run.
-    NotRun,
-    /// The upstream stated that the request was not run, because its identity or role is not the
-    /// expected one.
-    Misdirected,
-    /// The connection broke: the request may have run, and the upstream may be lost.
-    Broken,
-    /// The response is incomplete or does not belong to this request: the request may have run.
-    Spoilt,
-}
-
-impl Failure {
-    /// Returns whether the upstream is known not to have run the request.
-    pub(super) fn is_not_run(self) -> bool {
-        matches!(self, Self::NotArrived | Self::NotRun | Self::Misdirected)
-    }
-
-    /// Returns the outcome that counts for the upstream's health.
-    pub(super) fn outcome(self) -> SendOutcome {
-        match self {
-            Self::NotArrived | Self::Broken => SendOutcome::ConnectionFailed,
-            Self::NotRun | Self::Misdirected => SendOutcome::Refused,
-            Self::Spoilt => SendOutcome::Failed,
-        }
-    }
-}
+/// Why a response without a body is not whole.
+pub(super) const EMPTY_UNTIL_CLOSE: &str =
+    "the connection closed after the head, and the response states no length";
 
 /// A response whose body has not been read yet.
 pub(super) struct UpstreamResponse {
     pub(super) parts: Parts,
     pub(super) body: Incoming,
+    pub(super) framing: Framing,
     connection: UpstreamConnection,
 }
 
+/// The body of a response, and the connection that it arrives on.
+pub(super) struct UpstreamBody {
+    pub(super) incoming: Incoming,
+    pub(super) framing: Framing,
+    pub(super) connection: UpstreamConnection,
+}
+
 /// The connection that a response arrives on.
 pub(super) struct UpstreamConnection {
     address: std::net::SocketAddr,
@@ -87,9 +66,10 @@
 }
 
 impl UpstreamResponse {
-    /// Splits the response into its head, its body and its connection.
-    pub(super) fn split(self) -> (Parts, Incoming, UpstreamConnection) {
-        (self.parts, self.body, self.connection)
+    /// Splits the response into its head, and its body with the connection that it arrives on.
+    pub(super) fn split(self) -> (Parts, UpstreamBody) {
+        let Self { parts, body: incoming, framing, connection } = self;
+        (parts, UpstreamBody { incoming, framing, connection })
     }
 }
 
@@ -104,24 +84,28 @@
 {
     let (platform, client) = (&shared.platform, &shared.client);
     let upstream = upstream_request.upstream;
-    let request = platform.upstream_request(caller_request, upstream_request).map_err(|error| {
-        log_failure(caller_request, upstream, Failure::NotArrived, &error.to_string());
-        Failure::NotArrived
-    })?;
+    let failed = |is_sent: bool, interruption: Interruption, why: &str| {
+        let failure = Failure::of_interruption(is_sent, interruption);
+        log_failure(caller_request, upstream, failure, why);
+        failure
+    };
+    let request = platform
+        .upstream_request(caller_request, upstream_request)
+        .map_err(|error| failed(false, Interruption::Malformed, &error.to_string()))?;
     let sent = client.send_on_connection(upstream.address, request).await;
     let (response, connection) = sent.map_err(|error| {
-        let (failure, error) = match error {
-            SendError::NotSent(error) => (Failure::NotArrived, error),
-            SendError::MaybeSent(error) => (Failure::Broken, error),
+        let (is_sent, error) = match error {
+            SendError::NotSent(error) => (false, error),
+            SendError::MaybeSent(error) => (true, error),
         };
-        log_failure(caller_request, upstream, failure, &error.to_string());
-        failure
+        failed(is_sent, interruption(&error), &error.to_string())
     })?;
     let (parts, body) = response.into_parts();
     let head = platform.decode_response_head(&parts);
     announce(&shared.hub, caller_request, upstream, &head).await;
-    if let Err((failure, why)) = check_response(caller_request, upstream_request.operation, &head) {
-        log_failure(caller_request, upstream, failure, why);
+    let checked = check_response(caller_request, upstream_request.operation, &head);
+    if let Err((interruption, why)) = checked {
+        let failure = failed(true, interruption, why);
         if matches!(failure, Failure::NotRun | Failure::Misdirected) {
             // The connection can be reused once the short body of the refusal was read.
             let connection = upstream_connection(upstream, connection, &head);
@@ -130,7 +114,8 @@
         return Err(failure);
     }
     let connection = upstream_connection(upstream, connection, &head);
-    Ok(UpstreamResponse { parts, body, connection })
+    let framing = framing(&parts, &body);
+    Ok(UpstreamResponse { parts, body, framing, connection })
 }
 
 /// Reports to the hub what the upstream states about further requests. A response that is not from
@@ -164,21 +149,25 @@
     caller_request: &CallerRequest,
     operation: Operation<'_>,
     head: &ResponseHead,
-) -> Result<(), (Failure, &'static str)> {
+) -> Result<(), (Interruption, &'static str)> {
     if !is_for_attempt(caller_request, head) {
-        return Err((Failure::Spoilt, "the response names another attempt"));
+        return Err((Interruption::Foreign, "the response names another attempt"));
     }
     match head.execution {
         ExecutionStatus::Ran => Ok(()),
         // Upstreams stamp only responses that are meant for callers.
         ExecutionStatus::MissingStamp if matches!(operation, Operation::Prefill) => Ok(()),
         ExecutionStatus::MissingStamp => {
-            Err((Failure::Spoilt, "the response has no stamp of an upstream"))
+            Err((Interruption::Foreign, "the response has no stamp of an upstream"))
+        }
+        ExecutionStatus::BodyAltered => {
+            Err((Interruption::Foreign, "the body was altered in transit"))
+        }
+        ExecutionStatus::NotRun => {
+            Err((Interruption::Refused, "the upstream did not run the request"))
         }
-        ExecutionStatus::BodyAltered => Err((Failure::Spoilt, "the body was altered in transit")),
-        ExecutionStatus::NotRun => Err((Failure::NotRun, "the upstream did not run the request")),
         ExecutionStatus::Misdirected => {
-            Err((Failure::Misdirected, "the request was meant for another upstream or role"))
+            Err((Interruption::Misdirected, "the request was meant for another upstream or role"))
         }
     }
 }
@@ -212,17 +201,48 @@
     client: &Client,
     response: UpstreamResponse,
 ) -> Result<BufferedResponse, Failure> {
-    let (parts, body, connection) = response.split();
-    match read_body(body, MAX_RESPONSE_BYTES).await {
-        Ok(bytes) => Ok((parts, bytes, connection.return_to_pool(client))),
-        Err(error) => {
-            log_failure(caller_request, upstream, Failure::Spoilt, &error.to_string());
-            Err(Failure::Spoilt)
+    let (parts, body) = response.split();
+    let result = read_body(body.incoming, MAX_RESPONSE_BYTES)
+        .await
+        .map_err(|error| (Failure::of_interruption(true, interruption(&error)), error.to_string()))
+        .and_then(|bytes| {
+            let progress = if bytes.is_empty() { Progress::Empty } else { Progress::Inside };
+            check_end(ResponseKind::Buffered, body.framing, progress)
+                .map(|()| bytes)
+                .map_err(|failure| (failure, EMPTY_UNTIL_CLOSE.to_owned()))
+        });
+    match result {
+        Ok(bytes) => Ok((parts, bytes, body.connection.return_to_pool(client))),
+        Err((failure, why)) => {
+            log_failure(caller_request, upstream, failure, &why);
+            Err(failure)
         }
     }
 }
 
-fn log_failure(caller_request: &CallerRequest, upstream: &Upstream, failure: Failure, why: &str) {
+/// Returns why an exchange with this error was interrupted.
+pub(super) fn interruption(error: &Error) -> Interruption {
+    if error.is_disconnect() { Interruption::Disconnected } else { Interruption::Malformed }
+}
+
+/// Returns how the end of a body is marked.
+fn framing(parts: &Parts, body: &Incoming) -> Framing {
+    if body.size_hint().exact().is_some() {
+        Framing::Length
+    } else if parts.headers.contains_key("transfer-encoding") {
+        Framing::Chunked
+    } else {
+        Framing::ConnectionEnd
+    }
+}
+
+/// Logs a send that yielded no usable response.
+pub(super) fn log_failure(
+    caller_request: &CallerRequest,
+    upstream: &Upstream,
+    failure: Failure,
+    why: &str,
+) {
     event!(
         Event::SendFailed,
         request = caller_request.head.attempt_id,
--- a/crates/serve/src/caller/in_flight_request.rs
+++ b/crates/serve/src/caller/in_flight_request.rs
@@ -4,10 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cowslip_fleet::{Authorized, SendOutcome, Upstream};
+use cowslip_fleet::{Authorized, Failure, SendOutcome, Upstream};
 use cowslip_task::Expiry;
 
-use super::exchange::Failure;
 use super::shared::Shared;
 use crate::events::{Event, event};
 use crate::hub::{HubMessage, Rejection, RetryReason};
@@ -106,12 +105,10 @@
     /// Reports a failed send to the hub, which counts it for the upstream's health.
     pub(super) async fn report_failure(&self, upstream: &Upstream, failure: Failure) {
         let id = upstream.id.clone();
-        match failure {
-            Failure::Broken => {
-                self.send(HubMessage::UpstreamLost { id: self.assignment_id, upstream: id }).await;
-            }
-            Failure::Misdirected => self.send(HubMessage::Misdirected { upstream: id }).await,
-            Failure::NotArrived | Failure::NotRun | Failure::Spoilt => {}
+        if failure.is_loss() {
+            self.send(HubMessage::UpstreamLost { id: self.assignment_id, upstream: id }).await;
+        } else if failure == Failure::Misdirected {
+            self.send(HubMessage::Misdirected { upstream: id }).await;
         }
         self.report_outcome(upstream, failure.outcome(), None).await;
     }
@@ -140,7 +137,7 @@
         let reason = match failure {
             Failure::NotArrived => RetryReason::NotArrived,
             Failure::NotRun | Failure::Misdirected => RetryReason::NotRun,
-            Failure::Broken | Failure::Spoilt => RetryReason::MayHaveRun,
+            Failure::Broken | Failure::Malformed | Failure::Spoilt => RetryReason::MayHaveRun,
         };
         let id = self.assignment_id;
         let hub = &self.shared.hub;
--- a/crates/serve/src/caller/relay.rs
+++ b/crates/serve/src/caller/relay.rs
@@ -4,14 +4,15 @@
 use std::pin::pin;
 use std::sync::Arc;
 
-use cowslip_fleet::{SendOutcome, Upstream};
-use cowslip_net::ChunkSender;
+use cowslip_fleet::{
+    Failure, Interruption, Progress, ResponseKind, SendOutcome, Upstream, check_end,
+};
+use cowslip_net::{ChunkSender, Error};
 use cowslip_task::Expiry;
 use futures_util::future::{Either, select};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 
-use super::exchange::{Failure, UpstreamConnection, exchange};
+use super::exchange::{EMPTY_UNTIL_CLOSE, UpstreamBody, exchange, interruption, log_failure};
 use super::in_flight_request::InFlightRequest;
 use super::sse::SseFramer;
 use crate::events::{Event, event};
@@ -28,7 +29,6 @@
 {
     request: InFlightRequest<P>,
     upstream: Arc<Upstream>,
-    connection: Option<UpstreamConnection>,
     sender: ChunkSender,
     events: SseFramer,
     /// Whether an event of the stream has arrived.
@@ -40,7 +40,9 @@
     /// The upstream sent the stream to its end.
     Complete,
     /// The stream broke off, for the given reason.
-    Interrupted(String),
+    Interrupted(Failure, String),
+    /// The stream was given up.
+    Expired(Expiry),
     /// The caller closed its connection.
     CallerDisconnected,
 }
@@ -52,76 +54,82 @@
     pub(super) fn new(
         request: InFlightRequest<P>,
         upstream: Arc<Upstream>,
-        connection: UpstreamConnection,
         sender: ChunkSender,
     ) -> Self {
         let events = SseFramer::default();
-        Self { request, upstream, connection: Some(connection), sender, events, has_started: false }
+        Self { request, upstream, sender, events, has_started: false }
     }
 
     /// Relays the stream until it ends, its deadline passes, or the caller disconnects.
-    pub(super) async fn run(mut self, incoming: Incoming) {
-        let end = self.run_to_end(incoming).await;
+    pub(super) async fn run(mut self, body: UpstreamBody) {
+        let end = self.run_to_end(body).await;
         let requests = &self.request.shared.metrics.requests;
-        match end {
-            StreamEnd::Complete => requests.with_label_values(&["answered"]).inc(),
-            StreamEnd::CallerDisconnected => requests.with_label_values(&["left"]).inc(),
-            StreamEnd::Interrupted(why) => {
-                event!(
-                    Event::RequestFailed,
-                    request = self.request.caller_request.head.attempt_id,
-                    upstream = self.upstream.id,
-                    reason = why,
-                    after_event = self.events.last_id().unwrap_or("")
-                );
-                requests.with_label_values(&["failed"]).inc();
-                self.sender.abort().await;
+        let why = match end {
+            StreamEnd::Complete => {
+                requests.with_label_values(&["answered"]).inc();
+                return;
             }
-        }
+            StreamEnd::CallerDisconnected => {
+                requests.with_label_values(&["left"]).inc();
+                return;
+            }
+            StreamEnd::Interrupted(_, why) => why,
+            StreamEnd::Expired(Expiry::Deadline) => "the deadline has passed".to_owned(),
+            StreamEnd::Expired(Expiry::ServiceEnd) => "this instance stops".to_owned(),
+        };
+        event!(
+            Event::RequestFailed,
+            request = self.request.caller_request.head.attempt_id,
+            upstream = self.upstream.id,
+            reason = why,
+            after_event = self.events.last_id().unwrap_or("")
+        );
+        requests.with_label_values(&["failed"]).inc();
+        self.sender.abort().await;
     }
 
-    async fn run_to_end(&mut self, incoming: Incoming) -> StreamEnd {
+    async fn run_to_end(&mut self, body: UpstreamBody) -> StreamEnd {
         let remaining = self.request.remaining();
         let sender = self.sender.clone();
         let service_end = self.request.shared.service_end.clone();
-        let relaying = pin!(service_end.within(remaining, self.relay_all(incoming)));
+        let relaying = pin!(service_end.within(remaining, self.relay_all(body)));
         let closed = pin!(sender.closed());
         match select(relaying, closed).await {
-            Either::Left((Ok(end), _)) => end,
-            Either::Left((Err(Expiry::Deadline), _)) => {
-                StreamEnd::Interrupted("the deadline has passed".to_owned())
-            }
-            Either::Left((Err(Expiry::ServiceEnd), _)) => {
-                StreamEnd::Interrupted("this instance stops".to_owned())
-            }
+            Either::Left((result, _)) => result.unwrap_or_else(StreamEnd::Expired),
             Either::Right(_) => StreamEnd::CallerDisconnected,
         }
     }
 
-    async fn relay_all(&mut self, mut incoming: Incoming) -> StreamEnd {
+    async fn relay_all(&mut self, mut body: UpstreamBody) -> StreamEnd {
         loop {
-            let why = match self.relay_upstream(incoming).await {
-                StreamEnd::Interrupted(why) => why,
+            let (failure, why) = match self.relay_upstream(body).await {
+                StreamEnd::Interrupted(failure, why) => (failure, why),
                 end => return end,
             };
-            self.connection = None;
+            log_failure(&self.request.caller_request, &self.upstream, failure, &why);
             self.events.discard_partial();
-            self.request.on_failure(&self.upstream, Failure::Broken, true).await;
-            match self.resume().await {
-                Some(next) => incoming = next,
-                None => return StreamEnd::Interrupted(why),
+            self.request.on_failure(&self.upstream, failure, true).await;
+            match self.resume(failure).await {
+                Some(next) => body = next,
+                None => return StreamEnd::Interrupted(failure, why),
             }
         }
     }
 
     /// Relays the events of one upstream.
-    async fn relay_upstream(&mut self, mut incoming: Incoming) -> StreamEnd {
+    async fn relay_upstream(&mut self, body: UpstreamBody) -> StreamEnd {
+        let UpstreamBody { mut incoming, framing, connection } = body;
+        let mut progress = Progress::Empty;
         while let Some(frame) = incoming.frame().await {
             let chunk = match frame.map(hyper::body::Frame::into_data) {
                 Ok(Ok(chunk)) => chunk,
                 // Trailers are ignored.
                 Ok(Err(_)) => continue,
-                Err(error) => return StreamEnd::Interrupted(error.to_string()),
+                Err(error) => {
+                    let error = Error::Http { source: error };
+                    let failure = Failure::of_interruption(true, interruption(&error));
+                    return StreamEnd::Interrupted(failure, error.to_string());
+                }
             };
             if let Some(events) = self.events.push(&chunk) {
                 self.record_first_event().await;
@@ -130,21 +138,27 @@
                 }
             }
             if self.events.buffered_bytes() > MAX_EVENT_BYTES {
-                return StreamEnd::Interrupted("an event exceeds the size limit".to_owned());
+                let failure = Failure::of_interruption(true, Interruption::Malformed);
+                return StreamEnd::Interrupted(failure, "an event exceeds the size limit".into());
             }
+            progress = if self.events.has_partial_event() {
+                Progress::Inside
+            } else {
+                Progress::BetweenEvents
+            };
         }
-        if self.events.has_partial_event() {
-            return StreamEnd::Interrupted("the last event is incomplete".to_owned());
+        if let Err(failure) = check_end(ResponseKind::Stream, framing, progress) {
+            let why = match progress {
+                Progress::Empty => EMPTY_UNTIL_CLOSE,
+                Progress::Inside | Progress::BetweenEvents => "the last event is incomplete",
+            };
+            return StreamEnd::Interrupted(failure, why.to_owned());
         }
-        let client = &self.request.shared.client;
-        let keep_alive =
-            self.connection.take().and_then(|connection| connection.return_to_pool(client));
+        let keep_alive = connection.return_to_pool(&self.request.shared.client);
         self.request.report_outcome(&self.upstream, SendOutcome::Responded, keep_alive).await;
-        // A crash may close a stream without a length before its first event.
-        if self.has_started {
-            self.request
-                .send(HubMessage::RequestSucceeded { id: self.request.assignment_id })
-                .await;
+        if progress == Progress::BetweenEvents {
+            let id = self.request.assignment_id;
+            self.request.send(HubMessage::RequestSucceeded { id }).await;
         }
         StreamEnd::Complete
     }
@@ -168,8 +182,7 @@
     }
 
     /// Resumes the stream on another upstream after the newest complete event.
-    async fn resume(&mut self) -> Option<Incoming> {
-        let mut failure = Failure::Broken;
+    async fn resume(&mut self, mut failure: Failure) -> Option<UpstreamBody> {
         loop {
             self.upstream = self.request.retry(failure).await.ok()?;
             let operation =
@@ -178,9 +191,7 @@
             let shared = &self.request.shared;
             match exchange(shared, &self.request.caller_request, &upstream_request).await {
                 Ok(response) if response.parts.status.is_success() => {
-                    let (_, incoming, connection) = response.split();
-                    self.connection = Some(connection);
-                    return Some(incoming);
+                    return Some(response.split().1);
                 }
                 Ok(_) => return None,
                 Err(next_failure) => {
--- a/crates/serve/src/caller/stream.rs
+++ b/crates/serve/src/caller/stream.rs
@@ -3,12 +3,12 @@
 
 use std::sync::Arc;
 
-use cowslip_fleet::{SendOutcome, Upstream};
+use cowslip_fleet::{Failure, SendOutcome, Upstream};
 use cowslip_net::{Body, Client, body_channel, read_body};
 use http::Response;
 
 use super::buffered::caller_response;
-use super::exchange::{Failure, UpstreamResponse, buffer_response, exchange};
+use super::exchange::{UpstreamResponse, buffer_response, exchange};
 use super::in_flight_request::InFlightRequest;
 use super::relay::Relay;
 use crate::events::{Event, event};
@@ -32,12 +32,12 @@
     let opened = request.within_deadline(opening).await;
     match opened.unwrap_or_else(|expiry| Err(request.expiry_response(expiry))) {
         Ok((upstream, response)) if response.parts.status.is_success() => {
-            let (parts, incoming, connection) = response.split();
+            let (parts, upstream_body) = response.split();
             let head = request.shared.platform.caller_response_head(parts);
             let (sender, body) = body_channel();
             let platform = request.shared.platform.clone();
-            let relay = Relay::new(request, upstream, connection, sender);
-            compio::runtime::spawn(relay.run(incoming)).detach();
+            let relay = Relay::new(request, upstream, sender);
+            compio::runtime::spawn(relay.run(upstream_body)).detach();
             head.body(body)
                 .unwrap_or_else(|_| platform.error_response(&ErrorResponse::OUTCOME_UNKNOWN))
         }
@@ -46,7 +46,10 @@
             let reading = buffer_response(&request.caller_request, &upstream, client, response);
             match request.within_deadline(reading).await {
                 Ok(Ok((parts, body, _))) => caller_response(&request, parts, body),
-                Ok(Err(_)) => reject(&request, &ErrorResponse::OUTCOME_UNKNOWN),
+                Ok(Err(failure)) => {
+                    request.report_failure(&upstream, failure).await;
+                    reject(&request, &ErrorResponse::OUTCOME_UNKNOWN)
+                }
                 Err(expiry) => reject(&request, &request.expiry_response(expiry)),
             }
         }
@@ -112,7 +115,7 @@
                 refusals += 1;
                 refusals < 2
             }
-            Failure::Broken | Failure::Spoilt => false,
+            Failure::Broken | Failure::Malformed | Failure::Spoilt => false,
         };
         if !is_usable {
             held_prefill = None;
