Keep one quarantine for requests and prompt segments that crash upstreams

Cause: two implementations of suspicion, each with what the other lacked: one counted names and forgot, the other counted incarnations and guessed. Of segments with the same losses the last of the prompt was refused, and since nothing with it ran, nothing could clear it. Ruled out: late gossip, and a registry that lacks the new incarnation.

Change: one Quarantine, also in cowslip-entry. Losses count by incarnation; segments that have never succeeded come first, and segments that the losses do not tell apart are refused only together; whole requests expire, are probed, cleared and stored as segments are; changes are sent in order, and none is dropped.

--- a/crates/codec/src/lib.rs
+++ b/crates/codec/src/lib.rs
@@ -12,6 +12,7 @@
 mod request_starts;
 mod settings;
 mod snapshot;
+mod suspect;
 mod ticket;
 
 pub use api_key::{ApiKey, issue_api_key};
@@ -33,4 +34,7 @@
 };
 pub use settings::{ENTRY_SETTING_SECTIONS, FLEET_SETTING_SECTIONS, SettingError, load_settings};
 pub use snapshot::{MAX_SNAPSHOT_CHUNK_BYTES, encode_snapshot, restore_snapshot};
+pub use suspect::{
+    suspect_from_proto, suspect_key_from_proto, suspect_key_to_proto, suspect_to_proto,
+};
 pub use ticket::{object_outcomes_to_proto, parse_ticket, ticket_from_proto};
--- a/crates/entry/src/hub/authorization.rs
+++ b/crates/entry/src/hub/authorization.rs
@@ -64,7 +64,7 @@
     ) -> Result<AuthorizedRequest, AdmissionError> {
         self.check_admission()?;
         let (route, workspace) = self.resolve_route(request)?;
-        if self.suspects.is_quarantined(&request.digest) {
+        if self.is_quarantined(&request.digest) {
             Event::PoisonRefused.emit(&self.own_id.instance, format_args!("{}", workspace.name));
             return Err(AdmissionError::PoisonRequest);
         }
--- a/crates/entry/src/hub/mod.rs
+++ b/crates/entry/src/hub/mod.rs
@@ -6,6 +6,7 @@
 mod message;
 mod orders;
 mod peers;
+mod quarantine;
 mod requests;
 mod status;
 mod suspect_gossip;
@@ -19,7 +20,7 @@
 use cowslip_config::{Admission, Freshness, PeerReachability};
 use cowslip_membership::Members;
 use cowslip_name::Name;
-use cowslip_poison::Suspects;
+use cowslip_poison::Quarantine;
 use cowslip_proto as proto;
 use cowslip_scheduling::{FairQueue, RetryBudget};
 use cowslip_state::{SnapshotAssembler, State};
@@ -37,13 +38,12 @@
 };
 
 use idempotent_calls::IdempotentCalls;
+use quarantine::{Incarnations, suspect_limits};
 use requests::Requests;
 use suspect_gossip::SuspectGossip;
 use tickets::PendingTicket;
 use usage::UsageReporter;
 
-/// Most requests remembered as suspects of crashing upstreams.
-const REMEMBERED_SUSPECTS: usize = 4_096;
 /// Total size of the newest log entries, in bytes, kept for peers that cannot read the log.
 const KEPT_ENTRY_BYTES: usize = 8_388_608;
 /// Number of audit lines kept in memory; the oldest are dropped first.
@@ -90,7 +90,8 @@
     requests: Requests,
     fair_queue: FairQueue,
     retry_budget: RetryBudget,
-    suspects: Suspects,
+    quarantine: Quarantine,
+    incarnations: Incarnations,
     suspect_gossip: SuspectGossip,
     calls: IdempotentCalls,
     pending_tickets: Vec<PendingTicket>,
@@ -125,7 +126,8 @@
         let poison_limit = settings.limits.poison_limit as usize;
         Self {
             freshness: Freshness::new(settings.config.stale_limit_ms),
-            suspects: Suspects::new(poison_limit, REMEMBERED_SUSPECTS),
+            quarantine: Quarantine::new(suspect_limits(poison_limit)),
+            incarnations: Incarnations::default(),
             config,
             clock,
             own_id,
--- a/crates/entry/src/hub/peers.rs
+++ b/crates/entry/src/hub/peers.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use cowslip_codec::{decode_digest_hex, encode_hex, heartbeat_from_proto, holder_to_proto};
+use cowslip_codec::{heartbeat_from_proto, holder_to_proto, suspect_from_proto, suspect_to_proto};
 use cowslip_membership::ListedMember;
 use cowslip_name::Name;
 use cowslip_proto as proto;
@@ -13,8 +13,8 @@
 const MAX_TAIL_ENTRIES: usize = 256;
 /// Largest size of the log entries in one reply to a peer, in bytes.
 const MAX_TAIL_BYTES: usize = 2_097_152;
-/// Most suspect requests in one heartbeat.
-const MAX_SUSPECTS: usize = 64;
+/// Most suspects in one heartbeat.
+const MAX_REPORTED_SUSPECTS: usize = 64;
 
 impl Hub {
     pub(super) fn on_instance_list(&mut self, rows: Vec<ListedMember>) {
@@ -27,13 +27,7 @@
     pub(super) fn own_heartbeat(&self) -> proto::Heartbeat {
         let now_ms = self.clock.now_ms();
         let loads: BTreeMap<&Name, u32> = self.requests.loads();
-        let suspects =
-            self.suspects.changed_since(0).take(MAX_SUSPECTS).map(|(digest, upstreams)| {
-                proto::SuspectRequest {
-                    digest_hex: encode_hex(digest),
-                    upstreams: upstreams.iter().cloned().collect(),
-                }
-            });
+        let suspects = self.quarantine.gravest_reports(now_ms, MAX_REPORTED_SUSPECTS);
         proto::Heartbeat {
             from: holder_to_proto(&self.own_id),
             failure_domain: self.config.settings.instance.failure_domain.clone(),
@@ -41,7 +35,7 @@
             fresh_age_ms: self.freshness.age_ms(now_ms),
             in_flight: u32::try_from(self.requests.in_flight()).unwrap_or(u32::MAX),
             draining: self.drained_targets(),
-            suspects: suspects.collect(),
+            suspects: suspects.into_iter().map(suspect_to_proto).collect(),
             loads: loads
                 .into_iter()
                 .map(|(upstream, in_flight)| proto::UpstreamLoad {
@@ -59,12 +53,11 @@
             &heartbeat.from.instance,
             heartbeat_from_proto(heartbeat),
         );
-        for suspect in heartbeat.suspects.iter().take(MAX_SUSPECTS) {
-            let Ok(digest) = decode_digest_hex("digest_hex", &suspect.digest_hex) else { continue };
-            for upstream in &suspect.upstreams {
-                self.suspects.on_upstream_lost(digest, upstream.clone());
-            }
-        }
+        let suspects = heartbeat.suspects.iter().take(MAX_REPORTED_SUSPECTS);
+        // A malformed suspect names no request.
+        let reports: Vec<_> =
+            suspects.filter_map(|suspect| suspect_from_proto(suspect, 0).ok()).collect();
+        self.quarantine.on_reports(now_ms, reports);
     }
 
     /// Handles the reply to a heartbeat; returns the offset to read from if the peer is ahead.
--- a/crates/entry/src/hub/requests.rs
+++ b/crates/entry/src/hub/requests.rs
@@ -238,7 +238,7 @@
                 .emit(&self.own_id.instance, format_args!("{} {outcome:?}", in_flight.upstream));
         }
         if outcome == UpstreamOutcome::Lost {
-            self.suspects.on_upstream_lost(in_flight.request.digest, in_flight.upstream.clone());
+            self.on_upstream_lost(in_flight.request.digest, &in_flight.upstream);
         }
         Some(in_flight)
     }
@@ -262,6 +262,9 @@
 
     pub(super) fn release(&mut self, grant: u64, outcome: UpstreamOutcome, usage: RequestUsage) {
         if let Some(in_flight) = self.remove_in_flight(grant, outcome) {
+            if outcome == UpstreamOutcome::Finished && usage.has_response {
+                self.on_response(in_flight.request.digest, &in_flight.upstream);
+            }
             self.count_usage(&in_flight.request.queue_entry.workspace, usage);
         }
         self.on_call_released(grant);
@@ -310,7 +313,7 @@
         in_flight: &InFlightRequest,
         outcome: UpstreamOutcome,
     ) -> Option<AdmissionError> {
-        if self.suspects.is_quarantined(&in_flight.request.digest) {
+        if self.is_quarantined(&in_flight.request.digest) {
             return Some(AdmissionError::PoisonRequest);
         }
         let is_allowed = outcome == UpstreamOutcome::Unreachable || self.retry_budget.try_acquire();
--- a/crates/poison/src/lib.rs
+++ b/crates/poison/src/lib.rs
@@ -3,8 +3,12 @@
 //!
 //! The crate only decides: it uses no clock, no socket and no encoding.
 
-mod segments;
-mod suspects;
+mod ledger;
+mod quarantine;
+mod suspect;
 
-pub use segments::{LostUpstream, SegmentId, SegmentLimits, SegmentReport, SegmentSuspects};
-pub use suspects::{RequestDigest, Suspects};
+pub use ledger::SuspectChanges;
+pub use quarantine::{Quarantine, Refusal};
+pub use suspect::{
+    Accused, LostUpstream, RequestDigest, SegmentId, SuspectKey, SuspectLimits, SuspectReport,
+};
--- a/crates/proto/src/generated.rs
+++ b/crates/proto/src/generated.rs
@@ -455,17 +455,17 @@
     pub idempotency_key: ::std::string::String,
     pub workspace: cowslip_name::Name,
 }
-///Prompt segment of a request that an upstream served to its end after losses with the segment.
+///Suspect with which an upstream has served a request to its end after losses.
 ///
 /// <details><summary>JSON schema</summary>
 ///
 /// ```json
 ///{
-///  "description": "Prompt segment of a request that an upstream served to its end after losses with the segment.",
+///  "description": "Suspect with which an upstream has served a request to its end after losses.",
 ///  "type": "object",
 ///  "required": [
 ///    "age_ms",
-///    "segment"
+///    "key"
 ///  ],
 ///  "properties": {
 ///    "age_ms": {
@@ -473,10 +473,8 @@
 ///      "type": "integer",
 ///      "format": "uint64"
 ///    },
-///    "segment": {
-///      "description": "Identifier of the segment.",
-///      "type": "integer",
-///      "format": "uint64"
+///    "key": {
+///      "$ref": "#/definitions/SuspectKey"
 ///    }
 ///  },
 ///  "additionalProperties": false
@@ -485,11 +483,10 @@
 /// </details>
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
-pub struct ClearedSegment {
+pub struct ClearedSuspect {
     ///Time since the newest success in milliseconds.
     pub age_ms: u64,
-    ///Identifier of the segment.
-    pub segment: u64,
+    pub key: SuspectKey,
 }
 ///Freshness of the configuration.
 ///
@@ -923,7 +920,6 @@
 ///    "incarnation",
 ///    "instances",
 ///    "roster",
-///    "segments",
 ///    "suspects"
 ///  ],
 ///  "properties": {
@@ -942,13 +938,8 @@
 ///      "type": "integer",
 ///      "format": "uint64"
 ///    },
-///    "segments": {
-///      "description": "Version of the suspect and cleared prompt segments.",
-///      "type": "integer",
-///      "format": "uint64"
-///    },
 ///    "suspects": {
-///      "description": "Version of the suspect requests.",
+///      "description": "Version of the suspects.",
 ///      "type": "integer",
 ///      "format": "uint64"
 ///    }
@@ -966,9 +957,7 @@
     pub instances: u64,
     ///Version of the upstreams' entries.
     pub roster: u64,
-    ///Version of the suspect and cleared prompt segments.
-    pub segments: u64,
-    ///Version of the suspect requests.
+    ///Version of the suspects.
     pub suspects: u64,
 }
 ///Reply to a feed request: what the requesting instance lacks.
@@ -985,7 +974,6 @@
 ///    "place",
 ///    "read_age_ms",
 ///    "roster",
-///    "segments",
 ///    "suspects",
 ///    "true_ms"
 ///  ],
@@ -1030,15 +1018,8 @@
 ///        "$ref": "#/definitions/StoredRecord"
 ///      }
 ///    },
-///    "segments": {
-///      "$ref": "#/definitions/SegmentChanges"
-///    },
 ///    "suspects": {
-///      "description": "Suspect requests that changed after `seen`.",
-///      "type": "array",
-///      "items": {
-///        "$ref": "#/definitions/SuspectRequest"
-///      }
+///      "$ref": "#/definitions/SuspectChanges"
 ///    },
 ///    "true_ms": {
 ///      "description": "Estimate of the cluster time by the replying instance, in Unix milliseconds.",
@@ -1062,9 +1043,7 @@
     pub read_age_ms: ::std::option::Option<u64>,
     ///Records of the upstreams' entries that changed after `seen`; empty if they are not wanted. A removal is held back until it is certain.
     pub roster: ::std::vec::Vec<StoredRecord>,
-    pub segments: SegmentChanges,
-    ///Suspect requests that changed after `seen`.
-    pub suspects: ::std::vec::Vec<SuspectRequest>,
+    pub suspects: SuspectChanges,
     ///Estimate of the cluster time by the replying instance, in Unix milliseconds.
     pub true_ms: u64,
 }
@@ -1083,7 +1062,6 @@
 ///    "peer_address",
 ///    "reads_store",
 ///    "seen",
-///    "segments",
 ///    "starts",
 ///    "suspects",
 ///    "true_ms",
@@ -1124,9 +1102,6 @@
 ///        }
 ///      ]
 ///    },
-///    "segments": {
-///      "$ref": "#/definitions/SegmentChanges"
-///    },
 ///    "starts": {
 ///      "description": "Request starts that changed since the sender's last request, where the sender does not write them to the store itself or failed to.",
 ///      "type": "array",
@@ -1135,11 +1110,7 @@
 ///      }
 ///    },
 ///    "suspects": {
-///      "description": "Suspect requests that changed since the sender's last request.",
-///      "type": "array",
-///      "items": {
-///        "$ref": "#/definitions/SuspectRequest"
-///      }
+///      "$ref": "#/definitions/SuspectChanges"
 ///    },
 ///    "true_ms": {
 ///      "description": "Sender's estimate of the cluster time, in Unix milliseconds.",
@@ -1172,11 +1143,9 @@
     pub reads_store: bool,
     ///Cursor of the last reply that the sender got from the receiver; null before the first reply.
     pub seen: ::std::option::Option<FeedCursor>,
-    pub segments: SegmentChanges,
     ///Request starts that changed since the sender's last request, where the sender does not write them to the store itself or failed to.
     pub starts: ::std::vec::Vec<InstanceRequestStarts>,
-    ///Suspect requests that changed since the sender's last request.
-    pub suspects: ::std::vec::Vec<SuspectRequest>,
+    pub suspects: SuspectChanges,
     ///Sender's estimate of the cluster time, in Unix milliseconds.
     pub true_ms: u64,
     ///Whether the sender wants the instance list.
@@ -1508,10 +1477,10 @@
 ///      "format": "uint64"
 ///    },
 ///    "suspects": {
-///      "description": "Newest suspect requests that the sender knows.",
+///      "description": "Suspects that the sender knows, those with the oldest changes first.",
 ///      "type": "array",
 ///      "items": {
-///        "$ref": "#/definitions/SuspectRequest"
+///        "$ref": "#/definitions/Suspect"
 ///      }
 ///    }
 ///  },
@@ -1534,8 +1503,8 @@
     pub loads: ::std::vec::Vec<UpstreamLoad>,
     ///Offset after the newest log entry that the sender has applied.
     pub next_offset: u64,
-    ///Newest suspect requests that the sender knows.
-    pub suspects: ::std::vec::Vec<SuspectRequest>,
+    ///Suspects that the sender knows, those with the oldest changes first.
+    pub suspects: ::std::vec::Vec<Suspect>,
 }
 ///One incarnation of an instance, from the start to the end of its process.
 ///
@@ -3207,24 +3176,24 @@
     ///Number of log entries after which the lease holder writes a new snapshot. Lower values shorten the start of an instance and write more. Used by cowslip-entry only.
     pub snapshot_every_entries: u64,
 }
-///Quarantined prompt segments, written to the store for instances that start when no peer knows them.
+///Quarantined requests and prompt segments, written to the store for instances that start when no peer knows them.
 ///
 /// <details><summary>JSON schema</summary>
 ///
 /// ```json
 ///{
-///  "description": "Quarantined prompt segments, written to the store for instances that start when no peer knows them.",
+///  "description": "Quarantined requests and prompt segments, written to the store for instances that start when no peer knows them.",
 ///  "type": "object",
 ///  "required": [
-///    "segments",
+///    "suspects",
 ///    "written_at_ms"
 ///  ],
 ///  "properties": {
-///    "segments": {
-///      "description": "Quarantined segments.",
+///    "suspects": {
+///      "description": "Suspects that the quarantine is based on.",
 ///      "type": "array",
 ///      "items": {
-///        "$ref": "#/definitions/SuspectSegment"
+///        "$ref": "#/definitions/Suspect"
 ///      }
 ///    },
 ///    "written_at_ms": {
@@ -3240,8 +3209,8 @@
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct QuarantineEntry {
-    ///Quarantined segments.
-    pub segments: ::std::vec::Vec<SuspectSegment>,
+    ///Suspects that the quarantine is based on.
+    pub suspects: ::std::vec::Vec<Suspect>,
     ///Cluster time of the write, in Unix milliseconds; the ages count from it.
     pub written_at_ms: u64,
 }
@@ -3813,87 +3782,6 @@
         value.parse()
     }
 }
-///What an instance has learned of prompt segments that may crash upstreams.
-///
-/// <details><summary>JSON schema</summary>
-///
-/// ```json
-///{
-///  "description": "What an instance has learned of prompt segments that may crash upstreams.",
-///  "type": "object",
-///  "required": [
-///    "cleared",
-///    "suspects"
-///  ],
-///  "properties": {
-///    "cleared": {
-///      "description": "Segments that were cleared.",
-///      "type": "array",
-///      "items": {
-///        "$ref": "#/definitions/ClearedSegment"
-///      }
-///    },
-///    "suspects": {
-///      "description": "Suspect segments that changed.",
-///      "type": "array",
-///      "items": {
-///        "$ref": "#/definitions/SuspectSegment"
-///      }
-///    }
-///  },
-///  "additionalProperties": false
-///}
-/// ```
-/// </details>
-#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
-#[serde(deny_unknown_fields)]
-pub struct SegmentChanges {
-    ///Segments that were cleared.
-    pub cleared: ::std::vec::Vec<ClearedSegment>,
-    ///Suspect segments that changed.
-    pub suspects: ::std::vec::Vec<SuspectSegment>,
-}
-///Loss of an upstream that served a request with a prompt segment.
-///
-/// <details><summary>JSON schema</summary>
-///
-/// ```json
-///{
-///  "description": "Loss of an upstream that served a request with a prompt segment.",
-///  "type": "object",
-///  "required": [
-///    "age_ms",
-///    "started_at_ms",
-///    "upstream"
-///  ],
-///  "properties": {
-///    "age_ms": {
-///      "description": "Time since the loss in milliseconds.",
-///      "type": "integer",
-///      "format": "uint64"
-///    },
-///    "started_at_ms": {
-///      "description": "Start of the upstream's incarnation in Unix milliseconds, 0 if it is not known.",
-///      "type": "integer",
-///      "format": "uint64"
-///    },
-///    "upstream": {
-///      "$ref": "#/definitions/Name"
-///    }
-///  },
-///  "additionalProperties": false
-///}
-/// ```
-/// </details>
-#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
-#[serde(deny_unknown_fields)]
-pub struct SegmentLoss {
-    ///Time since the loss in milliseconds.
-    pub age_ms: u64,
-    ///Start of the upstream's incarnation in Unix milliseconds, 0 if it is not known.
-    pub started_at_ms: u64,
-    pub upstream: cowslip_name::Name,
-}
 ///Plain service that callers reach beside the models.
 ///
 /// <details><summary>JSON schema</summary>
@@ -4674,29 +4562,37 @@
     ///HTTP status.
     pub status: u16,
 }
-///Request that was in flight at upstreams when they were lost, and so may have made them crash.
+///Part of requests that were in flight at upstreams when they were lost, and so may have made them crash.
 ///
 /// <details><summary>JSON schema</summary>
 ///
 /// ```json
 ///{
-///  "description": "Request that was in flight at upstreams when they were lost, and so may have made them crash.",
+///  "description": "Part of requests that were in flight at upstreams when they were lost, and so may have made them crash.",
 ///  "type": "object",
 ///  "required": [
-///    "digest_hex",
-///    "upstreams"
+///    "key",
+///    "losses",
+///    "success_age_ms"
 ///  ],
 ///  "properties": {
-///    "digest_hex": {
-///      "description": "BLAKE3 of method, path and body, 64 hex digits.",
-///      "type": "string"
+///    "key": {
+///      "$ref": "#/definitions/SuspectKey"
 ///    },
-///    "upstreams": {
-///      "description": "Upstreams that were lost while they ran the request.",
+///    "losses": {
+///      "description": "Newest losses since the last success of a request with this part.",
 ///      "type": "array",
 ///      "items": {
-///        "$ref": "#/definitions/Name"
+///        "$ref": "#/definitions/UpstreamLoss"
 ///      }
+///    },
+///    "success_age_ms": {
+///      "description": "Time since the newest success of a request with this part in milliseconds; null if none is known.",
+///      "type": [
+///        "integer",
+///        "null"
+///      ],
+///      "format": "uint64"
 ///    }
 ///  },
 ///  "additionalProperties": false
@@ -4705,42 +4601,39 @@
 /// </details>
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
-pub struct SuspectRequest {
-    ///BLAKE3 of method, path and body, 64 hex digits.
-    pub digest_hex: ::std::string::String,
-    ///Upstreams that were lost while they ran the request.
-    pub upstreams: ::std::vec::Vec<cowslip_name::Name>,
+pub struct Suspect {
+    pub key: SuspectKey,
+    ///Newest losses since the last success of a request with this part.
+    pub losses: ::std::vec::Vec<UpstreamLoss>,
+    ///Time since the newest success of a request with this part in milliseconds; null if none is known.
+    pub success_age_ms: ::std::option::Option<u64>,
 }
-///Prompt segment of requests that were in flight at upstreams when they were lost, and so may have made them crash.
+///What an instance has learned of requests that may crash upstreams.
 ///
 /// <details><summary>JSON schema</summary>
 ///
 /// ```json
 ///{
-///  "description": "Prompt segment of requests that were in flight at upstreams when they were lost, and so may have made them crash.",
+///  "description": "What an instance has learned of requests that may crash upstreams.",
 ///  "type": "object",
 ///  "required": [
-///    "losses",
-///    "position",
-///    "segment"
+///    "cleared",
+///    "suspects"
 ///  ],
 ///  "properties": {
-///    "losses": {
-///      "description": "Newest losses since the last success of a request with the segment.",
+///    "cleared": {
+///      "description": "Suspects that were cleared.",
 ///      "type": "array",
 ///      "items": {
-///        "$ref": "#/definitions/SegmentLoss"
+///        "$ref": "#/definitions/ClearedSuspect"
 ///      }
 ///    },
-///    "position": {
-///      "description": "Highest position of the segment in a prompt, from 0.",
-///      "type": "integer",
-///      "format": "uint32"
-///    },
-///    "segment": {
-///      "description": "Identifier of the segment.",
-///      "type": "integer",
-///      "format": "uint64"
+///    "suspects": {
+///      "description": "Suspects that changed.",
+///      "type": "array",
+///      "items": {
+///        "$ref": "#/definitions/Suspect"
+///      }
 ///    }
 ///  },
 ///  "additionalProperties": false
@@ -4749,13 +4642,62 @@
 /// </details>
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
-pub struct SuspectSegment {
-    ///Newest losses since the last success of a request with the segment.
-    pub losses: ::std::vec::Vec<SegmentLoss>,
-    ///Highest position of the segment in a prompt, from 0.
-    pub position: u32,
-    ///Identifier of the segment.
-    pub segment: u64,
+pub struct SuspectChanges {
+    ///Suspects that were cleared.
+    pub cleared: ::std::vec::Vec<ClearedSuspect>,
+    ///Suspects that changed.
+    pub suspects: ::std::vec::Vec<Suspect>,
+}
+///Part of a request that may make upstreams crash: the whole `request`, or a prompt `segment`.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "Part of a request that may make upstreams crash: the whole `request`, or a prompt `segment`.",
+///  "oneOf": [
+///    {
+///      "type": "object",
+///      "required": [
+///        "request"
+///      ],
+///      "properties": {
+///        "request": {
+///          "description": "BLAKE3 of workspace, method, path and body, 64 hex digits.",
+///          "type": "string"
+///        }
+///      },
+///      "additionalProperties": false
+///    },
+///    {
+///      "type": "object",
+///      "required": [
+///        "segment"
+///      ],
+///      "properties": {
+///        "segment": {
+///          "description": "Identifier of the segment.",
+///          "type": "integer",
+///          "format": "uint64"
+///        }
+///      },
+///      "additionalProperties": false
+///    }
+///  ]
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub enum SuspectKey {
+    #[serde(rename = "request")]
+    Request(::std::string::String),
+    #[serde(rename = "segment")]
+    Segment(u64),
+}
+impl ::std::convert::From<u64> for SuspectKey {
+    fn from(value: u64) -> Self {
+        Self::Segment(value)
+    }
 }
 ///Newest term of one scope.
 ///
@@ -5091,6 +5033,47 @@
     pub in_flight: u32,
     pub upstream: cowslip_name::Name,
 }
+///Loss of an upstream while it ran a request.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "Loss of an upstream while it ran a request.",
+///  "type": "object",
+///  "required": [
+///    "age_ms",
+///    "started_at_ms",
+///    "upstream"
+///  ],
+///  "properties": {
+///    "age_ms": {
+///      "description": "Time since the loss in milliseconds.",
+///      "type": "integer",
+///      "format": "uint64"
+///    },
+///    "started_at_ms": {
+///      "description": "Start of the upstream's incarnation in Unix milliseconds, 0 if it is not known.",
+///      "type": "integer",
+///      "format": "uint64"
+///    },
+///    "upstream": {
+///      "$ref": "#/definitions/Name"
+///    }
+///  },
+///  "additionalProperties": false
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct UpstreamLoss {
+    ///Time since the loss in milliseconds.
+    pub age_ms: u64,
+    ///Start of the upstream's incarnation in Unix milliseconds, 0 if it is not known.
+    pub started_at_ms: u64,
+    pub upstream: cowslip_name::Name,
+}
 ///State of one upstream as known to the reporting instance.
 ///
 /// <details><summary>JSON schema</summary>
--- a/crates/serve/src/caller/in_flight_request.rs
+++ b/crates/serve/src/caller/in_flight_request.rs
@@ -106,7 +106,10 @@
     pub(super) async fn report_failure(&self, upstream: &Upstream, failure: Failure) {
         let id = upstream.id.clone();
         if failure.is_loss() {
-            self.send(HubMessage::UpstreamLost { id: self.assignment_id, upstream: id }).await;
+            let started_at_ms = upstream.started_at_ms;
+            let lost =
+                HubMessage::UpstreamLost { id: self.assignment_id, upstream: id, started_at_ms };
+            self.send(lost).await;
         } else if failure == Failure::Misdirected {
             self.send(HubMessage::Misdirected { upstream: id }).await;
         }
--- a/crates/serve/src/events.rs
+++ b/crates/serve/src/events.rs
@@ -30,10 +30,12 @@
     RequestSuspected = 505, Warn, "an upstream was lost while a request was in flight there";
     PrefillEnded = 506, Info, "a disaggregated prefill ended";
     StreamStarted = 507, Info, "the first event of a stream arrived";
-    SegmentQuarantined = 508, Warn, "requests with a prompt segment are refused, it may crash upstreams";
-    SegmentReleased = 509, Info, "requests with a prompt segment are no longer refused";
-    QuarantineStored = 510, Info, "the quarantined prompt segments were written to the store";
-    SegmentProbed = 511, Warn, "a request with a quarantined prompt segment is sent to probe it";
+    SegmentsQuarantined = 508, Warn, "requests with these prompt segments are refused, they may crash upstreams";
+    SegmentsReleased = 509, Info, "requests with these prompt segments are no longer refused";
+    QuarantineStored = 510, Info, "the quarantine was written to the store";
+    QuarantineProbed = 511, Warn, "a quarantined request is sent to probe the quarantine";
+    RequestQuarantined = 512, Warn, "a request is refused from now on, it may crash upstreams";
+    RequestReleased = 513, Info, "a request is no longer refused";
     PeerUnreachable = 600, Warn, "a peer is unreachable";
     PeerReachable = 601, Info, "a peer is reachable again";
     PeerMessageMalformed = 602, Warn, "a peer sent a malformed message";
--- a/crates/serve/src/hub/feed.rs
+++ b/crates/serve/src/hub/feed.rs
@@ -2,20 +2,14 @@
 
 use std::sync::Arc;
 
-use cowslip_codec::{
-    decode_digest_hex, encode_hex, holder_to_proto, start_windows_from_proto,
-    start_windows_to_proto,
-};
+use cowslip_codec::{holder_to_proto, start_windows_from_proto, start_windows_to_proto};
 use cowslip_membership::FeedRole;
 use cowslip_name::Name;
 use cowslip_proto as proto;
 
 use super::{Hub, LinkState};
-use crate::events::{Event, event};
 use crate::platform::{Platform, StoredRecord};
 
-/// Most suspects in one message; the newest ones are sent.
-const MAX_SUSPECTS_PER_MESSAGE: usize = 64;
 /// Poll intervals without a successful read of the upstreams' entries after which reading counts as
 /// failed.
 const MAX_MISSED_READS: u32 = 3;
@@ -48,6 +42,7 @@
         let sends_starts =
             is_reader || !self.feed_topology.must_read_store(now_ms) || self.starts.has_failed();
         let starts = self.starts.changed_since(link.sent_starts).filter(|_| sends_starts);
+        let (suspects, sent_suspects) = self.suspects_since(link.sent_suspects);
         let request = proto::FeedRequest {
             from: holder_to_proto(&self.identity),
             peer_address: self.config.peer_address.to_string(),
@@ -58,34 +53,20 @@
             wants_instances: self.feed_topology.wants_feeders(now_ms),
             seen: link.received_cursor.clone(),
             true_ms: self.cluster_ms(),
-            suspects: self.suspects_since(link.sent_suspects),
-            segments: self.segments_since(now_ms, link.sent_segments),
+            suspects,
             starts: starts.map(|(key, windows)| to_proto_starts(key, &windows)).collect(),
         };
         let next_link = LinkState {
             received_cursor: link.received_cursor.clone(),
             sent_starts: if sends_starts { self.starts.version() } else { link.sent_starts },
-            sent_suspects: self.suspects.version(),
-            sent_segments: self.segment_suspects.version(),
+            sent_suspects,
         };
         (request, next_link)
     }
 
-    fn suspects_since(&self, version: u64) -> Vec<proto::SuspectRequest> {
-        self.suspects
-            .changed_since(version)
-            .take(MAX_SUSPECTS_PER_MESSAGE)
-            .map(|(digest, upstreams)| proto::SuspectRequest {
-                digest_hex: encode_hex(digest),
-                upstreams: upstreams.iter().cloned().collect(),
-            })
-            .collect()
-    }
-
     pub(super) fn handle_feed(&mut self, request: proto::FeedRequest) -> proto::FeedReply {
         let now_ms = self.clock.now_ms();
         self.on_suspects(&request.suspects);
-        self.on_segments(now_ms, &request.segments);
         self.instances.on_feed_request(&request);
         self.feed_topology.on_feed_request(now_ms, &request.from.instance, request.reads_store);
         for peer_starts in request.starts {
@@ -96,7 +77,6 @@
             incarnation: self.identity.incarnation,
             roster: 0,
             suspects: 0,
-            segments: 0,
             instances: 0,
         };
         let cursor = request.seen.filter(|cursor| cursor.incarnation == self.identity.incarnation);
@@ -115,19 +95,18 @@
             !record.value.is_empty() || self.registry.get(&record.key).is_none()
         };
         let roster = self.roster_records.changed_since(cursor.roster).filter(|_| sends_roster);
+        let (suspects, sent_suspects) = self.suspects_since(cursor.suspects);
         proto::FeedReply {
             read_age_ms: self.read_at_ms(now_ms).map(|at_ms| now_ms.saturating_sub(at_ms)),
             declaration,
             roster: roster.filter(is_final).map(to_proto).collect(),
             instances: self.instances.changed_since(cursor.instances).filter(|_| sends_instances),
             true_ms: self.cluster_ms(),
-            suspects: self.suspects_since(cursor.suspects),
-            segments: self.segments_since(now_ms, cursor.segments),
+            suspects,
             place: proto::FeedCursor {
                 incarnation: self.identity.incarnation,
                 roster: if sends_roster { self.roster_records.version() } else { cursor.roster },
-                suspects: self.suspects.version(),
-                segments: self.segment_suspects.version(),
+                suspects: sent_suspects,
                 instances: if sends_instances {
                     self.instances.version()
                 } else {
@@ -141,7 +120,6 @@
         let now_ms = self.clock.now_ms();
         self.cluster_clock.on_estimate(now_ms, feed.true_ms);
         self.on_suspects(&feed.suspects);
-        self.on_segments(now_ms, &feed.segments);
         if let Some(record) = feed.declaration {
             self.on_declaration(from_proto(record), "instance");
         }
@@ -154,18 +132,6 @@
         }
         self.feed_topology.on_feed_received(now_ms, from, feed.read_age_ms);
     }
-
-    fn on_suspects(&mut self, suspects: &[proto::SuspectRequest]) {
-        for suspect in suspects {
-            match decode_digest_hex("digest_hex", &suspect.digest_hex) {
-                Ok(digest) => suspect
-                    .upstreams
-                    .iter()
-                    .for_each(|upstream| self.suspects.on_upstream_lost(digest, upstream.clone())),
-                Err(error) => event!(Event::PeerMessageMalformed, why = error),
-            }
-        }
-    }
 }
 
 fn to_proto_starts(
--- a/crates/serve/src/hub/message.rs
+++ b/crates/serve/src/hub/message.rs
@@ -42,7 +42,7 @@
     /// Reports the outcome of one send, and how long its connection stays in the pool, if it does.
     SendEnded { upstream: Arc<str>, outcome: SendOutcome, keep_alive: Option<Duration> },
     /// Reports that the connection to an upstream broke while it may have run the request.
-    UpstreamLost { id: u64, upstream: Arc<str> },
+    UpstreamLost { id: u64, upstream: Arc<str>, started_at_ms: u64 },
     /// Reports what an upstream stated about further requests in a response.
     Announced { upstream: Arc<str>, started_at_ms: u64, is_leaving: bool, hold_ms: Option<u64> },
     /// Reports that an upstream's identity or role differs from its entry.
@@ -72,7 +72,7 @@
     TakeStarts { reply: ReplySender<Vec<(Arc<str>, StartWindows)>> },
     /// Reports whether the write of the taken starts succeeded.
     StartsWritten { is_written: bool },
-    /// Takes the quarantined segments if the store lacks them and this instance writes them.
+    /// Takes the quarantine if the store lacks it and this instance writes it.
     TakeQuarantine { reply: ReplySender<Option<proto::QuarantineEntry>> },
     /// Reports that the write of the taken quarantine failed.
     QuarantineNotWritten,
@@ -119,8 +119,6 @@
     pub(crate) sent_starts: u64,
     /// Version of the suspects up to which the peer has received them.
     pub(crate) sent_suspects: u64,
-    /// Version of the suspect segments up to which the peer has received them.
-    pub(crate) sent_segments: u64,
 }
 
 /// The parts of a request's head that decide its route and workspace.
--- a/crates/serve/src/hub/mod.rs
+++ b/crates/serve/src/hub/mod.rs
@@ -3,9 +3,9 @@
 mod feed;
 mod instances;
 mod message;
+mod quarantine;
 mod records;
 mod requests;
-mod segments;
 
 use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
@@ -19,7 +19,7 @@
     plan_capacity, plan_roles,
 };
 use cowslip_membership::{FeedRole, FeedTopology};
-use cowslip_poison::{SegmentId, SegmentSuspects, Suspects};
+use cowslip_poison::{Quarantine, Refusal, SuspectKey};
 use cowslip_task::send_reply;
 use cowslip_usage::{ClusterClock, StartCounters, StartWindows, WindowTimes};
 
@@ -32,14 +32,12 @@
     Assignment, AuthorizedRequest, HeldLease, HubMessage, LinkState, Peer, PlannedOrders, ReadMode,
     Rejection, RetryReason, RouteQuery, SetPeers, UnplacedRequest,
 };
-pub(crate) use segments::QUARANTINE_KEY;
+pub(crate) use quarantine::QUARANTINE_KEY;
 
 use instances::{Instances, location_in};
 use records::{RosterReads, RosterRecords};
 use requests::{LocalLoad, PlacedRequest};
 
-/// Most request digests that are remembered as suspects.
-const MAX_SUSPECTS: usize = 4_096;
 /// Usage windows whose request starts are kept, so that a late or retried write still includes
 /// them.
 const KEPT_START_WINDOWS: u64 = 5; // 25 s with windows of 5 s, longer than a report may be late
@@ -71,12 +69,11 @@
     in_flight: HashMap<u64, PlacedRequest>,
     next_assignment_id: u64,
     retry_budget: RetryBudget,
-    suspects: Suspects,
-    segment_suspects: SegmentSuspects,
-    /// Quarantined segments as last logged.
-    quarantined_segments: BTreeSet<SegmentId>,
-    /// Quarantined segments in the store; `None` if that is not known.
-    stored_quarantine: Option<BTreeSet<SegmentId>>,
+    quarantine: Quarantine,
+    /// Refusals of the quarantine as last logged.
+    logged_refusals: BTreeSet<Refusal>,
+    /// Suspects in the store's copy of the quarantine; `None` if that is not known.
+    stored_suspects: Option<BTreeSet<SuspectKey>>,
     instances: Instances,
     feed_topology: FeedTopology,
     /// Whether this instance reads the store itself, as last logged.
@@ -131,10 +128,9 @@
             in_flight: HashMap::new(),
             next_assignment_id: 1,
             retry_budget: RetryBudget::new(config.retry_budget_limits()),
-            suspects: Suspects::new(poison_limit, MAX_SUSPECTS),
-            segment_suspects: SegmentSuspects::new(segments::limits(poison_limit)),
-            quarantined_segments: BTreeSet::new(),
-            stored_quarantine: Some(BTreeSet::new()),
+            quarantine: Quarantine::new(quarantine::limits(poison_limit)),
+            logged_refusals: BTreeSet::new(),
+            stored_suspects: Some(BTreeSet::new()),
             instances: Instances::default(),
             feed_topology,
             is_store_reader: false,
@@ -183,7 +179,9 @@
                     self.on_connection_pooled(upstream, keep_alive);
                 }
             }
-            HubMessage::UpstreamLost { id, upstream } => self.on_upstream_lost(id, &upstream),
+            HubMessage::UpstreamLost { id, upstream, started_at_ms } => {
+                self.on_upstream_lost(id, &upstream, started_at_ms);
+            }
             HubMessage::Records { topic, page, is_list } => self.on_records(topic, page, is_list),
             HubMessage::StoreState { topic, is_up } => self.on_store_state(topic, is_up),
             HubMessage::ReadMode { topic, reply } => send_reply(&reply, self.read_mode(topic)),
@@ -200,7 +198,7 @@
             HubMessage::TakeStarts { reply } => send_reply(&reply, self.take_starts()),
             HubMessage::StartsWritten { is_written } => self.starts.on_write(is_written),
             HubMessage::TakeQuarantine { reply } => send_reply(&reply, self.take_quarantine()),
-            HubMessage::QuarantineNotWritten => self.stored_quarantine = None,
+            HubMessage::QuarantineNotWritten => self.stored_suspects = None,
             HubMessage::KnownStarts { reply } => {
                 let known = self.starts.changed_since(0);
                 send_reply(&reply, known.map(|(key, windows)| (key.clone(), windows)).collect());
--- a/crates/serve/src/hub/requests.rs
+++ b/crates/serve/src/hub/requests.rs
@@ -7,9 +7,9 @@
     Authorized, Denial, Load, Placement, PlacementRequest, Prompt, RetrySafety, Upstream, place,
 };
 use cowslip_name::Name;
-use cowslip_poison::{LostUpstream, RequestDigest, SegmentId};
+use cowslip_poison::{Accused, LostUpstream, RequestDigest, SegmentId};
 
-use super::segments::format_segments;
+use super::quarantine::format_segments;
 use super::{
     Assignment, AuthorizedRequest, Hub, Rejection, RetryReason, RouteQuery, UnplacedRequest,
 };
@@ -53,6 +53,12 @@
     is_counted: bool,
 }
 
+impl PlacedRequest {
+    fn accused(&self) -> Accused<'_> {
+        Accused { request: self.request_digest, segments: &self.shared_segments }
+    }
+}
+
 impl<P> Hub<P>
 where
     P: Platform,
@@ -73,9 +79,10 @@
         if self.stop.is_some_and(|schedule| !schedule.admits(now_ms, unplaced.deadline_ms)) {
             return Err(Rejection::Stopping);
         }
-        let (digest, segments) = (&unplaced.request_digest, &unplaced.shared_segments);
-        let is_quarantined = self.is_quarantined(digest, segments);
-        if is_quarantined && !self.try_probe(&unplaced.attempt_id, digest, segments) {
+        let accused =
+            Accused { request: unplaced.request_digest, segments: &unplaced.shared_segments };
+        let is_quarantined = self.is_quarantined(&accused);
+        if is_quarantined && !self.try_probe(&unplaced.attempt_id, &accused) {
             return Err(Rejection::Quarantined);
         }
         let service = unplaced
@@ -217,7 +224,7 @@
         if reason == RetryReason::MayHaveRun && (!may_retry || request.attempts >= max_attempts) {
             return Err(Rejection::NoRetries);
         }
-        if self.is_quarantined(&request.request_digest, &request.shared_segments) {
+        if self.is_quarantined(&request.accused()) {
             return Err(Rejection::Quarantined);
         }
         let service = request.service.clone();
@@ -271,9 +278,7 @@
             self.release_prefill(prefill_upstream);
         }
         let Some(request) = self.in_flight.get(&id) else { return Err(Rejection::NoUpstream) };
-        if !request.is_probe
-            && self.is_quarantined(&request.request_digest, &request.shared_segments)
-        {
+        if !request.is_probe && self.is_quarantined(&request.accused()) {
             return Err(Rejection::Quarantined);
         }
         let is_assigned =
@@ -330,12 +335,13 @@
     /// Clears the request and its segments of earlier losses.
     pub(super) fn on_request_succeeded(&mut self, id: u64) {
         let Some(request) = self.in_flight.get(&id) else { return };
-        self.suspects.on_success(&request.request_digest);
-        self.segment_suspects.on_success(self.clock.now_ms(), &request.shared_segments, 0);
-        self.update_quarantined_segments();
+        self.quarantine.on_success(self.clock.now_ms(), &request.accused());
+        self.log_refusals();
     }
 
-    pub(super) fn on_upstream_lost(&mut self, id: u64, upstream: &Arc<str>) {
+    /// Records the loss of an upstream. During a prefill no answer is generated from the segments, so
+    /// it accuses the whole request only.
+    pub(super) fn on_upstream_lost(&mut self, id: u64, upstream: &Arc<str>, started_at_ms: u64) {
         let Some(request) = self.in_flight.get(&id) else { return };
         let is_serving = request.prefill_upstream.is_none();
         event!(
@@ -347,13 +353,11 @@
         );
         // An id that is not a valid name cannot be sent to peers, so its loss is only logged.
         let Ok(name) = Name::new(upstream) else { return };
-        self.suspects.on_upstream_lost(request.request_digest, name.clone());
-        if is_serving {
-            let lost = LostUpstream { name, started_at_ms: request.upstream.started_at_ms };
-            let now_ms = self.clock.now_ms();
-            self.segment_suspects.on_upstream_lost(now_ms, &request.shared_segments, &lost);
-            self.update_quarantined_segments();
-        }
+        let segments = if is_serving { &request.shared_segments[..] } else { &[] };
+        let accused = Accused { request: request.request_digest, segments };
+        let lost = LostUpstream { name, started_at_ms };
+        self.quarantine.on_upstream_lost(self.clock.now_ms(), &accused, &lost);
+        self.log_refusals();
     }
 
     fn release_prefill(&mut self, id: &str) {
--- a/crates/serve/src/metrics.rs
+++ b/crates/serve/src/metrics.rs
@@ -27,6 +27,7 @@
     "cowslip_is_holder",
     "cowslip_peers",
     "cowslip_is_reader",
+    "cowslip_quarantined_requests",
     "cowslip_quarantined_segments",
 ];
 
@@ -60,7 +61,9 @@
     pub(crate) peers: IntGauge,
     /// 1 while this instance reads the store itself.
     pub(crate) is_reader: IntGauge,
-    /// Prompt segments whose requests are refused.
+    /// Whole requests that are refused.
+    pub(crate) quarantined_requests: IntGauge,
+    /// Combinations of prompt segments whose requests are refused.
     pub(crate) quarantined_segments: IntGauge,
 }
 
@@ -105,9 +108,13 @@
             is_holder: gauge("cowslip_is_holder", "1 while this instance holds the lease")?,
             peers: gauge("cowslip_peers", "Other instances to which there are links")?,
             is_reader: gauge("cowslip_is_reader", "1 while this instance reads the store itself")?,
+            quarantined_requests: gauge(
+                "cowslip_quarantined_requests",
+                "Whole requests that are refused",
+            )?,
             quarantined_segments: gauge(
                 "cowslip_quarantined_segments",
-                "Prompt segments whose requests are refused",
+                "Combinations of prompt segments whose requests are refused",
             )?,
             registry,
         })
--- a/crates/serve/src/tasks/peer_server.rs
+++ b/crates/serve/src/tasks/peer_server.rs
@@ -12,7 +12,7 @@
 use crate::hub::HubMessage;
 
 /// Path of feed requests; it names the version of the messages.
-pub(super) const FEED_PATH: &str = "/feed/v3";
+pub(super) const FEED_PATH: &str = "/feed/v4";
 
 /// Serves peers until `stop` closes.
 pub(crate) async fn run_peer_server(listener: TcpListener, hub: HubHandle, stop: Receiver<()>) {
--- a/crates/serve/src/tasks/quarantine.rs
+++ b/crates/serve/src/tasks/quarantine.rs
@@ -1,4 +1,4 @@
-//! Writes the quarantined segments to the store, for instances that start when no peer knows them.
+//! Writes the quarantine to the store, for instances that start when no peer knows them.
 
 use std::time::Duration;
 
@@ -14,7 +14,7 @@
 /// Shortest interval between writes.
 const WRITE_EVERY: Duration = Duration::from_secs(1);
 
-/// Writes the quarantined segments after each change until the process ends.
+/// Writes the quarantine after each change until the process ends.
 pub(crate) async fn run_quarantine<P>(platform: P, hub: HubHandle)
 where
     P: Platform,
@@ -28,7 +28,7 @@
         let result = platform.append(Topic::Instances, None, &[record]).await;
         store.record(&result);
         if result.is_ok() {
-            event!(Event::QuarantineStored, segments = entry.segments.len());
+            event!(Event::QuarantineStored, suspects = entry.suspects.len());
         } else {
             hub.send(HubMessage::QuarantineNotWritten).await;
         }
