Read the store on a new connection where an open one goes silent

Cause: a read had one connection and the timeout of a slow store, and its loss was taken for an outage of the store, after which removals are held back for 2 s. Ruled out: the age that feeds state.

Change: a read without a response 0.5 s after its wait is sent once more on a new connection; the first response counts (event 204). A slow store or an outage gets no response on either, so both are judged as before.

--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -157,6 +157,11 @@
         self.put_idle(address, connection, REUSE_DELAY, Some(reuse_for));
     }
 
+    /// Closes the idle connections to `address`, so that the next request opens a new one.
+    pub fn close_idle(&self, address: SocketAddr) {
+        self.idle.borrow_mut().remove(&address);
+    }
+
     fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
         let now = Instant::now();
         let mut idle = self.idle.borrow_mut();
--- a/crates/serve/src/events.rs
+++ b/crates/serve/src/events.rs
@@ -11,6 +11,7 @@
     StoreReachable = 201, Info, "a topic of the store can be read again";
     RecordMalformed = 202, Warn, "a record is malformed and has no effect";
     AppendFailed = 203, Warn, "records were not appended";
+    StoreConnectionSilent = 204, Warn, "a read of the store got no response on its connection, but another one did";
     ConfigApplied = 300, Info, "a declared configuration was applied";
     UpstreamJoined = 310, Info, "an upstream accepts requests";
     UpstreamLeft = 311, Info, "an upstream gets no new requests";
--- a/crates/serve/src/platform.rs
+++ b/crates/serve/src/platform.rs
@@ -76,6 +76,9 @@
         expected_offset: Option<u64>,
         records: &[(String, Bytes)],
     ) -> impl Future<Output = Result<Appended, StoreError>>;
+
+    /// Closes idle connections, so that the next call opens a new one.
+    fn close_idle_connections(&self);
 }
 
 /// Decodes records that operators and upstreams wrote to the store.
--- a/crates/serve/src/tasks/topic_reader.rs
+++ b/crates/serve/src/tasks/topic_reader.rs
@@ -1,15 +1,21 @@
 //! Reads a topic of the store and passes its records to the hub.
 
+use std::pin::pin;
 use std::time::Duration;
 
+use futures_util::future::{Either, select};
+
 use super::HubHandle;
 use super::store_availability::StoreAvailability;
+use crate::events::{Event, event};
 use crate::hub::{HubMessage, ReadMode};
 use crate::metrics::Metrics;
 use crate::platform::{Page, Platform, StoreError, Topic};
 
 /// Delay after a failed read; the store also counts the calls that it refuses.
 const RETRY_DELAY: Duration = Duration::from_millis(400);
+/// Time without a response after which a read is sent once more on a new connection.
+const HEDGE_AFTER: Duration = Duration::from_millis(500); // a response of the store takes some milliseconds
 /// Interval between checks whether feeders still read for this instance.
 const SKIP_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -60,10 +66,7 @@
             Some(ReadMode::Restart) => next = None,
             Some(ReadMode::Continue) | None => {}
         }
-        let result = match next {
-            None => platform.read_latest(topic).await,
-            Some(from) => platform.read(topic, from, schedule.wait_ms).await,
-        };
+        let result = read_hedged(&platform, topic, next, schedule.wait_ms).await;
         let outcome = if result.is_ok() { "ok" } else { "failed" };
         metrics.store_calls.with_label_values(&[outcome]).inc();
         if store.record(&result) {
@@ -86,6 +89,49 @@
     }
 }
 
+/// Reads, and reads once more on a new connection if no response arrives in time. An open connection
+/// may go silent while the store serves others, which is no outage of the store.
+async fn read_hedged<P>(
+    platform: &P,
+    topic: Topic,
+    next: Option<u64>,
+    wait_ms: u64,
+) -> Result<Page, StoreError>
+where
+    P: Platform,
+{
+    let first = pin!(read(platform, topic, next, wait_ms));
+    let wait = next.map_or(Duration::ZERO, |_| Duration::from_millis(wait_ms));
+    let second = pin!(async {
+        compio::time::sleep(wait + HEDGE_AFTER).await;
+        platform.close_idle_connections();
+        read(platform, topic, next, 0).await
+    });
+    match select(first, second).await {
+        Either::Left((result, _)) => result,
+        Either::Right((Err(_), first)) => first.await,
+        Either::Right((Ok(page), _)) => {
+            event!(Event::StoreConnectionSilent, topic = format_args!("{topic:?}"));
+            Ok(page)
+        }
+    }
+}
+
+async fn read<P>(
+    platform: &P,
+    topic: Topic,
+    next: Option<u64>,
+    wait_ms: u64,
+) -> Result<Page, StoreError>
+where
+    P: Platform,
+{
+    match next {
+        None => platform.read_latest(topic).await,
+        Some(from) => platform.read(topic, from, wait_ms).await,
+    }
+}
+
 async fn forward(hub: &HubHandle, topic: Topic, page: Page, is_list: bool) {
     // A read of the roster is reported even without records, since peers rely on this instance's
     // reads of it.
