--- a/crates/net/src/fair_stream.rs
+++ b/crates/net/src/fair_stream.rs
@@ -7,7 +7,7 @@
 use hyper::rt::{Read, ReadBufCursor, Write};
 
 /// Successive reads that succeed at once before the stream yields.
-const MAX_READY_READS: u32 = 16;
+const MAX_READY_READS: u32 = 2; // up to 128 KiB, some milliseconds of parsing
 
 /// Wraps a connection's stream. `hyper` reads on in one poll as long as bytes arrive that complete
 /// no message, so a server that sends interim responses without end would stop all other tasks of
