Keep what one caller does away from the others

What callers saw: after one request with an expected version that no upstream has, all requests of its service got 503 for up to 4.5 s. A caller that left while its request was placed left it in flight for good, and its upstream with a load that it did not have.

Cause: a 421 was taken for a wrong identity of the upstream, although the caller had set the condition. The id of an assignment was made by the hub, so a handler dropped before the reply could not end it.

Change: an unmet condition says nothing about the upstream and is asked of two of them at most. A handler reserves the id before it asks, and dropping the reservation ends the assignment.

Both faults are in one commit as they change the same lines.

--- a/crates/fleet/src/response_end.rs
+++ b/crates/fleet/src/response_end.rs
@@ -47,6 +47,8 @@
     Refused,
     /// The upstream stated that its identity or role is not the expected one.
     Misdirected,
+    /// The upstream does not meet a condition that the caller has set.
+    Unmet,
 }
 
 /// Why an exchange yielded no usable response.
@@ -59,6 +61,8 @@
     /// The upstream stated that the request was not run, because its identity or role is not the
     /// expected one.
     Misdirected,
+    /// The upstream does not meet a condition that the caller has set, so it did not run the request.
+    Unmet,
     /// The connection broke: the request may have run, and the upstream may be lost.
     Broken,
     /// The upstream sends bytes that are no response: the request may have run.
@@ -79,13 +83,14 @@
             Interruption::Foreign => Self::Spoilt,
             Interruption::Refused => Self::NotRun,
             Interruption::Misdirected => Self::Misdirected,
+            Interruption::Unmet => Self::Unmet,
         }
     }
 
     /// Returns whether the upstream is known not to have run the request.
     #[must_use]
     pub fn is_not_run(self) -> bool {
-        matches!(self, Self::NotArrived | Self::NotRun | Self::Misdirected)
+        matches!(self, Self::NotArrived | Self::NotRun | Self::Misdirected | Self::Unmet)
     }
 
     /// Returns whether the upstream may have crashed on the request.
@@ -101,6 +106,8 @@
             Self::NotArrived | Self::Broken | Self::Malformed => SendOutcome::ConnectionFailed,
             Self::NotRun | Self::Misdirected => SendOutcome::Refused,
             Self::Spoilt => SendOutcome::Failed,
+            // It says nothing about the upstream.
+            Self::Unmet => SendOutcome::Responded,
         }
     }
 }
--- a/crates/fleet/tests/response_end.rs
+++ b/crates/fleet/tests/response_end.rs
@@ -70,6 +70,7 @@
         row(true, Interruption::Foreign, Failure::Spoilt, false, false, SendOutcome::Failed),
         row(true, Interruption::Refused, Failure::NotRun, true, false, refused),
         row(true, Interruption::Misdirected, Failure::Misdirected, true, false, refused),
+        row(true, Interruption::Unmet, Failure::Unmet, true, false, SendOutcome::Responded),
     ];
     for Case { is_sent, interruption, failure, is_not_run, is_loss, outcome } in cases {
         let actual = Failure::of_interruption(is_sent, interruption);
--- a/crates/serve/src/caller/buffered.rs
+++ b/crates/serve/src/caller/buffered.rs
@@ -40,12 +40,14 @@
     loop {
         let failure = match send(request, &upstream).await {
             Ok((parts, body, keep_alive)) => {
-                request.send(HubMessage::RequestStarted { id: request.assignment_id }).await;
+                request.send(HubMessage::RequestStarted { id: request.assignment_id() }).await;
                 let is_failure = parts.status.is_server_error();
                 let outcome = if is_failure { SendOutcome::Failed } else { SendOutcome::Responded };
                 request.report_outcome(&upstream, outcome, keep_alive).await;
                 if !is_failure {
-                    request.send(HubMessage::RequestSucceeded { id: request.assignment_id }).await;
+                    request
+                        .send(HubMessage::RequestSucceeded { id: request.assignment_id() })
+                        .await;
                 }
                 if !is_failure || request.authorized.route.retry_safety != RetrySafety::Idempotent {
                     return Ok((parts, body));
--- a/crates/serve/src/caller/exchange.rs
+++ b/crates/serve/src/caller/exchange.rs
@@ -106,7 +106,7 @@
     let checked = check_response(caller_request, upstream_request.operation, &head);
     if let Err((interruption, why)) = checked {
         let failure = failed(true, interruption, why);
-        if matches!(failure, Failure::NotRun | Failure::Misdirected) {
+        if failure.is_not_run() {
             // The connection can be reused once the short body of the refusal was read.
             let connection = upstream_connection(upstream, connection, &head);
             compio::runtime::spawn(read_to_end(body, connection, client.clone())).detach();
@@ -166,6 +166,9 @@
         ExecutionStatus::NotRun => {
             Err((Interruption::Refused, "the upstream did not run the request"))
         }
+        ExecutionStatus::Misdirected if caller_request.head.has_condition => {
+            Err((Interruption::Unmet, "the upstream does not meet the caller's condition"))
+        }
         ExecutionStatus::Misdirected => {
             Err((Interruption::Misdirected, "the request was meant for another upstream or role"))
         }
--- a/crates/serve/src/caller/in_flight_request.rs
+++ b/crates/serve/src/caller/in_flight_request.rs
@@ -7,12 +7,13 @@
 use cowslip_fleet::{Authorized, Failure, SendOutcome, Upstream};
 use cowslip_task::Expiry;
 
+use super::assignment_guard::AssignmentGuard;
 use super::shared::Shared;
 use crate::events::{Event, event};
 use crate::hub::{HubMessage, Rejection, RetryReason};
 use crate::platform::{CallerRequest, ErrorResponse, Operation, Platform, UpstreamRequest};
 
-/// A request that was placed on an upstream; dropping it ends its assignment.
+/// A request that was placed on an upstream.
 pub(super) struct InFlightRequest<P>
 where
     P: Platform,
@@ -22,7 +23,7 @@
     pub(super) authorized: Authorized,
     pub(super) started_ms: u64,
     pub(super) deadline_ms: u64,
-    pub(super) assignment_id: u64,
+    assignment: AssignmentGuard,
     may_have_run: Cell<bool>,
 }
 
@@ -36,7 +37,7 @@
         authorized: Authorized,
         started_ms: u64,
         deadline_ms: u64,
-        assignment_id: u64,
+        assignment: AssignmentGuard,
     ) -> Self {
         let may_have_run = Cell::new(false);
         Self {
@@ -45,11 +46,16 @@
             authorized,
             started_ms,
             deadline_ms,
-            assignment_id,
+            assignment,
             may_have_run,
         }
     }
 
+    /// Returns the id of the request's assignment.
+    pub(super) fn assignment_id(&self) -> u64 {
+        self.assignment.id()
+    }
+
     /// Runs `work` until it ends, the deadline of the request passes, or service ends.
     pub(super) async fn within_deadline<F>(&self, work: F) -> Result<F::Output, Expiry>
     where
@@ -108,7 +114,7 @@
         if failure.is_loss() {
             let started_at_ms = upstream.started_at_ms;
             let lost =
-                HubMessage::UpstreamLost { id: self.assignment_id, upstream: id, started_at_ms };
+                HubMessage::UpstreamLost { id: self.assignment.id(), upstream: id, started_at_ms };
             self.send(lost).await;
         } else if failure == Failure::Misdirected {
             self.send(HubMessage::Misdirected { upstream: id }).await;
@@ -140,9 +146,10 @@
         let reason = match failure {
             Failure::NotArrived => RetryReason::NotArrived,
             Failure::NotRun | Failure::Misdirected => RetryReason::NotRun,
+            Failure::Unmet => RetryReason::Unmet,
             Failure::Broken | Failure::Malformed | Failure::Spoilt => RetryReason::MayHaveRun,
         };
-        let id = self.assignment_id;
+        let id = self.assignment.id();
         let hub = &self.shared.hub;
         hub.request(|reply| HubMessage::Retry { id, reason, reply })
             .await
@@ -151,7 +158,7 @@
 
     /// Asks the hub for the engine that serves the request after the prefill ended.
     pub(super) async fn upstream_after_prefill(&self) -> Result<Arc<Upstream>, ErrorResponse> {
-        let id = self.assignment_id;
+        let id = self.assignment.id();
         let hub = &self.shared.hub;
         hub.request(|reply| HubMessage::PrefillEnded { id, reply })
             .await
@@ -168,7 +175,7 @@
         if failure == Failure::NotArrived {
             return Ok(());
         }
-        let id = self.assignment_id;
+        let id = self.assignment.id();
         let hub = &self.shared.hub;
         let is_acquired = hub.request(|reply| HubMessage::AcquireRetry { id, reply }).await;
         if is_acquired == Some(true) {
@@ -213,12 +220,3 @@
         self.shared.metrics.requests.with_label_values(&[label]).inc();
     }
 }
-
-impl<P> Drop for InFlightRequest<P>
-where
-    P: Platform,
-{
-    fn drop(&mut self) {
-        self.shared.hub.send_detached(HubMessage::RequestEnded { id: self.assignment_id });
-    }
-}
--- a/crates/serve/src/caller/mod.rs
+++ b/crates/serve/src/caller/mod.rs
@@ -1,5 +1,6 @@
 //! Handling of callers' requests: the HTTP server, sends to upstreams, and relayed streams.
 
+mod assignment_guard;
 mod buffered;
 mod error_response;
 mod exchange;
--- a/crates/serve/src/caller/relay.rs
+++ b/crates/serve/src/caller/relay.rs
@@ -157,7 +157,7 @@
         let keep_alive = connection.return_to_pool(&self.request.shared.client);
         self.request.report_outcome(&self.upstream, SendOutcome::Responded, keep_alive).await;
         if progress == Progress::BetweenEvents {
-            let id = self.request.assignment_id;
+            let id = self.request.assignment_id();
             self.request.send(HubMessage::RequestSucceeded { id }).await;
         }
         StreamEnd::Complete
@@ -169,7 +169,7 @@
             return;
         }
         let request = &self.request;
-        request.send(HubMessage::RequestStarted { id: request.assignment_id }).await;
+        request.send(HubMessage::RequestStarted { id: request.assignment_id() }).await;
         let elapsed_ms = request.shared.clock.now_ms().saturating_sub(request.started_ms);
         request.shared.metrics.first_event_s.observe(elapsed_ms as f64 / 1_000.0);
         event!(
--- a/crates/serve/src/caller/server.rs
+++ b/crates/serve/src/caller/server.rs
@@ -64,7 +64,7 @@
             idle_timeout: IDLE_TIMEOUT,
         };
         let client = Client::new(options);
-        let shared = Shared { platform, hub, client, clock, metrics, service_end };
+        let shared = Shared::new(platform, hub, client, clock, metrics, service_end);
         Self { shared, limits: Rc::new(limits) }
     }
 
@@ -120,7 +120,9 @@
         let caller_request =
             CallerRequest { head, method: parts.method, path, headers: parts.headers, body };
         let prompt = caller_request.head.prompt.as_ref();
+        let guard = self.shared.reserve_assignment();
         let unplaced = UnplacedRequest {
+            id: guard.id(),
             attempt_id: caller_request.head.attempt_id.clone(),
             authorized: authorized.clone(),
             prompt: prompt.filter(|prompt| prompt.tokens > 0).cloned(),
@@ -147,7 +149,7 @@
             authorized,
             started_ms,
             deadline_ms,
-            assignment.id,
+            guard,
         );
         Ok(match retry_safety {
             RetrySafety::Stream { .. } => {
--- a/crates/serve/src/caller/stream.rs
+++ b/crates/serve/src/caller/stream.rs
@@ -111,7 +111,7 @@
             Failure::NotArrived => true,
             // An engine that is full or changes its role has not consumed the prefilled prompt.
             // After a second refusal the prompt itself may be the cause, since it may have expired.
-            Failure::NotRun | Failure::Misdirected => {
+            Failure::NotRun | Failure::Misdirected | Failure::Unmet => {
                 refusals += 1;
                 refusals < 2
             }
--- a/crates/serve/src/hub/message.rs
+++ b/crates/serve/src/hub/message.rs
@@ -139,6 +139,8 @@
 /// An authorized request that has no upstream yet.
 #[derive(Clone, Debug)]
 pub(crate) struct UnplacedRequest {
+    /// Id of its assignment, which ends with [`HubMessage::RequestEnded`].
+    pub(crate) id: u64,
     pub(crate) attempt_id: Arc<str>,
     pub(crate) authorized: Authorized,
     pub(crate) prompt: Option<Prompt>,
@@ -152,7 +154,6 @@
 /// The upstreams that a request was placed on.
 #[derive(Clone, Debug)]
 pub(crate) struct Assignment {
-    pub(crate) id: u64,
     /// Runs the prefill first, if that is disaggregated.
     pub(crate) prefill_upstream: Option<Arc<Upstream>>,
     /// Serves the request.
@@ -166,6 +167,8 @@
     NotArrived,
     /// The upstream stated that it did not run the request.
     NotRun,
+    /// The upstream did not run the request, since it does not meet the caller's condition.
+    Unmet,
     /// The upstream may have run the request.
     MayHaveRun,
 }
--- a/crates/serve/src/hub/mod.rs
+++ b/crates/serve/src/hub/mod.rs
@@ -67,7 +67,6 @@
     pooled_until_ms: HashMap<Arc<str>, u64>,
     /// Requests in flight, by the id of their assignment.
     in_flight: HashMap<u64, PlacedRequest>,
-    next_assignment_id: u64,
     retry_budget: RetryBudget,
     quarantine: Quarantine,
     /// Refusals of the quarantine as last logged.
@@ -126,7 +125,6 @@
             loads: HashMap::new(),
             pooled_until_ms: HashMap::new(),
             in_flight: HashMap::new(),
-            next_assignment_id: 1,
             retry_budget: RetryBudget::new(config.retry_budget_limits()),
             quarantine: Quarantine::new(quarantine::limits(poison_limit)),
             logged_refusals: BTreeSet::new(),
--- a/crates/serve/src/hub/requests.rs
+++ b/crates/serve/src/hub/requests.rs
@@ -19,6 +19,9 @@
 /// Longest time for which an upstream gets no requests at its own wish.
 const MAX_HOLD_MS: u64 = 3_600_000;
 
+/// Most upstreams that are asked whether they meet a caller's condition.
+const MAX_UNMET_ATTEMPTS: usize = 2;
+
 /// Load that this instance itself puts on an upstream.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct LocalLoad {
@@ -96,8 +99,6 @@
             .pick_placement(&service, unplaced.prompt.as_ref(), None, &[])
             .ok_or_else(|| self.no_upstream(&service))?;
         let Placement { prefill_upstream, upstream } = placement;
-        let id = self.next_assignment_id;
-        self.next_assignment_id += 1;
         event!(
             Event::RequestPlaced,
             request = unplaced.attempt_id,
@@ -126,8 +127,8 @@
             is_queued: true,
             is_counted: false,
         };
-        self.in_flight.insert(id, request);
-        Ok(Assignment { id, prefill_upstream, upstream })
+        self.in_flight.insert(unplaced.id, request);
+        Ok(Assignment { prefill_upstream, upstream })
     }
 
     /// Picks from a service's upstreams that accept work and were not tried. Upstreams that are
@@ -221,7 +222,13 @@
             RetrySafety::Idempotent | RetrySafety::Stream { is_resumable: true } => true,
             RetrySafety::AtMostOnce | RetrySafety::Stream { is_resumable: false } => false,
         };
-        if reason == RetryReason::MayHaveRun && (!may_retry || request.attempts >= max_attempts) {
+        // A condition that no upstream meets must not use up the retries of other callers.
+        let is_exhausted = match reason {
+            RetryReason::MayHaveRun => !may_retry || request.attempts >= max_attempts,
+            RetryReason::Unmet => request.tried.len() >= MAX_UNMET_ATTEMPTS,
+            RetryReason::NotArrived | RetryReason::NotRun => false,
+        };
+        if is_exhausted {
             return Err(Rejection::NoRetries);
         }
         if self.is_quarantined(&request.accused()) {
--- a/crates/serve/src/platform.rs
+++ b/crates/serve/src/platform.rs
@@ -216,6 +216,8 @@
     pub api_key: Option<String>,
     /// Size and segments of the prompt, if the caller states them.
     pub prompt: Option<Prompt>,
+    /// Whether the caller expects a property of the upstream, which may refuse the request for it.
+    pub has_condition: bool,
 }
 
 /// A complete request of a caller.
