Accept heads with more than 100 fields

A head within max_header_bytes was refused with 431 for its number of fields, a limit of the HTTP library. It is 1,024 now. head_within_its_size_limit_may_have_many_fields fails with the daemon before (431) and passes with this one.

--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -23,6 +23,9 @@
 /// Smallest read buffer that `hyper` accepts, in bytes.
 const MIN_BUFFER_BYTES: usize = 8_192;
 
+/// Most fields of a header block; its size in bytes is the limit that usually applies.
+const MAX_HEADER_FIELDS: usize = 1_024;
+
 /// Delay after a failed accept.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
 
@@ -100,6 +103,7 @@
     let connection = http1::Builder::new()
         .timer(CompioTimer)
         .header_read_timeout(limits.idle_timeout)
+        .max_headers(MAX_HEADER_FIELDS)
         .max_buf_size(limits.max_header_bytes.max(MIN_BUFFER_BYTES))
         .serve_connection(FairStream::new(HyperStream::new_plain(tcp)), service);
     let mut connection = pin!(connection);
