Count crashes of engines that return under their names in cowslip-entry

Change: a loss a second or more after the last one of an upstream is that of a new incarnation, since it gets no requests for as long. Peers' reports count as losses.

--- a/crates/entry/src/hub/peers.rs
+++ b/crates/entry/src/hub/peers.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use cowslip_codec::{heartbeat_from_proto, holder_to_proto, suspect_from_proto, suspect_to_proto};
+use cowslip_codec::{heartbeat_from_proto, holder_to_proto, suspect_to_proto};
 use cowslip_membership::ListedMember;
 use cowslip_name::Name;
 use cowslip_proto as proto;
@@ -53,11 +53,8 @@
             &heartbeat.from.instance,
             heartbeat_from_proto(heartbeat),
         );
-        let suspects = heartbeat.suspects.iter().take(MAX_REPORTED_SUSPECTS);
-        // A malformed suspect names no request.
-        let reports: Vec<_> =
-            suspects.filter_map(|suspect| suspect_from_proto(suspect, 0).ok()).collect();
-        self.quarantine.on_reports(now_ms, reports);
+        let count = heartbeat.suspects.len().min(MAX_REPORTED_SUSPECTS);
+        self.on_suspects(&heartbeat.suspects[..count]);
     }
 
     /// Handles the reply to a heartbeat; returns the offset to read from if the peer is ahead.
--- a/crates/entry/src/hub/quarantine.rs
+++ b/crates/entry/src/hub/quarantine.rs
@@ -3,10 +3,13 @@
 use std::collections::BTreeMap;
 
 use cowslip_clock::unix_ms;
+use cowslip_codec::suspect_from_proto;
 use cowslip_name::Name;
 use cowslip_poison::{Accused, LostUpstream, RequestDigest, SuspectLimits};
+use cowslip_proto as proto;
 
 use super::Hub;
+use super::requests::UPSTREAM_BACKOFF_MS;
 
 /// Most requests remembered as suspects of crashing upstreams.
 const MAX_SUSPECTS: usize = 4_096;
@@ -27,31 +30,45 @@
     }
 }
 
-/// Incarnations of upstreams by this instance's observation: one that completes a response after a
-/// loss has started again.
+/// Time after a loss in which an upstream counts as lost together with it. It gets no requests for as
+/// long, so a later loss is that of an upstream which has returned.
+const SAME_LOSS_MS: u64 = UPSTREAM_BACKOFF_MS;
+
+/// Incarnations of upstreams, whose entries name no start.
 #[derive(Debug, Default)]
 pub(super) struct Incarnations {
     by_upstream: BTreeMap<Name, Incarnation>,
 }
 
-#[derive(Clone, Copy, Debug, Default)]
+/// The newest known incarnation of an upstream.
+#[derive(Clone, Copy, Debug)]
 struct Incarnation {
+    /// Unix milliseconds, 0 for the first one.
     started_at_ms: u64,
-    is_lost: bool,
+    /// Local clock time of its loss, in milliseconds.
+    lost_at_ms: u64,
 }
 
 impl Incarnations {
-    fn on_lost(&mut self, upstream: &Name) -> LostUpstream {
-        let incarnation = self.by_upstream.entry(upstream.clone()).or_default();
-        incarnation.is_lost = true;
+    /// Records a loss and returns the incarnation that was lost.
+    fn on_lost(&mut self, now_ms: u64, upstream: &Name) -> LostUpstream {
+        let first = Incarnation { started_at_ms: 0, lost_at_ms: now_ms };
+        let incarnation = self.by_upstream.entry(upstream.clone()).or_insert(first);
+        if now_ms.saturating_sub(incarnation.lost_at_ms) >= SAME_LOSS_MS {
+            *incarnation = Incarnation { started_at_ms: unix_ms(), lost_at_ms: now_ms };
+        }
         LostUpstream { name: upstream.clone(), started_at_ms: incarnation.started_at_ms }
     }
 
-    fn on_response(&mut self, upstream: &Name, unix_ms: u64) {
-        if let Some(incarnation) = self.by_upstream.get_mut(upstream)
-            && std::mem::replace(&mut incarnation.is_lost, false)
-        {
-            incarnation.started_at_ms = unix_ms;
+    /// Records a loss that a peer reports.
+    fn on_reported(&mut self, now_ms: u64, lost: &LostUpstream, age_ms: u64) {
+        let reported = Incarnation {
+            started_at_ms: lost.started_at_ms,
+            lost_at_ms: now_ms.saturating_sub(age_ms),
+        };
+        let incarnation = self.by_upstream.entry(lost.name.clone()).or_insert(reported);
+        if reported.started_at_ms > incarnation.started_at_ms {
+            *incarnation = reported;
         }
     }
 }
@@ -64,14 +81,25 @@
     }
 
     pub(super) fn on_upstream_lost(&mut self, digest: RequestDigest, upstream: &Name) {
-        let lost = self.incarnations.on_lost(upstream);
+        let lost = self.incarnations.on_lost(self.clock.now_ms(), upstream);
         let accused = Accused { request: digest, segments: &[] };
         self.quarantine.on_upstream_lost(self.clock.now_ms(), &accused, &lost);
     }
 
+    /// Applies the suspects that a peer knows.
+    pub(super) fn on_suspects(&mut self, suspects: &[proto::Suspect]) {
+        // A malformed suspect names no request.
+        let reports = suspects.iter().filter_map(|suspect| suspect_from_proto(suspect, 0).ok());
+        let reports: Vec<_> = reports.collect();
+        let now_ms = self.clock.now_ms();
+        for (lost, age_ms) in reports.iter().flat_map(|report| &report.losses) {
+            self.incarnations.on_reported(now_ms, lost, *age_ms);
+        }
+        self.quarantine.on_reports(now_ms, reports);
+    }
+
     /// Records that an upstream sent a complete response to a request, which clears it.
-    pub(super) fn on_response(&mut self, digest: RequestDigest, upstream: &Name) {
-        self.incarnations.on_response(upstream, unix_ms());
+    pub(super) fn on_response(&mut self, digest: RequestDigest) {
         let accused = Accused { request: digest, segments: &[] };
         self.quarantine.on_success(self.clock.now_ms(), &accused);
     }
--- a/crates/entry/src/hub/requests.rs
+++ b/crates/entry/src/hub/requests.rs
@@ -18,7 +18,7 @@
 /// are not streamed.
 const FIRST_TOKEN_TARGET_MS: u64 = 490;
 /// Time after a failure in which an upstream gets no new requests.
-const UPSTREAM_BACKOFF_MS: u64 = 1_000;
+pub(super) const UPSTREAM_BACKOFF_MS: u64 = 1_000;
 
 /// A queued request whose handler waits for an upstream.
 #[derive(Debug)]
@@ -263,7 +263,7 @@
     pub(super) fn release(&mut self, grant: u64, outcome: UpstreamOutcome, usage: RequestUsage) {
         if let Some(in_flight) = self.remove_in_flight(grant, outcome) {
             if outcome == UpstreamOutcome::Finished && usage.has_response {
-                self.on_response(in_flight.request.digest, &in_flight.upstream);
+                self.on_response(in_flight.request.digest);
             }
             self.count_usage(&in_flight.request.queue_entry.workspace, usage);
         }
--- a/crates/harness/tests/request_handling.rs
+++ b/crates/harness/tests/request_handling.rs
@@ -275,6 +275,48 @@
     assert_eq!(crashed, POISON_LIMIT);
 }
 
+/// Crashes of engines that returned under their names were counted once, so a fleet of two engines was
+/// crashed without end.
+#[test]
+fn poison_request_is_refused_although_its_engines_return_under_their_names() {
+    const POISON_LIMIT: usize = 3;
+    let _guard = lock_fleet();
+    let mut fleet = Fleet::start(FleetOptions::default()).expect("the fleet starts");
+    let api_keys = fleet.apply_initial_ticket(1).expect("the initial ticket applies");
+    let faults = proto::EngineFaults { crash_on: "poison".to_owned(), ..no_engine_faults() };
+    for engine in &fleet.engines {
+        fleet.set_faults(engine.address, &faults).expect("a reply");
+    }
+    let url = format!("http://{}{CHAT}", fleet.instances[0].caller_address);
+    let bearer = format!("Bearer {}", api_keys.authorized);
+    let mut crashes = 0;
+    std::thread::scope(|scope| {
+        let sender = scope.spawn(|| {
+            let headers = [("authorization", bearer.as_str())];
+            let body = chat_body("poison", false, 4);
+            // The retry budget may end an attempt before the limit is reached.
+            let mut codes = (0..10).map(|_| {
+                let response = cowslip_harness::request(&Method::POST, &url, &headers, &body);
+                std::thread::sleep(std::time::Duration::from_millis(300));
+                response.expect("a response").code()
+            });
+            codes.any(|code| code == "request_refused")
+        });
+        while !sender.is_finished() && crashes <= POISON_LIMIT {
+            for index in 0..fleet.engines.len() {
+                if fleet.engines[index].process.has_exited() {
+                    crashes += 1;
+                    fleet.restart_engine(index).expect("the engine starts");
+                    fleet.set_faults(fleet.engines[index].address, &faults).expect("a reply");
+                }
+            }
+            std::thread::sleep(std::time::Duration::from_millis(20));
+        }
+        assert_eq!(crashes, POISON_LIMIT);
+        assert!(sender.join().expect("the sender does not panic"), "the request is refused");
+    });
+}
+
 /// Requests in flight at the end of the grace were cut off without a response.
 #[test]
 fn requests_in_flight_at_the_end_of_the_grace_get_final_responses() {
