Don't send a request again to upstreams that were lost with it

Cause: a loss counts by incarnation, and the choice of upstreams did not know which ones were already lost with the request. While the other upstreams backed off, those whose backoff had ended were chosen again, in a retry or in the caller's next attempt. Any route is concerned, not only resumable ones; a loss is reported before each retry on all paths, and losses of one incarnation count once, as intended.

Judged: the users' rule on requests that crash workers is not broken, since it counts workers that crashed, and an incarnation that can be lost twice did not crash the first time. Our own bound, three losses and one retry begun before the third was known, was broken. A smaller hole of the same kind was real: an incarnation that returns before its entry is read counts with its predecessor.

Change: Standing (crates/fleet) orders upstreams for a request: sound, backing off, lost with the request, both. The quarantine names the upstreams that were lost with a request since its last success.

Ruled out: counting the second loss of an incarnation (a link that resets its connections would have sound requests refused).

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -10,6 +10,7 @@
 mod registry;
 mod response_end;
 mod retry_budget;
+mod standing;
 mod stop;
 
 pub use declared_config::{
@@ -24,4 +25,5 @@
 };
 pub use response_end::{Failure, Framing, Interruption, Progress, ResponseKind, check_end};
 pub use retry_budget::{RetryBudget, RetryBudgetLimits};
+pub use standing::Standing;
 pub use stop::StopSchedule;
--- a/crates/poison/src/quarantine.rs
+++ b/crates/poison/src/quarantine.rs
@@ -180,6 +180,12 @@
         true
     }
 
+    /// Returns the upstreams that were lost with a request since its last success.
+    pub fn lost_upstreams(&self, request: RequestDigest) -> impl Iterator<Item = &LostUpstream> {
+        let suspect = self.ledger.get(&SuspectKey::Request(request));
+        suspect.into_iter().flat_map(|suspect| suspect.losses.keys())
+    }
+
     /// Returns the refusals, including those whose time has passed and that a further loss would
     /// put into force again.
     #[must_use]
--- a/crates/poison/tests/quarantine.rs
+++ b/crates/poison/tests/quarantine.rs
@@ -526,3 +526,47 @@
         prop_assert!(reports.len() <= LIMITS.capacity);
     }
 }
+
+#[test]
+fn upstreams_lost_with_a_request_are_known_until_its_next_success() {
+    struct Case {
+        name: &'static str,
+        /// Losses by time, index and start of the upstream.
+        losses: &'static [(u64, u64, u64)],
+        success_ms: Option<u64>,
+        known: &'static [(u64, u64)],
+    }
+    let cases = [
+        Case { name: "none", losses: &[], success_ms: None, known: &[] },
+        Case {
+            name: "one upstream twice, and its next incarnation",
+            losses: &[(0, 1, 1), (100, 1, 1), (200, 1, 2)],
+            success_ms: None,
+            known: &[(1, 1), (1, 2)],
+        },
+        Case {
+            name: "a success between two losses",
+            losses: &[(0, 1, 1), (200, 2, 1)],
+            success_ms: Some(100),
+            known: &[(2, 1)],
+        },
+    ];
+    for Case { name, losses, success_ms, known } in cases {
+        let mut quarantine = Quarantine::new(LIMITS);
+        let accused = unique_request(&[]);
+        for (at_ms, index, started_at_ms) in losses {
+            quarantine.on_upstream_lost(*at_ms, &accused, &incarnation(*index, *started_at_ms));
+        }
+        if let Some(at_ms) = success_ms {
+            quarantine.on_success(at_ms, &accused);
+        }
+        let lost: Vec<LostUpstream> = quarantine.lost_upstreams(accused.request).cloned().collect();
+        let expected: Vec<LostUpstream> = known
+            .iter()
+            .map(|(index, started_at_ms)| incarnation(*index, *started_at_ms))
+            .collect();
+        assert_eq!(lost, expected, "{name}");
+        let others = quarantine.lost_upstreams(unique_request(&[]).request).count();
+        assert_eq!(others, 0, "{name}");
+    }
+}
--- a/crates/serve/src/hub/quarantine.rs
+++ b/crates/serve/src/hub/quarantine.rs
@@ -6,7 +6,8 @@
     encode_hex, from_json, suspect_from_proto, suspect_key_from_proto, suspect_key_to_proto,
     suspect_to_proto,
 };
-use cowslip_poison::{Accused, Refusal, SegmentId, SuspectKey, SuspectLimits};
+use cowslip_fleet::{Standing, Upstream};
+use cowslip_poison::{Accused, Refusal, RequestDigest, SegmentId, SuspectKey, SuspectLimits};
 use cowslip_proto as proto;
 
 use super::Hub;
@@ -56,6 +57,19 @@
         self.quarantine.refusal(self.clock.now_ms(), accused).is_some()
     }
 
+    /// Returns how an upstream stands with the request that has this digest.
+    pub(super) fn standing(
+        &self,
+        now_ms: u64,
+        digest: RequestDigest,
+        upstream: &Upstream,
+    ) -> Standing {
+        let was_lost = self.quarantine.lost_upstreams(digest).any(|lost| {
+            lost.name.as_str() == &*upstream.id && lost.started_at_ms == upstream.started_at_ms
+        });
+        Standing::of(self.health.is_backing_off(now_ms, &upstream.id), was_lost)
+    }
+
     /// Returns whether a quarantined request may be sent as a probe. Only the lease holder probes.
     pub(super) fn try_probe(&mut self, attempt_id: &str, accused: &Accused<'_>) -> bool {
         let now_ms = self.clock.now_ms();
--- a/crates/serve/src/hub/requests.rs
+++ b/crates/serve/src/hub/requests.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use cowslip_fleet::{
-    Authorized, Denial, Load, Placement, PlacementRequest, Prompt, RetrySafety, Upstream, place,
+    Authorized, Denial, Load, Placement, PlacementRequest, Prompt, RetrySafety, Standing, Upstream,
+    place,
 };
 use cowslip_name::Name;
 use cowslip_poison::{Accused, LostUpstream, RequestDigest, SegmentId};
@@ -96,7 +97,7 @@
             .clone();
         self.retry_budget.on_request(now_ms, &service);
         let placement = self
-            .pick_placement(&service, unplaced.prompt.as_ref(), None, &[])
+            .pick_placement(&service, unplaced.request_digest, unplaced.prompt.as_ref(), None, &[])
             .ok_or_else(|| self.no_upstream(&service))?;
         let Placement { prefill_upstream, upstream } = placement;
         event!(
@@ -131,31 +132,37 @@
         Ok(Assignment { prefill_upstream, upstream })
     }
 
-    /// Picks from a service's upstreams that accept work and were not tried. Upstreams that are
-    /// backing off are picked only when there is no other.
+    /// Picks from a service's upstreams that accept work and were not tried, in the order of their
+    /// [`Standing`].
     fn pick_placement(
         &self,
         service: &str,
+        digest: RequestDigest,
         prompt: Option<&Prompt>,
         preferred_domain: Option<&str>,
         tried: &[Arc<str>],
     ) -> Option<Placement> {
         let now_ms = self.clock.now_ms();
-        let eligible: Vec<&Arc<Upstream>> = self.registry.eligible(now_ms, service).collect();
-        let untried = |up: &&Arc<Upstream>| !tried.contains(&up.id);
-        let healthy =
-            |up: &&Arc<Upstream>| !self.health.is_backing_off(now_ms, &up.id) && untried(up);
+        let candidates: Vec<(&Arc<Upstream>, Standing)> = self
+            .registry
+            .eligible(now_ms, service)
+            .filter(|up| !tried.contains(&up.id))
+            .map(|up| (up, self.standing(now_ms, digest, up)))
+            .collect();
         let request = PlacementRequest {
             prompt,
             may_disaggregate: tried.is_empty(),
             preferred_domain,
             tie_breaker: fastrand::u64(..),
         };
-        let place_among = |candidates: Vec<&Arc<Upstream>>| {
-            place(&request, &candidates, &self.config.locality, |up| self.load(now_ms, up))
-        };
-        place_among(eligible.iter().copied().filter(healthy).collect())
-            .or_else(|| place_among(eligible.iter().copied().filter(untried).collect()))
+        Standing::place_by(|worst| {
+            let usable: Vec<&Arc<Upstream>> = candidates
+                .iter()
+                .filter(|(_, standing)| *standing <= worst)
+                .map(|(up, _)| *up)
+                .collect();
+            place(&request, &usable, &self.config.locality, |up| self.load(now_ms, up))
+        })
     }
 
     /// Returns why no upstream of the service can be picked.
@@ -236,7 +243,7 @@
         }
         let service = request.service.clone();
         let placement = self
-            .pick_placement(&service, None, None, &request.tried)
+            .pick_placement(&service, request.request_digest, None, None, &request.tried)
             .ok_or_else(|| self.no_upstream(&service))?;
         let instances = self.instances.count();
         if reason != RetryReason::NotArrived
@@ -296,7 +303,9 @@
         let preferred_domain = prefill_upstream
             .and_then(|id| self.registry.get(&id))
             .map(|up| up.failure_domain.clone());
-        let placement = self.pick_placement(&service, None, preferred_domain.as_deref(), &[]);
+        let digest = request.request_digest;
+        let placement =
+            self.pick_placement(&service, digest, None, preferred_domain.as_deref(), &[]);
         let chosen = placement.ok_or_else(|| self.no_upstream(&service))?.upstream;
         self.release_queued(&assigned.id);
         self.loads.entry(chosen.id.clone()).or_default().queued += 1;
