Send upstreams' records in bounded batches, compared by digest

Cause: a link without a cursor (its first exchange, a restarted peer, a changed list of peers) was sent all upstreams' records in one reply, by each of its feeders. A reply that did not arrive within the second of an exchange was sent again in full.

Replies now hold at most 32 KiB of records and a cursor that advances. While one peer sends several batches, the others are not asked. Messages are compressed. cowslip_feed_bytes_total counts bytes by field.

--- a/crates/codec/src/codec.rs
+++ b/crates/codec/src/codec.rs
@@ -40,6 +40,39 @@
     bincode::serde::encode_to_vec(message, config).context(EncodeSnafu)
 }
 
+/// Returns the size of an encoded message or part of one, in bytes.
+pub fn peer_message_bytes<T>(message: &T) -> usize
+where
+    T: Serialize,
+{
+    let mut writer = bincode::enc::write::SizeWriter::default();
+    let config = bincode::config::standard();
+    bincode::serde::encode_into_writer(message, &mut writer, config)
+        .map_or(0, |()| writer.bytes_written)
+}
+
+/// Compresses a message between instances.
+#[must_use]
+pub fn compress_peer_message(message: &[u8]) -> Vec<u8> {
+    lz4_flex::block::compress_prepend_size(message)
+}
+
+/// Restores a message that [`compress_peer_message`] has compressed.
+///
+/// # Errors
+/// Returns [`CodecError::Field`] when the bytes are malformed, or when the message is larger than
+/// [`MAX_PEER_MESSAGE_BYTES`].
+pub fn decompress_peer_message(bytes: &[u8]) -> Result<Vec<u8>, CodecError> {
+    let malformed = |reason: String| CodecError::Field { field: "message", reason };
+    // The size is checked before as much memory is reserved.
+    let (size_bytes, rest) =
+        lz4_flex::block::uncompressed_size(bytes).map_err(|error| malformed(error.to_string()))?;
+    if size_bytes > MAX_PEER_MESSAGE_BYTES {
+        return Err(malformed(format!("{size_bytes} bytes are too many")));
+    }
+    lz4_flex::block::decompress(rest, size_bytes).map_err(|error| malformed(error.to_string()))
+}
+
 /// Parses JSON into a generated type.
 ///
 /// # Errors
--- a/crates/codec/src/lib.rs
+++ b/crates/codec/src/lib.rs
@@ -17,7 +17,8 @@
 
 pub use api_key::{ApiKey, issue_api_key};
 pub use codec::{
-    MAX_PEER_MESSAGE_BYTES, decode_peer_message, encode_peer_message, from_json, to_json,
+    MAX_PEER_MESSAGE_BYTES, compress_peer_message, decode_peer_message, decompress_peer_message,
+    encode_peer_message, from_json, peer_message_bytes, to_json,
 };
 pub use error::CodecError;
 pub use hex::{decode_digest_hex, encode_hex};
--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -23,7 +23,7 @@
 }
 
 /// An upstream as its entry in the store describes it.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub struct Upstream {
     /// Identifier of the upstream; later incarnations may reuse it.
     pub id: Arc<str>,
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -3,10 +3,12 @@
 //!
 //! The crate only decides: it uses no clock, no socket and no encoding.
 
+mod change_log;
 mod feed_topology;
 mod feeder_selection;
 mod members;
 
+pub use change_log::{Batch, ChangeLog, DIGEST_GROUPS, PeerKnowledge};
 pub use feed_topology::{FeedRole, FeedTimes, FeedTopology, Location};
 pub use feeder_selection::{assigned_feeders, select_feeders, select_readers};
 pub use members::{Heartbeat, ListedMember, Members};
--- a/crates/proto/src/generated.rs
+++ b/crates/proto/src/generated.rs
@@ -974,6 +974,7 @@
 ///    "place",
 ///    "read_age_ms",
 ///    "roster",
+///    "roster_has_more",
 ///    "suspects",
 ///    "true_ms"
 ///  ],
@@ -1012,12 +1013,16 @@
 ///      "format": "uint64"
 ///    },
 ///    "roster": {
-///      "description": "Records of the upstreams' entries that changed after `seen`; empty if they are not wanted. A removal is held back until it is certain.",
+///      "description": "Records of the upstreams' entries that changed after `seen` and whose digests differ, as many as fit; empty if they are not wanted. A removal is held back until it is certain.",
 ///      "type": "array",
 ///      "items": {
 ///        "$ref": "#/definitions/StoredRecord"
 ///      }
 ///    },
+///    "roster_has_more": {
+///      "description": "Whether further records of the upstreams' entries did not fit.",
+///      "type": "boolean"
+///    },
 ///    "suspects": {
 ///      "$ref": "#/definitions/SuspectChanges"
 ///    },
@@ -1041,8 +1046,10 @@
     pub place: FeedCursor,
     ///Age in milliseconds of the newest read of the upstreams' entries that the replying instance has made or was fed; null if it has none.
     pub read_age_ms: ::std::option::Option<u64>,
-    ///Records of the upstreams' entries that changed after `seen`; empty if they are not wanted. A removal is held back until it is certain.
+    ///Records of the upstreams' entries that changed after `seen` and whose digests differ, as many as fit; empty if they are not wanted. A removal is held back until it is certain.
     pub roster: ::std::vec::Vec<StoredRecord>,
+    ///Whether further records of the upstreams' entries did not fit.
+    pub roster_has_more: bool,
     pub suspects: SuspectChanges,
     ///Estimate of the cluster time by the replying instance, in Unix milliseconds.
     pub true_ms: u64,
@@ -1061,6 +1068,7 @@
 ///    "from",
 ///    "peer_address",
 ///    "reads_store",
+///    "roster_digests",
 ///    "seen",
 ///    "starts",
 ///    "suspects",
@@ -1091,6 +1099,14 @@
 ///      "description": "Whether the sender's own reads of the store succeed.",
 ///      "type": "boolean"
 ///    },
+///    "roster_digests": {
+///      "description": "Digests of the sender's upstreams' entries by group of keys, where the sender has no cursor of them yet; otherwise empty.",
+///      "type": "array",
+///      "items": {
+///        "type": "integer",
+///        "format": "uint64"
+///      }
+///    },
 ///    "seen": {
 ///      "description": "Cursor of the last reply that the sender got from the receiver; null before the first reply.",
 ///      "oneOf": [
@@ -1141,6 +1157,8 @@
     pub peer_address: ::std::string::String,
     ///Whether the sender's own reads of the store succeed.
     pub reads_store: bool,
+    ///Digests of the sender's upstreams' entries by group of keys, where the sender has no cursor of them yet; otherwise empty.
+    pub roster_digests: ::std::vec::Vec<u64>,
     ///Cursor of the last reply that the sender got from the receiver; null before the first reply.
     pub seen: ::std::option::Option<FeedCursor>,
     ///Request starts that changed since the sender's last request, where the sender does not write them to the store itself or failed to.
--- a/crates/serve/src/hub/feed.rs
+++ b/crates/serve/src/hub/feed.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use cowslip_codec::{holder_to_proto, start_windows_from_proto, start_windows_to_proto};
-use cowslip_membership::FeedRole;
+use cowslip_membership::{FeedRole, PeerKnowledge};
 use cowslip_name::Name;
 use cowslip_proto as proto;
 
@@ -13,6 +13,20 @@
 /// Poll intervals without a successful read of the upstreams' entries after which reading counts as
 /// failed.
 const MAX_MISSED_READS: u32 = 3;
+/// Largest batch of upstreams' records in one reply, before compression.
+const MAX_ROSTER_BYTES: usize = 32_768; // a tenth of a second of the slowest link, uncompressed
+/// Bytes of a record in a reply in addition to its key and value.
+const RECORD_OVERHEAD_BYTES: usize = 12;
+/// Time without a batch after which a transfer of upstreams' records counts as broken off.
+const TRANSFER_TIMEOUT_MS: u64 = 1_200; // longer than a feed exchange may take
+
+/// Transfer of many upstreams' records from one peer in several batches. Meanwhile no other peer is
+/// asked for them.
+#[derive(Debug)]
+pub(super) struct RosterTransfer {
+    from: Name,
+    last_batch_at_ms: u64,
+}
 
 impl<P> Hub<P>
 where
@@ -33,7 +47,29 @@
         self.own_read_at_ms(now_ms).max(self.feed_topology.fed_read_at_ms())
     }
 
-    pub(super) fn build_feed(&self, link: &LinkState) -> (proto::FeedRequest, LinkState) {
+    /// Returns whether the records that `peer` has are asked for now, and the digests of the known
+    /// ones if the peer cannot tell which of them are missing.
+    fn wanted_roster(&self, now_ms: u64, peer: &Name, link: &LinkState) -> (bool, Vec<u64>) {
+        let reads_roster = self.feed_topology.role() == FeedRole::Reader
+            && self.reads_store(now_ms)
+            && self.is_roster_known;
+        let has_position = link.received_cursor.as_ref().is_some_and(|cursor| cursor.roster > 0);
+        let is_initial = !has_position || link.lacks_roster;
+        let is_other_active = self.roster_transfer.as_ref().is_some_and(|transfer| {
+            transfer.from != *peer
+                && now_ms.saturating_sub(transfer.last_batch_at_ms) < TRANSFER_TIMEOUT_MS
+        });
+        let wants_roster = !reads_roster && !(is_initial && is_other_active);
+        let log = self.roster_records.log();
+        let has_digests = wants_roster && is_initial && !log.is_empty();
+        (wants_roster, if has_digests { log.digests().to_vec() } else { Vec::new() })
+    }
+
+    pub(super) fn build_feed(
+        &self,
+        peer: &Name,
+        link: &LinkState,
+    ) -> (proto::FeedRequest, LinkState) {
         let now_ms = self.clock.now_ms();
         let reads_store = self.reads_store(now_ms);
         let is_reader = self.feed_topology.role() == FeedRole::Reader;
@@ -43,13 +79,15 @@
             is_reader || !self.feed_topology.must_read_store(now_ms) || self.starts.has_failed();
         let starts = self.starts.changed_since(link.sent_starts).filter(|_| sends_starts);
         let (suspects, sent_suspects) = self.suspects_since(link.sent_suspects);
+        let (wants_roster, roster_digests) = self.wanted_roster(now_ms, peer, link);
         let request = proto::FeedRequest {
             from: holder_to_proto(&self.identity),
             peer_address: self.config.peer_address.to_string(),
             failure_domain: self.config.settings.instance.failure_domain.clone(),
             reads_store,
             declaration_offset: self.declaration.as_ref().map(|record| record.offset),
-            wants_roster: !is_reader || !reads_store || !self.is_roster_known,
+            wants_roster,
+            roster_digests,
             wants_instances: self.feed_topology.wants_feeders(now_ms),
             seen: link.received_cursor.clone(),
             true_ms: self.cluster_ms(),
@@ -60,6 +98,7 @@
             received_cursor: link.received_cursor.clone(),
             sent_starts: if sends_starts { self.starts.version() } else { link.sent_starts },
             sent_suspects,
+            lacks_roster: link.lacks_roster,
         };
         (request, next_link)
     }
@@ -91,21 +130,27 @@
         let sends_instances = request.wants_instances && !self.instances.is_fed();
         // A missing entry may only be late, so a removal is sent once the registry has dropped the
         // upstream.
-        let is_final = |record: &&StoredRecord| {
+        let is_final = |record: &StoredRecord| {
             !record.value.is_empty() || self.registry.get(&record.key).is_none()
         };
-        let roster = self.roster_records.changed_since(cursor.roster).filter(|_| sends_roster);
+        let log = self.roster_records.log();
+        let peer = PeerKnowledge { version: cursor.roster, digests: &request.roster_digests };
+        let max_bytes = MAX_ROSTER_BYTES;
+        let roster = sends_roster.then(|| log.batch(peer, max_bytes, record_bytes, is_final));
+        let roster_version = roster.as_ref().map_or(cursor.roster, |batch| batch.version);
         let (suspects, sent_suspects) = self.suspects_since(cursor.suspects);
         proto::FeedReply {
             read_age_ms: self.read_at_ms(now_ms).map(|at_ms| now_ms.saturating_sub(at_ms)),
             declaration,
-            roster: roster.filter(is_final).map(to_proto).collect(),
+            roster_has_more: roster_version < log.version(),
+            roster: roster
+                .map_or_else(Vec::new, |batch| batch.rows.into_iter().map(to_proto).collect()),
             instances: self.instances.changed_since(cursor.instances).filter(|_| sends_instances),
             true_ms: self.cluster_ms(),
             suspects,
             place: proto::FeedCursor {
                 incarnation: self.identity.incarnation,
-                roster: if sends_roster { self.roster_records.version() } else { cursor.roster },
+                roster: roster_version,
                 suspects: sent_suspects,
                 instances: if sends_instances {
                     self.instances.version()
@@ -120,10 +165,11 @@
         let now_ms = self.clock.now_ms();
         self.cluster_clock.on_estimate(now_ms, feed.true_ms);
         self.on_suspects(&feed.suspects);
+        self.update_transfer(now_ms, from, &feed);
         if let Some(record) = feed.declaration {
             self.on_declaration(from_proto(record), "instance");
         }
-        self.is_roster_known |= !feed.roster.is_empty();
+        self.is_roster_known |= !feed.roster_has_more && feed.place.roster > 0;
         for record in feed.roster {
             self.on_upstream(from_proto(record), "instance");
         }
@@ -132,6 +178,33 @@
         }
         self.feed_topology.on_feed_received(now_ms, from, feed.read_age_ms);
     }
+
+    fn update_transfer(&mut self, now_ms: u64, from: &Name, feed: &proto::FeedReply) {
+        let is_from_source =
+            self.roster_transfer.as_ref().is_none_or(|transfer| transfer.from == *from);
+        if feed.roster_has_more && !feed.roster.is_empty() {
+            let is_broken_off = self.roster_transfer.as_ref().is_some_and(|transfer| {
+                now_ms.saturating_sub(transfer.last_batch_at_ms) >= TRANSFER_TIMEOUT_MS
+            });
+            if is_from_source || is_broken_off {
+                self.roster_transfer =
+                    Some(RosterTransfer { from: from.clone(), last_batch_at_ms: now_ms });
+            }
+        } else if is_from_source {
+            self.roster_transfer = None;
+        }
+    }
+
+    pub(super) fn on_feed_failed(&mut self, peer: &Name) {
+        self.feed_topology.on_feed_failed(peer);
+        if self.roster_transfer.as_ref().is_some_and(|transfer| transfer.from == *peer) {
+            self.roster_transfer = None;
+        }
+    }
+}
+
+fn record_bytes(record: &StoredRecord) -> usize {
+    record.key.len() + record.value.len() + RECORD_OVERHEAD_BYTES
 }
 
 fn to_proto_starts(
--- a/crates/serve/src/hub/message.rs
+++ b/crates/serve/src/hub/message.rs
@@ -55,7 +55,7 @@
     ReadMode { topic: Topic, reply: ReplySender<ReadMode> },
     /// Builds the next feed request to a peer; the reply also holds the state of the link that
     /// applies once the peer has received the request.
-    BuildFeed { link: LinkState, reply: ReplySender<(proto::FeedRequest, LinkState)> },
+    BuildFeed { to: Name, link: LinkState, reply: ReplySender<(proto::FeedRequest, LinkState)> },
     /// Handles a feed request from a peer.
     HandleFeed { feed: Box<proto::FeedRequest>, reply: ReplySender<proto::FeedReply> },
     /// Applies a peer's reply to a feed request.
@@ -119,6 +119,8 @@
     pub(crate) sent_starts: u64,
     /// Version of the suspects up to which the peer has received them.
     pub(crate) sent_suspects: u64,
+    /// Whether the peer has records of upstreams' entries that did not fit into its last reply.
+    pub(crate) lacks_roster: bool,
 }
 
 /// The parts of a request's head that decide its route and workspace.
--- a/crates/serve/src/hub/mod.rs
+++ b/crates/serve/src/hub/mod.rs
@@ -34,6 +34,7 @@
 };
 pub(crate) use quarantine::QUARANTINE_KEY;
 
+use feed::RosterTransfer;
 use instances::{Instances, location_in};
 use records::{RosterReads, RosterRecords};
 use requests::{LocalLoad, PlacedRequest};
@@ -61,6 +62,7 @@
     /// Whether the store or a peer has provided any list of upstreams.
     is_roster_known: bool,
     roster_reads: RosterReads,
+    roster_transfer: Option<RosterTransfer>,
     health: UpstreamHealth,
     loads: HashMap<Arc<str>, LocalLoad>,
     /// Time until which the client's pool holds a connection to an upstream.
@@ -121,6 +123,7 @@
             roster_records: RosterRecords::default(),
             is_roster_known: false,
             roster_reads: RosterReads::default(),
+            roster_transfer: None,
             health: UpstreamHealth::default(),
             loads: HashMap::new(),
             pooled_until_ms: HashMap::new(),
@@ -183,10 +186,12 @@
             HubMessage::Records { topic, page, is_list } => self.on_records(topic, page, is_list),
             HubMessage::StoreState { topic, is_up } => self.on_store_state(topic, is_up),
             HubMessage::ReadMode { topic, reply } => send_reply(&reply, self.read_mode(topic)),
-            HubMessage::BuildFeed { link, reply } => send_reply(&reply, self.build_feed(&link)),
+            HubMessage::BuildFeed { to, link, reply } => {
+                send_reply(&reply, self.build_feed(&to, &link));
+            }
             HubMessage::HandleFeed { feed, reply } => send_reply(&reply, self.handle_feed(*feed)),
             HubMessage::ApplyFeed { from, feed } => self.apply_feed(&from, *feed),
-            HubMessage::FeedFailed { peer } => self.feed_topology.on_feed_failed(&peer),
+            HubMessage::FeedFailed { peer } => self.on_feed_failed(&peer),
             HubMessage::SetLease { lease } => {
                 self.metrics.is_holder.set(i64::from(lease.is_some()));
                 self.lease = lease;
--- a/crates/serve/src/hub/records.rs
+++ b/crates/serve/src/hub/records.rs
@@ -1,12 +1,14 @@
 //! Records of the store, read by this instance or sent by a feeder.
 
 use std::collections::BTreeMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use cowslip_codec::from_json;
-use cowslip_fleet::{LeaveReason, UpstreamChange};
+use cowslip_fleet::{LeaveReason, Upstream, UpstreamChange};
+use cowslip_membership::ChangeLog;
 use cowslip_proto as proto;
 
 use super::{Hub, QUARANTINE_KEY};
@@ -38,32 +40,19 @@
 /// about every second, but only changes get a new version and are sent to peers.
 #[derive(Debug, Default)]
 pub(super) struct RosterRecords {
-    records: BTreeMap<Arc<str>, VersionedRecord>,
-    version: u64,
+    log: ChangeLog<StoredRecord>,
     /// Offset of the newest malformed record of each key. These are not sent to peers.
     malformed: BTreeMap<Arc<str>, u64>,
 }
 
-#[derive(Debug)]
-struct VersionedRecord {
-    record: StoredRecord,
-    /// Version of all records at which this one changed last.
-    version: u64,
-}
-
 impl RosterRecords {
-    /// Returns the version of the newest change.
-    pub(super) fn version(&self) -> u64 {
-        self.version
-    }
-
-    /// Returns the records that changed after `version`.
-    pub(super) fn changed_since(&self, version: u64) -> impl Iterator<Item = &StoredRecord> {
-        self.records.values().filter(move |row| row.version > version).map(|row| &row.record)
+    /// Returns the records in the order of their changes.
+    pub(super) fn log(&self) -> &ChangeLog<StoredRecord> {
+        &self.log
     }
 
     fn is_known(&self, record: &StoredRecord) -> bool {
-        let known = self.records.get(&record.key).map(|row| row.record.offset);
+        let known = self.log.get(&record.key).map(|known| known.offset);
         known.max(self.malformed.get(&record.key).copied()) >= Some(record.offset)
     }
 
@@ -75,48 +64,39 @@
         self.malformed.insert(record.key.clone(), record.offset);
     }
 
-    fn has_entry(&self, key: &str) -> bool {
-        self.records.get(key).is_some_and(|row| !row.record.value.is_empty())
-    }
-
-    fn insert(&mut self, record: StoredRecord, upstream_count: usize) {
-        self.version += 1;
-        let row = VersionedRecord { record: record.clone(), version: self.version };
-        self.records.insert(record.key, row);
-        self.forget_old_removals(upstream_count);
+    /// Inserts a record unless the contents of its key are the same.
+    fn insert(&mut self, record: StoredRecord, digest: u64, upstream_count: usize) {
+        if digest != 0 && self.log.digest(&record.key) == Some(digest) {
+            return;
+        }
+        let key = record.key.clone();
+        self.log.insert(&key, record, digest);
+        // Newer removals are kept for peers that have not received them yet.
+        if self.log.len() > upstream_count + MAX_KEPT_REMOVALS {
+            self.log.forget_oldest_removal();
+        }
     }
 
     /// Gives a removal a new version once the registry has dropped the upstream, so that peers
     /// receive it.
     pub(super) fn mark_removed(&mut self, key: &str) {
-        if let Some(row) = self.records.get_mut(key) {
-            self.version += 1;
-            row.version = self.version;
-        }
+        self.log.touch(key);
     }
 
     /// Returns the keys of present entries that are missing in a list of all keys.
     fn missing<'a>(&'a self, listed: &[StoredRecord]) -> impl Iterator<Item = Arc<str>> + 'a {
         let listed: std::collections::BTreeSet<Arc<str>> =
             listed.iter().map(|record| record.key.clone()).collect();
-        self.records
-            .iter()
-            .filter(move |(key, row)| !row.record.value.is_empty() && !listed.contains(*key))
-            .map(|(key, _)| key.clone())
+        self.log.present_keys().filter(move |key| !listed.contains(*key)).cloned()
     }
+}
 
-    /// Drops the oldest removal above the limit; newer ones are kept for peers that have not
-    /// received them yet.
-    fn forget_old_removals(&mut self, upstream_count: usize) {
-        if self.records.len() <= upstream_count + MAX_KEPT_REMOVALS {
-            return;
-        }
-        let removed = self.records.values().filter(|row| row.record.value.is_empty());
-        let oldest = removed.min_by_key(|row| row.version).map(|row| row.record.key.clone());
-        if let Some(key) = oldest {
-            self.records.remove(&key);
-        }
-    }
+/// Returns the digest of an entry's contents, never 0. It differs between builds at most, which costs
+/// a comparison of all entries.
+fn digest_of(upstream: &Upstream) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    upstream.hash(&mut hasher);
+    hasher.finish().max(1)
 }
 
 impl<P> Hub<P>
@@ -200,15 +180,13 @@
         if self.roster_records.is_known(&record) {
             return;
         }
-        let mut has_changed = true;
-        let changes = if record.value.is_empty() {
-            self.registry.on_removed(self.clock.now_ms(), &record.key)
+        let (changes, digest) = if record.value.is_empty() {
+            (self.registry.on_removed(self.clock.now_ms(), &record.key), 0)
         } else {
             match self.platform.decode_upstream(&record.key, &record.value) {
                 Ok(entry) => {
-                    has_changed = !self.roster_records.has_entry(&record.key)
-                        || self.registry.get(&record.key).is_none_or(|known| **known != entry);
-                    self.registry.on_entry(entry)
+                    let digest = digest_of(&entry);
+                    (self.registry.on_entry(entry), digest)
                 }
                 Err(why) => {
                     let upstream = &record.key;
@@ -223,9 +201,7 @@
                 }
             }
         };
-        if has_changed {
-            self.roster_records.insert(record, self.registry.iter().count());
-        }
+        self.roster_records.insert(record, digest, self.registry.iter().count());
         self.on_upstream_changes(&changes, source);
     }
 
--- a/crates/serve/src/metrics.rs
+++ b/crates/serve/src/metrics.rs
@@ -29,6 +29,8 @@
     "cowslip_is_reader",
     "cowslip_quarantined_requests",
     "cowslip_quarantined_segments",
+    "cowslip_feeds_total",
+    "cowslip_feed_bytes_total",
 ];
 
 /// The metrics of this instance.
@@ -65,6 +67,11 @@
     pub(crate) quarantined_requests: IntGauge,
     /// Combinations of prompt segments whose requests are refused.
     pub(crate) quarantined_segments: IntGauge,
+    /// Feed messages, by kind (`request`, `reply`) and direction (`sent`, `received`).
+    pub(crate) feeds: IntCounterVec,
+    /// Bytes of feed messages before compression, by field and direction; the field `compressed`
+    /// counts the bytes of whole messages after it.
+    pub(crate) feed_bytes: IntCounterVec,
 }
 
 impl Metrics {
@@ -74,12 +81,13 @@
 
     fn register() -> Result<Self, prometheus::Error> {
         let registry = Registry::new();
-        let counter_by =
-            |name: &str, help: &str, label: &str| -> Result<IntCounterVec, prometheus::Error> {
-                let counter = IntCounterVec::new(Opts::new(name, help), &[label])?;
+        let counter_by_all =
+            |name: &str, help: &str, labels: &[&str]| -> Result<IntCounterVec, prometheus::Error> {
+                let counter = IntCounterVec::new(Opts::new(name, help), labels)?;
                 registry.register(Box::new(counter.clone()))?;
                 Ok(counter)
             };
+        let counter_by = |name: &str, help: &str, label: &str| counter_by_all(name, help, &[label]);
         let histogram = |name: &str, help: &str| -> Result<Histogram, prometheus::Error> {
             let options = HistogramOpts::new(name, help).buckets(LATENCY_BOUNDS_S.to_vec());
             let histogram = Histogram::with_opts(options)?;
@@ -116,6 +124,16 @@
                 "cowslip_quarantined_segments",
                 "Combinations of prompt segments whose requests are refused",
             )?,
+            feeds: counter_by_all(
+                "cowslip_feeds_total",
+                "Feed messages by kind and direction",
+                &["kind", "direction"],
+            )?,
+            feed_bytes: counter_by_all(
+                "cowslip_feed_bytes_total",
+                "Bytes of feed messages by field and direction",
+                &["field", "direction"],
+            )?,
             registry,
         })
     }
--- a/crates/serve/src/run.rs
+++ b/crates/serve/src/run.rs
@@ -110,7 +110,7 @@
     };
     control.spawn(&hub, messages, &lease, lease_messages);
     let (stop, stopped) = async_channel::bounded::<()>(1);
-    let peers = run_peer_server(listeners.peer, hub.clone(), stopped.clone());
+    let peers = run_peer_server(listeners.peer, hub.clone(), metrics.clone(), stopped.clone());
     compio::runtime::spawn(peers).detach();
     spawn_control_server(listeners.ready, hub.clone(), metrics.clone());
     spawn_control_server(listeners.operator, hub.clone(), metrics.clone());
@@ -212,7 +212,8 @@
                     wait_ms: INSTANCES_WAIT_MS,
                 },
             ),
-            run_links(hub.clone(), config.feed_every(), link_commands).boxed_local(),
+            run_links(hub.clone(), (*metrics).clone(), config.feed_every(), link_commands)
+                .boxed_local(),
             run_registration(platform.clone(), hub.clone(), entry).boxed_local(),
             run_starts(platform.clone(), hub.clone()).boxed_local(),
             run_quarantine(platform.clone(), hub.clone()).boxed_local(),
--- a/crates/serve/src/tasks/links.rs
+++ b/crates/serve/src/tasks/links.rs
@@ -4,17 +4,17 @@
 use std::time::Duration;
 
 use async_channel::Receiver;
-use bytes::Bytes;
 use compio::runtime::JoinHandle;
-use cowslip_codec::{MAX_PEER_MESSAGE_BYTES, decode_peer_message, encode_peer_message};
+use cowslip_codec::MAX_PEER_MESSAGE_BYTES;
 use cowslip_name::Name;
 use cowslip_net::PeerConnection;
-use cowslip_proto as proto;
 
 use super::HubHandle;
+use super::feed_codec::FeedCodec;
 use super::peer_server::FEED_PATH;
 use crate::events::{Event, event};
 use crate::hub::{HubMessage, LinkState, Peer, SetPeers};
+use crate::metrics::Metrics;
 
 /// Timeout of a feed exchange. Peers in the same region reply within milliseconds, in other regions
 /// within some dozen milliseconds; a slow peer must not hold the link for long.
@@ -32,7 +32,13 @@
 }
 
 /// Keeps a link to each listed peer until the process ends.
-pub(crate) async fn run_links(hub: HubHandle, interval: Duration, commands: Receiver<SetPeers>) {
+pub(crate) async fn run_links(
+    hub: HubHandle,
+    metrics: Metrics,
+    interval: Duration,
+    commands: Receiver<SetPeers>,
+) {
+    let codec = FeedCodec::new(metrics);
     let mut links: BTreeMap<Name, LinkTask> = BTreeMap::new();
     while let Ok(SetPeers { peers }) = commands.recv().await {
         links.retain(|_, link| peers.contains(&link.peer));
@@ -41,11 +47,12 @@
                 let link = Link {
                     peer: peer.clone(),
                     hub: hub.clone(),
+                    codec: codec.clone(),
                     interval,
                     connection: None,
                     state: LinkState::default(),
                     failures: 0,
-                    is_starting: false,
+                    pace: Pace::Regular,
                 };
                 LinkTask { peer, _task: compio::runtime::spawn(link.run()) }
             });
@@ -56,21 +63,33 @@
 struct Link {
     peer: Peer,
     hub: HubHandle,
+    codec: FeedCodec,
     interval: Duration,
     connection: Option<PeerConnection>,
     state: LinkState,
     /// Consecutive failures.
     failures: u32,
-    /// Whether neither side knew the configuration at the last exchange.
-    is_starting: bool,
+    /// What the next exchange waits for.
+    pace: Pace,
+}
+
+/// When a link exchanges feeds again after a successful exchange.
+#[derive(Clone, Copy, Debug)]
+enum Pace {
+    /// At once, since records did not fit into the last reply.
+    Continue,
+    /// Soon, since neither side knows the configuration yet.
+    Starting,
+    /// After the usual interval.
+    Regular,
 }
 
 impl Link {
     async fn run(mut self) {
         loop {
             match self.exchange_feed().await {
-                Ok(is_starting) => {
-                    self.is_starting = is_starting;
+                Ok(pace) => {
+                    self.pace = pace;
                     if self.failures > 0 {
                         event!(
                             Event::PeerReachable,
@@ -95,19 +114,19 @@
 
     /// Returns the delay of the next exchange.
     fn delay(&self) -> Duration {
-        match self.failures {
-            0 if self.is_starting => self.interval / STARTING_EXCHANGES,
-            failures => self.interval * (1 << failures.min(MAX_BACKOFF_DOUBLINGS)),
+        match (self.failures, self.pace) {
+            (0, Pace::Continue) => Duration::ZERO,
+            (0, Pace::Starting) => self.interval / STARTING_EXCHANGES,
+            (failures, _) => self.interval * (1 << failures.min(MAX_BACKOFF_DOUBLINGS)),
         }
     }
 
-    /// Exchanges feeds once. Returns whether neither side knows the configuration yet, as while all
-    /// instances start.
-    async fn exchange_feed(&mut self) -> Result<bool, String> {
-        let link = self.state.clone();
-        let request = self.hub.request(|reply| HubMessage::BuildFeed { link, reply }).await;
+    /// Exchanges feeds once.
+    async fn exchange_feed(&mut self) -> Result<Pace, String> {
+        let (link, to) = (self.state.clone(), self.peer.name.clone());
+        let request = self.hub.request(|reply| HubMessage::BuildFeed { to, link, reply }).await;
         let (request, mut state) = request.ok_or("the hub task has ended")?;
-        let body = encode_peer_message(&request).map_err(|error| error.to_string())?;
+        let body = self.codec.encode_request(&request).map_err(|error| error.to_string())?;
         let connection = match self.connection.take() {
             Some(connection) => connection,
             None => PeerConnection::connect(self.peer.address, EXCHANGE_TIMEOUT)
@@ -115,21 +134,27 @@
                 .map_err(|error| error.to_string())?,
         };
         let reply = connection
-            .call(FEED_PATH, Bytes::from(body), MAX_PEER_MESSAGE_BYTES)
+            .call(FEED_PATH, body, MAX_PEER_MESSAGE_BYTES)
             .await
             .map_err(|error| error.to_string())?;
         self.connection = Some(connection);
-        let feed: proto::FeedReply =
-            decode_peer_message(&reply).map_err(|error| error.to_string())?;
-        let is_starting = request.declaration_offset.is_none() && feed.declaration.is_none();
+        let feed = self.codec.decode_reply(&reply).map_err(|error| error.to_string())?;
+        let pace = if request.wants_roster && feed.roster_has_more && !feed.roster.is_empty() {
+            Pace::Continue
+        } else if request.declaration_offset.is_none() && feed.declaration.is_none() {
+            Pace::Starting
+        } else {
+            Pace::Regular
+        };
         let cursor = feed.place.clone();
         if state.received_cursor.is_some_and(|known| known.incarnation != cursor.incarnation) {
             // The peer has restarted and lost what was sent to its previous incarnation.
             state = LinkState::default();
         }
-        self.state = LinkState { received_cursor: Some(cursor), ..state };
+        let lacks_roster = feed.roster_has_more;
+        self.state = LinkState { received_cursor: Some(cursor), lacks_roster, ..state };
         let from = self.peer.name.clone();
         self.hub.send(HubMessage::ApplyFeed { from, feed: Box::new(feed) }).await;
-        Ok(is_starting)
+        Ok(pace)
     }
 }
--- a/crates/serve/src/tasks/mod.rs
+++ b/crates/serve/src/tasks/mod.rs
@@ -1,6 +1,7 @@
 //! Tasks around the hub; each owns its sockets.
 
 mod duties;
+mod feed_codec;
 mod lease;
 mod links;
 mod peer_server;
