Space out reads while the store turns instances away

Request starts that cannot be written stay in the feeds. A failed read is no longer hedged by a second one.

--- a/crates/serve/src/hub/message.rs
+++ b/crates/serve/src/hub/message.rs
@@ -53,6 +53,8 @@
     StoreState { topic: Topic, is_up: bool },
     /// Asks whether and how this instance reads a topic of the store.
     ReadMode { topic: Topic, reply: ReplySender<ReadMode> },
+    /// Asks for the delay of the next read after consecutive failures.
+    RetryDelay { failures: u32, reply: ReplySender<Duration> },
     /// Builds the next feed request to a peer; the reply also holds the state of the link that
     /// applies once the peer has received the request.
     BuildFeed { to: Name, link: LinkState, reply: ReplySender<(proto::FeedRequest, LinkState)> },
@@ -91,6 +93,8 @@
 pub(crate) enum ReadMode {
     /// Feeders read it for this instance.
     Skip,
+    /// Keep the position, but do not read until a read of the upstreams' entries succeeds.
+    Wait,
     /// Continue from the last read.
     Continue,
     /// Read the newest record of each key first, since the known entries come from a feeder.
@@ -117,6 +121,8 @@
     pub(crate) received_cursor: Option<proto::FeedCursor>,
     /// Version of the request starts up to which the peer has received them.
     pub(crate) sent_starts: u64,
+    /// Version up to which the peer has received the request starts that this instance counted.
+    pub(crate) sent_own_starts: u64,
     /// Version of the suspects up to which the peer has received them.
     pub(crate) sent_suspects: u64,
     /// Whether the peer has records of upstreams' entries that did not fit into its last reply.
--- a/crates/serve/src/hub/mod.rs
+++ b/crates/serve/src/hub/mod.rs
@@ -9,6 +9,7 @@
 
 use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
+use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
 use cowslip_authority::Holder;
@@ -18,7 +19,7 @@
     DeclaredConfig, RetryBudget, StopSchedule, UpstreamChange, UpstreamHealth, UpstreamRegistry,
     plan_capacity, plan_roles,
 };
-use cowslip_membership::{FeedRole, FeedTopology};
+use cowslip_membership::{FeedRole, FeedTopology, store_retry_delay_ms};
 use cowslip_poison::{Quarantine, Refusal, SuspectKey};
 use cowslip_task::send_reply;
 use cowslip_usage::{ClusterClock, StartCounters, StartWindows, WindowTimes};
@@ -186,6 +187,11 @@
             HubMessage::Records { topic, page, is_list } => self.on_records(topic, page, is_list),
             HubMessage::StoreState { topic, is_up } => self.on_store_state(topic, is_up),
             HubMessage::ReadMode { topic, reply } => send_reply(&reply, self.read_mode(topic)),
+            HubMessage::RetryDelay { failures, reply } => {
+                let role = self.feed_topology.role();
+                let delay_ms = store_retry_delay_ms(role, failures, fastrand::u64(..=1_000));
+                send_reply(&reply, Duration::from_millis(delay_ms));
+            }
             HubMessage::BuildFeed { to, link, reply } => {
                 send_reply(&reply, self.build_feed(&to, &link));
             }
@@ -259,6 +265,8 @@
         };
         if !must_read {
             ReadMode::Skip
+        } else if topic != Topic::Roster && self.awaits_store(now_ms) {
+            ReadMode::Wait
         } else if topic == Topic::Instances && self.instances.is_fed() {
             ReadMode::Restart
         } else {
@@ -266,6 +274,15 @@
         }
     }
 
+    /// Returns whether only the upstreams' entries are read for now, to learn whether the store
+    /// serves this instance. So an outage costs one call at a time, not one for each topic. Readers
+    /// read all topics, since some may be served while others are not.
+    fn awaits_store(&self, now_ms: u64) -> bool {
+        self.feed_topology.role() != FeedRole::Reader
+            && self.feed_topology.must_read_store(now_ms)
+            && !self.reads_store(now_ms)
+    }
+
     /// Logs when this instance starts or stops reading the store itself, and sets the gauge.
     fn update_store_reader(&mut self, now_ms: u64) {
         let is_store_reader = self.feed_topology.must_read_store(now_ms);
@@ -286,15 +303,18 @@
     }
 
     /// Takes the changed request starts that this instance writes. While feeders read the store for
-    /// this instance, they also write its starts; at shutdown it writes them itself.
+    /// this instance, or the store turns it away, its peers write its starts; at shutdown it writes
+    /// them itself.
     fn take_starts(&mut self) -> Vec<(Arc<str>, StartWindows)> {
         let now_ms = self.clock.now_ms();
         let window = self.window_times.window_of(self.cluster_ms());
         self.starts.forget_before(window.saturating_sub(KEPT_START_WINDOWS));
-        if self.stop.is_some() || self.feed_topology.must_read_store(now_ms) {
-            self.starts.take_changed()
-        } else {
-            Vec::new()
-        }
+        let writes_starts = match self.feed_topology.role() {
+            FeedRole::Reader => true,
+            FeedRole::Feeder | FeedRole::Fed => {
+                self.feed_topology.must_read_store(now_ms) && self.reads_store(now_ms)
+            }
+        };
+        if self.stop.is_some() || writes_starts { self.starts.take_changed() } else { Vec::new() }
     }
 }
--- a/crates/serve/src/hub/quarantine.rs
+++ b/crates/serve/src/hub/quarantine.rs
@@ -139,6 +139,7 @@
         let keys = reports.iter().map(|report| report.key).collect();
         if self.stored_suspects.as_ref() == Some(&keys)
             || !self.feed_topology.must_read_store(now_ms)
+            || !self.reads_store(now_ms)
         {
             return None;
         }
--- a/crates/serve/src/tasks/lease.rs
+++ b/crates/serve/src/tasks/lease.rs
@@ -120,7 +120,7 @@
     async fn is_store_reader(&self) -> bool {
         let mode =
             self.hub.request(|reply| HubMessage::ReadMode { topic: Topic::Lease, reply }).await;
-        mode.is_some_and(|mode| mode != ReadMode::Skip)
+        mode.is_some_and(|mode| !matches!(mode, ReadMode::Skip | ReadMode::Wait))
     }
 
     async fn read(&mut self, sent_at_ms: u64) {
--- a/crates/serve/src/tasks/topic_reader.rs
+++ b/crates/serve/src/tasks/topic_reader.rs
@@ -12,8 +12,6 @@
 use crate::metrics::Metrics;
 use crate::platform::{Page, Platform, StoreError, Topic};
 
-/// Delay after a failed read; the store also counts the calls that it refuses.
-const RETRY_DELAY: Duration = Duration::from_millis(400);
 /// Time without a response after which a read is sent once more on a new connection.
 const HEDGE_AFTER: Duration = Duration::from_millis(500); // a response of the store takes some milliseconds
 /// Interval between checks whether feeders still read for this instance.
@@ -53,20 +51,31 @@
 {
     let mut next = None;
     let mut delay = schedule.min_delay;
+    let mut failures = 0;
     let mut store = StoreAvailability::new(topic, "reading");
     compio::time::sleep(schedule.first_delay).await;
     loop {
         match hub.request(|reply| HubMessage::ReadMode { topic, reply }).await {
             Some(ReadMode::Skip) => {
                 next = None;
+                failures = 0;
                 delay = schedule.min_delay;
                 compio::time::sleep(SKIP_INTERVAL).await;
                 continue;
             }
+            Some(ReadMode::Wait) => {
+                compio::time::sleep(SKIP_INTERVAL).await;
+                continue;
+            }
             Some(ReadMode::Restart) => next = None,
             Some(ReadMode::Continue) | None => {}
         }
-        let result = read_hedged(&platform, topic, next, schedule.wait_ms).await;
+        // A second read helps against a silent connection, not against an outage.
+        let result = if failures == 0 {
+            read_hedged(&platform, topic, next, schedule.wait_ms).await
+        } else {
+            read(&platform, topic, next, 0).await
+        };
         let outcome = if result.is_ok() { "ok" } else { "failed" };
         metrics.store_calls.with_label_values(&[outcome]).inc();
         if store.record(&result) {
@@ -76,6 +85,7 @@
         }
         match result {
             Ok(page) => {
+                failures = 0;
                 let is_list = next.is_none();
                 next = Some(page.next_offset);
                 forward(&hub, topic, page, is_list).await;
@@ -84,7 +94,12 @@
             }
             // The next records were removed: start again from the newest record of each key.
             Err(StoreError::Expired) => next = None,
-            Err(_) => compio::time::sleep(RETRY_DELAY).await,
+            Err(_) => {
+                failures += 1;
+                let delay = hub.request(|reply| HubMessage::RetryDelay { failures, reply }).await;
+                let Some(delay) = delay else { return };
+                compio::time::sleep(delay).await;
+            }
         }
     }
 }
