Send a reader only the request starts of the other reader

Cause: feeders send the request starts of all instances to both readers, and each reader sent all of them on to the other once more.

A reader sends its own starts, and all unwritten ones after a failed write.

--- a/crates/serve/src/hub/feed.rs
+++ b/crates/serve/src/hub/feed.rs
@@ -65,6 +65,31 @@
         (wants_roster, if has_digests { log.digests().to_vec() } else { Vec::new() })
     }
 
+    /// Returns the request starts that the peer lacks, and the versions up to which it then has all
+    /// starts and those of this instance.
+    fn starts_for_peer(
+        &self,
+        now_ms: u64,
+        link: &LinkState,
+    ) -> (Vec<proto::InstanceRequestStarts>, u64, u64) {
+        let starts = &self.starts;
+        let to_proto = |(key, windows): (&Arc<str>, _)| to_proto_starts(key, &windows);
+        let is_reader = self.feed_topology.role() == FeedRole::Reader;
+        if is_reader && !starts.has_failed() {
+            // Readers also write request starts; each sends its own to the other, so that the loss
+            // of one loses none. Feeders send those of the others to both.
+            let own = starts.changed_since(link.sent_own_starts);
+            let own = own.filter(|(key, _)| **key == self.starts_key).map(to_proto).collect();
+            return (own, link.sent_starts.max(starts.written_version()), starts.version());
+        }
+        let writes_own = self.feed_topology.must_read_store(now_ms) && self.reads_store(now_ms);
+        if is_reader || !writes_own || starts.has_failed() {
+            let all = starts.changed_since(link.sent_starts).map(to_proto).collect();
+            return (all, starts.version(), starts.version());
+        }
+        (Vec::new(), link.sent_starts, link.sent_own_starts)
+    }
+
     pub(super) fn build_feed(
         &self,
         peer: &Name,
@@ -72,12 +97,7 @@
     ) -> (proto::FeedRequest, LinkState) {
         let now_ms = self.clock.now_ms();
         let reads_store = self.reads_store(now_ms);
-        let is_reader = self.feed_topology.role() == FeedRole::Reader;
-        // Readers also write request starts; each sends its own to the other, so that the loss of
-        // one loses none.
-        let sends_starts =
-            is_reader || !self.feed_topology.must_read_store(now_ms) || self.starts.has_failed();
-        let starts = self.starts.changed_since(link.sent_starts).filter(|_| sends_starts);
+        let (starts, sent_starts, sent_own_starts) = self.starts_for_peer(now_ms, link);
         let (suspects, sent_suspects) = self.suspects_since(link.sent_suspects);
         let (wants_roster, roster_digests) = self.wanted_roster(now_ms, peer, link);
         let request = proto::FeedRequest {
@@ -92,11 +112,12 @@
             seen: link.received_cursor.clone(),
             true_ms: self.cluster_ms(),
             suspects,
-            starts: starts.map(|(key, windows)| to_proto_starts(key, &windows)).collect(),
+            starts,
         };
         let next_link = LinkState {
             received_cursor: link.received_cursor.clone(),
-            sent_starts: if sends_starts { self.starts.version() } else { link.sent_starts },
+            sent_starts,
+            sent_own_starts,
             sent_suspects,
             lacks_roster: link.lacks_roster,
         };
--- a/crates/usage/src/starts.rs
+++ b/crates/usage/src/starts.rs
@@ -103,6 +103,12 @@
         self.version
     }
 
+    /// Returns the version up to which all changes were written, 0 before the first write.
+    #[must_use]
+    pub fn written_version(&self) -> u64 {
+        self.written_version
+    }
+
     /// Returns the windows that changed after version `version`, by record key.
     pub fn changed_since(&self, version: u64) -> impl Iterator<Item = (&Arc<str>, StartWindows)> {
         self.entries
