Send removals whether or not digests agree, and test what peers learn

The property test found both: a group of keys has the same digest with and without a removed key, so a peer that was compared did not get the removal and could take the old entry from another source; and a record with the same contents kept its old offset, so that an older record from another source replaced it.

--- a/crates/membership/src/change_log.rs
+++ b/crates/membership/src/change_log.rs
@@ -95,8 +95,14 @@
         self.rows.iter().filter(|(_, row)| row.digest != 0).map(|(key, _)| key)
     }
 
-    /// Replaces the row of a key. `digest` identifies the contents, 0 stands for a removed key.
+    /// Replaces the row of a key. `digest` identifies the contents, 0 stands for a removed key. Equal
+    /// contents are no change for peers.
     pub fn insert(&mut self, key: &Arc<str>, value: V, digest: u64) {
+        if let Some(row) = self.rows.get_mut(key).filter(|row| digest != 0 && row.digest == digest)
+        {
+            row.value = value;
+            return;
+        }
         self.remove(key);
         self.version += 1;
         self.by_version.insert(self.version, key.clone());
@@ -160,8 +166,9 @@
         let mut left_bytes = max_bytes;
         let mut seen_version = peer.version;
         for (version, key) in self.by_version.range(peer.version.saturating_add(1)..) {
-            let row = self.rows.get(key).map(|row| &row.value);
-            if let Some(row) = row.filter(|row| is_final(row) && !is_known(key)) {
+            // Removals are always sent: the peer may still get the entry from another source.
+            let lacks = |row: &&Row<V>| is_final(&row.value) && (row.digest == 0 || !is_known(key));
+            if let Some(row) = self.rows.get(key).filter(lacks).map(|row| &row.value) {
                 let Some(left) = left_bytes
                     .checked_sub(size_bytes(row))
                     .or_else(|| batch.rows.is_empty().then_some(0))
--- a/crates/serve/src/hub/records.rs
+++ b/crates/serve/src/hub/records.rs
@@ -64,11 +64,7 @@
         self.malformed.insert(record.key.clone(), record.offset);
     }
 
-    /// Inserts a record unless the contents of its key are the same.
     fn insert(&mut self, record: StoredRecord, digest: u64, upstream_count: usize) {
-        if digest != 0 && self.log.digest(&record.key) == Some(digest) {
-            return;
-        }
         let key = record.key.clone();
         self.log.insert(&key, record, digest);
         // Newer removals are kept for peers that have not received them yet.
