--- a/crates/membership/tests/change_log.rs
+++ b/crates/membership/tests/change_log.rs
@@ -279,7 +279,9 @@
         self.sent_bytes += bytes;
         let rows: Vec<Record> = batch.rows.into_iter().cloned().collect();
         let requester = &mut self.instances[index];
-        rows.iter().for_each(|record| apply(&mut requester.log, record));
+        for record in &rows {
+            apply(&mut requester.log, record);
+        }
         requester.cursors[link] = Some(cursor);
         Ok(())
     }
@@ -303,7 +305,9 @@
         let mut fleet = Fleet::new(shape.0, shape.1);
         let count = fleet.instances.len();
         for (writes, lost, restarted) in rounds {
-            writes.into_iter().for_each(|(key, content)| fleet.write(key, content));
+            for (key, content) in writes {
+                fleet.write(key, content);
+            }
             if let Some(index) = restarted {
                 fleet.restart(index % count);
             }
--- a/crates/serve/src/hub/feed.rs
+++ b/crates/serve/src/hub/feed.rs
@@ -59,7 +59,7 @@
             transfer.from != *peer
                 && now_ms.saturating_sub(transfer.last_batch_at_ms) < TRANSFER_TIMEOUT_MS
         });
-        let wants_roster = !reads_roster && !(is_initial && is_other_active);
+        let wants_roster = !(reads_roster || is_initial && is_other_active);
         let log = self.roster_records.log();
         let has_digests = wants_roster && is_initial && !log.is_empty();
         (wants_roster, if has_digests { log.digests().to_vec() } else { Vec::new() })
