Let the holder of the lease renew it first after an outage

Cause: after an outage longer than a lease, a candidate claimed with its first write, while the holder waited for its interval between renewals; and reads were retried after 500 ms. The usage window before the outage was reported late, or not at all if the new holder had to stay silent first.

A holder whose lease has expired renews it at its first read. A candidate whose claim got no response waits for half an interval after its next read.

--- a/crates/authority/src/cas_lease.rs
+++ b/crates/authority/src/cas_lease.rs
@@ -84,6 +84,10 @@
     /// Local time at which the newest record was first read, or appended by this process.
     newest_seen_at_ms: u64,
     is_view_stale: bool,
+    /// Whether a claim got no response and no read has succeeded since.
+    is_claim_unanswered: bool,
+    /// Time before which this process does not claim the lease.
+    no_claim_until_ms: u64,
     last_write: Option<SentWrite>,
     /// Local time of the last read in which the newest record was a peer's.
     peer_seen_at_ms: Option<u64>,
@@ -112,6 +116,8 @@
             view: None,
             newest_seen_at_ms: now_ms,
             is_view_stale: true,
+            is_claim_unanswered: false,
+            no_claim_until_ms: 0,
             last_write: None,
             peer_seen_at_ms: None,
             held: None,
@@ -134,7 +140,9 @@
         let is_own = matches!(&view.newest, Some((_, record)) if record.holder == self.own);
         if is_own {
             let elapsed_ms = now_ms.saturating_sub(self.renewed_at_ms);
-            return if elapsed_ms < self.times.renew_every_ms {
+            // A lease that expired while the store was away is renewed as soon as it responds.
+            let has_expired = self.held.is_some_and(|held| held.expires_at_ms <= now_ms);
+            return if elapsed_ms < self.times.renew_every_ms && !has_expired {
                 CasLeaseStep::Wait
             } else {
                 self.write(now_ms, false)
@@ -142,7 +150,8 @@
         }
         let is_free = view.newest.as_ref().is_none_or(|(_, record)| record.is_released);
         let elapsed_ms = now_ms.saturating_sub(self.newest_seen_at_ms);
-        if is_free || elapsed_ms >= self.times.lease_ms + self.times.drift_margin_ms {
+        let has_waited = elapsed_ms >= self.times.lease_ms + self.times.drift_margin_ms;
+        if is_free || has_waited && now_ms >= self.no_claim_until_ms {
             return self.write(now_ms, false);
         }
         if now_ms.saturating_sub(self.read_at_ms) >= self.times.renew_every_ms {
@@ -173,6 +182,11 @@
     pub fn on_view(&mut self, now_ms: u64, sent_at_ms: u64, view: CasLeaseView) {
         self.is_view_stale = false;
         self.read_at_ms = sent_at_ms;
+        if std::mem::take(&mut self.is_claim_unanswered) {
+            // The store was away. The holder may act without the silence of a takeover, so it is
+            // given time to renew its lease.
+            self.no_claim_until_ms = now_ms + self.times.renew_every_ms / 2;
+        }
         let is_same = self.view.as_ref().is_some_and(|known| known.newest == view.newest);
         if !is_same {
             self.newest_seen_at_ms = now_ms;
@@ -203,7 +217,11 @@
                 self.newest_seen_at_ms = now_ms;
                 self.view = Some(CasLeaseView { end, newest: Some((offset, record)) });
             }
-            AppendResult::Conflict | AppendResult::Unknown => self.is_view_stale = true,
+            AppendResult::Conflict => self.is_view_stale = true,
+            AppendResult::Unknown => {
+                self.is_view_stale = true;
+                self.is_claim_unanswered = true;
+            }
         }
     }
 
--- a/crates/authority/tests/cas_lease.rs
+++ b/crates/authority/tests/cas_lease.rs
@@ -261,6 +261,53 @@
     assert_eq!(acquired_at_ms, Some(TIMES.lease_ms + TIMES.drift_margin_ms));
 }
 
+#[test]
+fn after_an_outage_the_holder_renews_before_others_claim() {
+    struct Case {
+        name: &'static str,
+        is_holder_alive: bool,
+        /// Process that acts at the end.
+        want: usize,
+    }
+    let cases = [
+        Case { name: "the holder is there", is_holder_alive: true, want: 0 },
+        Case { name: "the holder is lost", is_holder_alive: false, want: 1 },
+    ];
+    for case in cases {
+        let mut simulation = Simulation::new(Fault::None);
+        for index in [0, 0, 1] {
+            simulation.step(&Step::Poll(index));
+            simulation.step(&Step::Reply(index));
+        }
+        assert!(simulation.processes[0].fence(0).is_some(), "{}", case.name);
+        // No call gets a response, for much longer than a lease.
+        for _ in 0..5 * TIMES.lease_ms {
+            simulation.step(&Step::AdvanceClock(1));
+            for index in 0..2 {
+                simulation.step(&Step::Poll(index));
+                simulation.step(&Step::TimeOut(index));
+            }
+        }
+        // The candidate notices first that the store responds again.
+        for _ in 0..3 {
+            let alive = if case.is_holder_alive { [1, 0].as_slice() } else { &[1] };
+            for index in alive {
+                simulation.step(&Step::Poll(*index));
+                simulation.step(&Step::Reply(*index));
+            }
+        }
+        if !case.is_holder_alive {
+            simulation.step(&Step::AdvanceClock(TIMES.renew_every_ms));
+            simulation.step(&Step::Poll(1));
+            simulation.step(&Step::Reply(1));
+        }
+        let now_ms = simulation.now_ms;
+        let acting: Vec<usize> =
+            (0..2).filter(|index| simulation.processes[*index].fence(now_ms).is_some()).collect();
+        assert_eq!(acting, [case.want], "{}", case.name);
+    }
+}
+
 #[test]
 fn rejected_fencing_token_is_not_reused() {
     let mut simulation = Simulation::new(Fault::None);
--- a/crates/serve/src/tasks/duties.rs
+++ b/crates/serve/src/tasks/duties.rs
@@ -20,8 +20,10 @@
 use crate::metrics::Metrics;
 use crate::platform::{DutyResult, LeaseCredentials, Platform, Topic};
 
-/// Interval between runs of the duties.
-const TICK: Duration = Duration::from_millis(400);
+/// Interval between checks for usage windows that are due.
+const TICK: Duration = Duration::from_millis(200);
+/// Ticks from one check for orders to the next.
+const TICKS_PER_PLAN: u32 = 2;
 /// Delay before capacity that has not arrived is ordered again: longer than an upstream takes to
 /// start and to write its entry.
 const CAPACITY_REORDER_MS: u64 = 8_000;
@@ -81,11 +83,14 @@
         role_desired_since_ms: HashMap::new(),
         store: StoreAvailability::new(Topic::Starts, "reading"),
     };
-    loop {
+    for tick in (0..TICKS_PER_PLAN).cycle() {
         compio::time::sleep(TICK).await;
         if duties.credentials().await.is_some() {
-            duties.place_orders().await;
+            // Reports have a deadline.
             duties.report_usage().await;
+            if tick == 0 {
+                duties.place_orders().await;
+            }
         }
     }
 }
--- a/crates/serve/src/tasks/lease.rs
+++ b/crates/serve/src/tasks/lease.rs
@@ -137,7 +137,7 @@
             }
             // The next records were removed: start again from the newest record of each key.
             Err(StoreError::Expired) => self.view = None,
-            Err(_) => compio::time::sleep(TICK * 4).await,
+            Err(_) => compio::time::sleep(TICK * 2).await,
         }
     }
 
