--- a/crates/serve/src/tasks/starts.rs
+++ b/crates/serve/src/tasks/starts.rs
@@ -14,6 +14,8 @@
 
 /// Interval between writes of a reader; other instances send it their starts more often.
 const WRITE_EVERY: Duration = Duration::from_secs(2);
+/// Largest append, well below what the store takes in one call.
+const MAX_APPEND_BYTES: usize = 1_048_576;
 
 /// Writes changed starts until the process ends.
 pub(crate) async fn run_starts<P>(platform: P, hub: HubHandle)
@@ -45,10 +47,25 @@
             (key.to_string(), Bytes::from(to_json(&entry)))
         })
         .collect();
-    if records.is_empty() {
-        return None;
+    let mut rest = records.as_slice();
+    let mut result = None;
+    while !rest.is_empty() && result.as_ref().is_none_or(Result::is_ok) {
+        let (batch, others) = rest.split_at(batch_len(rest));
+        rest = others;
+        result = Some(platform.append(Topic::Starts, None, batch).await);
     }
-    let result = platform.append(Topic::Starts, None, &records).await;
-    hub.send(HubMessage::StartsWritten { is_written: result.is_ok() }).await;
-    Some(result)
+    let is_written = result.as_ref()?.is_ok();
+    hub.send(HubMessage::StartsWritten { is_written }).await;
+    result
+}
+
+/// Returns the number of records for the next append, at least one.
+fn batch_len(records: &[(String, Bytes)]) -> usize {
+    let mut left_bytes = MAX_APPEND_BYTES;
+    let fits = |(key, value): &&(String, Bytes)| {
+        let left = left_bytes.checked_sub(key.len() + value.len());
+        left_bytes = left.unwrap_or(0);
+        left.is_some()
+    };
+    records.iter().take_while(fits).count().max(1)
 }
