--- a/crates/authority/src/cas_lease.rs
+++ b/crates/authority/src/cas_lease.rs
@@ -161,11 +161,15 @@
     }
 
     fn release(&mut self, now_ms: u64) -> CasLeaseStep {
-        let must_release = matches!(
-            self.view.as_ref().and_then(|view| view.newest.as_ref()),
-            Some((_, record)) if record.holder == self.own && !record.is_released
-        );
-        if must_release { self.write(now_ms, true) } else { CasLeaseStep::Wait }
+        if self.is_release_due() { self.write(now_ms, true) } else { CasLeaseStep::Wait }
+    }
+
+    /// Returns whether this process has stepped down while the newest known record is still its own.
+    #[must_use]
+    pub fn is_release_due(&self) -> bool {
+        let newest = self.view.as_ref().and_then(|view| view.newest.as_ref());
+        self.has_stepped_down
+            && newest.is_some_and(|(_, record)| record.holder == self.own && !record.is_released)
     }
 
     fn write(&mut self, now_ms: u64, is_released: bool) -> CasLeaseStep {
--- a/crates/authority/tests/cas_lease.rs
+++ b/crates/authority/tests/cas_lease.rs
@@ -308,6 +308,53 @@
     }
 }
 
+#[test]
+fn a_release_stays_due_until_it_is_written() {
+    struct Case {
+        name: &'static str,
+        is_holder: bool,
+        /// What happens to the calls after the process has stepped down.
+        calls: &'static [fn(usize) -> Step],
+        want: bool,
+    }
+    let cases = [
+        Case { name: "written", is_holder: true, calls: &[Step::Reply], want: false },
+        Case {
+            name: "no response",
+            is_holder: true,
+            calls: &[Step::TimeOut, Step::TimeOut],
+            want: true,
+        },
+        Case {
+            name: "written at the second attempt",
+            is_holder: true,
+            calls: &[Step::TimeOut, Step::Reply, Step::Reply],
+            want: false,
+        },
+        Case {
+            name: "written, but the reply was lost",
+            is_holder: true,
+            calls: &[Step::LoseReply, Step::Reply],
+            want: false,
+        },
+        Case { name: "no holder", is_holder: false, calls: &[], want: false },
+    ];
+    for case in cases {
+        let mut simulation = Simulation::new(Fault::None);
+        let index = usize::from(!case.is_holder);
+        for index in [0, 0, 1] {
+            simulation.step(&Step::Poll(index));
+            simulation.step(&Step::Reply(index));
+        }
+        simulation.processes[index].step_down();
+        for call in case.calls {
+            simulation.step(&Step::Poll(index));
+            simulation.step(&call(index));
+        }
+        assert_eq!(simulation.processes[index].is_release_due(), case.want, "{}", case.name);
+    }
+}
+
 #[test]
 fn rejected_fencing_token_is_not_reused() {
     let mut simulation = Simulation::new(Fault::None);
--- a/crates/serve/src/tasks/lease.rs
+++ b/crates/serve/src/tasks/lease.rs
@@ -91,6 +91,12 @@
                 task.lease.step_down();
                 task.step(None).await;
                 let _ = reply.try_send(SteppedDown);
+                // While the store is away, the release is tried again until the process ends, since
+                // a successor otherwise waits for the lease to expire.
+                while task.lease.is_release_due() {
+                    compio::time::sleep(TICK).await;
+                    task.step(None).await;
+                }
                 return;
             }
             Ok(Err(_)) => return,
@@ -108,7 +114,10 @@
         match self.lease.next_step(now_ms) {
             CasLeaseStep::Wait => {}
             // Instances that do not read the store do not compete for the lease.
-            CasLeaseStep::Read if !self.is_holder && !self.is_store_reader().await => {}
+            CasLeaseStep::Read
+                if !self.is_holder
+                    && !self.lease.is_release_due()
+                    && !self.is_store_reader().await => {}
             CasLeaseStep::Read => self.read(now_ms).await,
             CasLeaseStep::Write { expected_end, record } => {
                 self.write(expected_end, record, window).await;
