Wait for sources that answer after a start of the whole fleet

After all of 300 instances were killed they did not serve again: after 2.4 s each of them listed 3,000 upstreams in the store, while the readers' lists and the feeds were still under way. That this is the cause at 300 is inferred from the code, not traced.

An instance that has never been fed waits up to 6 s while a source answers.

--- a/crates/membership/src/feed_topology.rs
+++ b/crates/membership/src/feed_topology.rs
@@ -9,6 +9,9 @@
 /// Maximum number of instances with successful reads that an instance whose own reads fail adds to
 /// its feed peers.
 const MAX_EXTRA_FEEDERS: usize = 3; // one may fail, and the store may refuse the reads of another
+/// Time after its start for which an instance waits for sources that answer but have not read the
+/// store yet.
+const START_WAIT_MS: u64 = 6_000; // a reader lists thousands of upstreams within seconds
 
 /// Location of an instance.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -55,6 +58,8 @@
     started_at_ms: u64,
     /// Whether any peer has fed this instance since its start.
     has_been_fed: bool,
+    /// Peers that have answered without any read of the store since this instance's start.
+    answering: BTreeSet<Name>,
     /// Whether a list of instances or feeders is known.
     has_list: bool,
     /// Region of each feeder, for the feeders of all regions.
@@ -84,6 +89,7 @@
             times,
             started_at_ms: now_ms,
             has_been_fed: false,
+            answering: BTreeSet::new(),
             has_list: false,
             feeders: BTreeMap::new(),
             readers: BTreeSet::new(),
@@ -135,13 +141,17 @@
                 self.has_been_fed = true;
                 self.read_times_ms.insert(from.clone(), now_ms.saturating_sub(age_ms));
             }
-            None => self.on_feed_failed(from),
+            None => {
+                self.on_feed_failed(from);
+                self.answering.insert(from.clone());
+            }
         }
     }
 
     /// Records that an exchange with `peer` failed, after which it no longer counts as a source.
     pub fn on_feed_failed(&mut self, peer: &Name) {
         self.read_times_ms.remove(peer);
+        self.answering.remove(peer);
     }
 
     /// Records a feed request of `from`. `reads_store` is whether the requester's own reads of the
@@ -187,6 +197,11 @@
         };
         let read_at_ms = match self.fed_read_at_ms() {
             None if self.has_been_fed => return true,
+            // If all read the store together after a start of the whole fleet, nobody gets it in
+            // time.
+            None if self.role() == FeedRole::Fed && self.has_answering_source() => {
+                return now_ms.saturating_sub(self.started_at_ms) >= START_WAIT_MS;
+            }
             None => self.started_at_ms,
             Some(read_at_ms) => read_at_ms,
         };
@@ -258,6 +273,10 @@
         sources.into_iter()
     }
 
+    fn has_answering_source(&self) -> bool {
+        self.sources().any(|name| self.answering.contains(name))
+    }
+
     fn has_requested(&self, now_ms: u64, name: &Name) -> bool {
         let request = self.feed_requests.get(name);
         request.is_some_and(|request| now_ms.saturating_sub(request.at_ms) < self.times.request_ms)
--- a/crates/serve/src/tasks/topic_reader.rs
+++ b/crates/serve/src/tasks/topic_reader.rs
@@ -70,8 +70,9 @@
             Some(ReadMode::Restart) => next = None,
             Some(ReadMode::Continue) | None => {}
         }
-        // A second read helps against a silent connection, not against an outage.
-        let result = if failures == 0 {
+        // A second read helps against a silent connection, not against an outage. A list of all keys
+        // takes longer than other reads, and a second one would make it slower still.
+        let result = if failures == 0 && next.is_some() {
             read_hedged(&platform, topic, next, schedule.wait_ms).await
         } else {
             read(&platform, topic, next, 0).await
