--- a/crates/membership/src/feed_topology.rs
+++ b/crates/membership/src/feed_topology.rs
@@ -136,15 +136,12 @@
     /// Records a feed from `from`. `age_ms` is the age of the newest read of the store that it is
     /// based on, `None` if there is no recent one.
     pub fn on_feed_received(&mut self, now_ms: u64, from: &Name, age_ms: Option<u64>) {
-        match age_ms {
-            Some(age_ms) => {
-                self.has_been_fed = true;
-                self.read_times_ms.insert(from.clone(), now_ms.saturating_sub(age_ms));
-            }
-            None => {
-                self.on_feed_failed(from);
-                self.answering.insert(from.clone());
-            }
+        if let Some(age_ms) = age_ms {
+            self.has_been_fed = true;
+            self.read_times_ms.insert(from.clone(), now_ms.saturating_sub(age_ms));
+        } else {
+            self.on_feed_failed(from);
+            self.answering.insert(from.clone());
         }
     }
 
--- a/crates/membership/tests/feed_start.rs
+++ b/crates/membership/tests/feed_start.rs
@@ -11,17 +11,23 @@
 
 #[test]
 fn an_instance_that_has_started_waits_for_sources_that_answer() {
-    /// An exchange with a source: the age that it stated, or `None` if it failed.
-    type Exchange = (&'static str, Option<Option<u64>>);
+    /// Result of an exchange with an instance.
+    enum Outcome {
+        Failed,
+        /// The instance has not read the store and was not fed.
+        Starting,
+        Fed {
+            age_ms: u64,
+        },
+    }
+    use Outcome::{Failed, Fed, Starting};
     struct Case {
         name: &'static str,
-        exchanges: &'static [Exchange],
+        exchanges: &'static [(&'static str, Outcome)],
         reads_at_once: bool,
         reads_at_1_500_ms: bool,
         reads_at_6_000_ms: bool,
     }
-    const STARTING: Option<Option<u64>> = Some(None);
-    const FAILED: Option<Option<u64>> = None;
     let cases = [
         Case {
             name: "no exchange",
@@ -32,42 +38,42 @@
         },
         Case {
             name: "both sources start",
-            exchanges: &[("a0", STARTING), ("a1", STARTING)],
+            exchanges: &[("a0", Starting), ("a1", Starting)],
             reads_at_once: false,
             reads_at_1_500_ms: false,
             reads_at_6_000_ms: true,
         },
         Case {
             name: "one source is lost",
-            exchanges: &[("a0", STARTING), ("a1", FAILED)],
+            exchanges: &[("a0", Starting), ("a1", Failed)],
             reads_at_once: false,
             reads_at_1_500_ms: false,
             reads_at_6_000_ms: true,
         },
         Case {
             name: "both sources are lost",
-            exchanges: &[("a0", FAILED), ("a1", FAILED)],
+            exchanges: &[("a0", Failed), ("a1", Failed)],
             reads_at_once: false,
             reads_at_1_500_ms: true,
             reads_at_6_000_ms: true,
         },
         Case {
             name: "a source is lost after its answer",
-            exchanges: &[("a0", STARTING), ("a0", FAILED)],
+            exchanges: &[("a0", Starting), ("a0", Failed)],
             reads_at_once: false,
             reads_at_1_500_ms: true,
             reads_at_6_000_ms: true,
         },
         Case {
             name: "no source, but another instance answers",
-            exchanges: &[("b0", STARTING)],
+            exchanges: &[("b0", Starting)],
             reads_at_once: false,
             reads_at_1_500_ms: true,
             reads_at_6_000_ms: true,
         },
         Case {
             name: "a source was fed and is no longer",
-            exchanges: &[("a0", Some(Some(0))), ("a0", STARTING)],
+            exchanges: &[("a0", Fed { age_ms: 0 }), ("a0", Starting)],
             reads_at_once: true,
             reads_at_1_500_ms: true,
             reads_at_6_000_ms: true,
@@ -82,9 +88,11 @@
         let live = ["a0", "a1", "a2", "a3", "b0", "b1"];
         topology.set_live_instances(live.map(|text| (name(text), location(text))));
         for (source, outcome) in case.exchanges {
+            let source = name(source);
             match outcome {
-                Some(age_ms) => topology.on_feed_received(100, &name(source), *age_ms),
-                None => topology.on_feed_failed(&name(source)),
+                Failed => topology.on_feed_failed(&source),
+                Starting => topology.on_feed_received(100, &source, None),
+                Fed { age_ms } => topology.on_feed_received(100, &source, Some(*age_ms)),
             }
         }
         assert_eq!(topology.must_read_store(99), case.reads_at_once, "{}", case.name);
