--- a/crates/allowance/src/allowance.rs
+++ b/crates/allowance/src/allowance.rs
@@ -7,7 +7,7 @@
 /// is left for the burst and for the instances.
 const MAX_ACCRUED: f64 = 0.9;
 /// Part of what remains beside the accrued amount that instances may use without a reservation.
-const FLOOR_PART: f64 = 0.1;
+const FLOOR_PART: f64 = 0.05;
 
 /// What an allowance counts.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/crates/allowance/src/broker.rs
+++ b/crates/allowance/src/broker.rs
@@ -3,6 +3,8 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use num_traits::ToPrimitive;
+
 use crate::allowance::{Budget, RESERVATION_MS};
 use crate::bucket::Bucket;
 use crate::demand::Demand;
@@ -121,7 +123,7 @@
         let competition = (demand_per_s / rate_per_s).max(1.0);
         let wait_ms = (cost - level) / rate_per_s * competition * 1_000.0;
         let can_hold = *cost <= capacity && wait_ms.is_finite();
-        let whole = |number: f64| number.max(0.0) as u64;
+        let whole = |number: f64| number.max(0.0).to_u64().unwrap_or(u64::MAX);
         Err(Shortage::Low { wait_ms: can_hold.then(|| whole(wait_ms)), left: whole(level) })
     }
 
--- a/crates/allowance/src/granter.rs
+++ b/crates/allowance/src/granter.rs
@@ -10,7 +10,7 @@
 /// Part of an allowance that is divided equally; the rest follows the demand.
 const EVEN_PART: f64 = 0.5;
 /// Smallest change of a share, as a fraction of it.
-const MIN_CHANGE: f64 = 0.5;
+const MIN_CHANGE: f64 = 0.75;
 /// Smallest difference from the default share that is granted.
 const MIN_DIFFERENCE: f64 = 0.002;
 
--- a/crates/allowance/tests/hardly_under.rs
+++ b/crates/allowance/tests/fleet/hardly_under.rs
@@ -1,15 +1,13 @@
 //! What is asked for within the allowance is let through, compared with equal shares of all
 //! instances as the naive twin.
 
-mod fleet;
-
-use fleet::{Fleet, STEP_MS, allowance};
+use super::simulation::{Fleet, STEP_MS, allowance};
 
 const INSTANCES: usize = 60;
 const BROKERS: usize = 6;
 /// Steps until the shares are granted, and steps that are counted.
-const WARM_UP_STEPS: u64 = 200;
-const COUNTED_STEPS: u64 = 1_200;
+const WARM_UP_STEPS: usize = 200;
+const COUNTED_STEPS: usize = 12_000;
 
 struct Bucket {
     rate_per_s: f64,
@@ -38,10 +36,18 @@
 struct Random(u64);
 
 impl Random {
-    fn next(&mut self) -> f64 {
-        self.0 =
-            self.0.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
-        (self.0 >> 33) as f64 / (1_u64 << 31) as f64
+    fn bits(&mut self) -> u32 {
+        self.0 = self.0.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+        u32::try_from(self.0 >> 33).unwrap_or_default()
+    }
+
+    /// Returns a number from 0 to 1.
+    fn part(&mut self) -> f64 {
+        f64::from(self.bits()) / f64::from(1_u32 << 31)
+    }
+
+    fn below(&mut self, limit: usize) -> usize {
+        self.bits() as usize % limit
     }
 }
 
@@ -52,9 +58,9 @@
         /// Demand as a part of the rate.
         load: f64,
         /// First instance and number of instances that get the requests of a step.
-        instances: fn(u64) -> (usize, usize),
+        instances: fn(usize) -> (usize, usize),
         /// Requests arrive only in every n-th step, n times as many.
-        clump: u64,
+        clump: usize,
         least: f64,
     }
     let cases = [
@@ -70,7 +76,7 @@
         Case {
             name: "moving from region to region",
             load: 0.8,
-            instances: |step| ((step / 200 * 20) as usize % INSTANCES, 20),
+            instances: |step| (step / 200 * 20 % INSTANCES, 20),
             clump: 1,
             least: 0.99,
         },
@@ -102,13 +108,13 @@
             }
             let mean_cost = 13_000.0;
             let per_step = load * limit.rate_per_s * STEP_MS as f64 / 1_000.0 * clump as f64;
-            let mut count = per_step / mean_cost + random.next();
+            let mut count = per_step / mean_cost + random.part();
             while count >= 1.0 {
                 count -= 1.0;
                 // Costs from 1,000 to 65,000, most of them small.
-                let cost = 1_000.0 + 64_000.0 * random.next().powf(4.333);
+                let cost = 1_000.0 + 64_000.0 * random.part().powf(4.333);
                 let (first, number) = instances(step);
-                let instance = first + (random.next() * number as f64) as usize;
+                let instance = first + random.below(number);
                 let admits = fleet.request(instance % INSTANCES, cost, 0);
                 let add =
                     |sum: &mut f64, is_admitted: bool| *sum += if is_admitted { cost } else { 0.0 };
--- /dev/null
+++ b/crates/allowance/tests/fleet/main.rs
@@ -0,0 +1,5 @@
+//! Allowances over a simulated fleet.
+
+mod hardly_under;
+mod never_over;
+mod simulation;
--- a/crates/allowance/tests/never_over.rs
+++ b/crates/allowance/tests/fleet/never_over.rs
@@ -1,9 +1,7 @@
 //! In no window more is used than the bounds allow, whatever is lost, late, frozen or restarted.
 
-mod fleet;
-
+use super::simulation::{BOUNDS, Fault, Fleet, allowance, bound};
 use cowslip_allowance::Budget;
-use fleet::{BOUNDS, Fault, Fleet, allowance, bound};
 use proptest::prelude::*;
 
 const BROKERS: usize = 4;
@@ -53,9 +51,9 @@
     ) {
         let allowance = allowance(5_000.0, f64::from(burst));
         let mut fleet = Fleet::new(&allowance, BROKERS, INSTANCES);
-        for step in 0..STEPS {
+        for (step, delay_ms) in delays_ms.into_iter().enumerate() {
             // Half of the messages are prompt.
-            fleet.step(if delays_ms[step] % 2 == 0 { 0 } else { delays_ms[step] });
+            fleet.step(if delay_ms % 2 == 0 { 0 } else { delay_ms });
             faults.iter().filter(|(at, _)| *at == step).for_each(|(_, fault)| fleet.apply(fault));
             for request in requests.iter().filter(|request| request.step == step) {
                 for _ in 0..request.count {
--- a/crates/allowance/tests/fleet/mod.rs
+++ b/crates/allowance/tests/fleet/simulation.rs
@@ -14,7 +14,9 @@
 const GRANT_MS: u64 = 6_000;
 const REPORT_EVERY_MS: u64 = 500;
 
-pub const BOUNDS: Bounds = Bounds { window_s: 8.0, excess: 0.1, slack: 2_000.0 };
+const WINDOW_MS: u64 = 8_000;
+pub const BOUNDS: Bounds =
+    Bounds { window_s: WINDOW_MS as f64 / 1_000.0, excess: 0.1, slack: 2_000.0 };
 
 pub fn allowance(rate_per_s: f64, burst: f64) -> Allowance {
     Allowance { unit: AllowanceUnit::Tokens, rate_per_s, burst, unstated_tokens: 0 }
@@ -207,7 +209,7 @@
                             return is_used;
                         }
                         Some(Err(shortage)) => {
-                            self.on_shortage(instance, &name, &reservation, shortage)
+                            self.on_shortage(instance, &name, &reservation, shortage);
                         }
                         None => {}
                     }
@@ -229,11 +231,10 @@
 
     /// Returns the most that was used in any window.
     pub fn most_in_a_window(&self) -> f64 {
-        let window_ms = (BOUNDS.window_s * 1_000.0) as u64;
         let mut used: Vec<(u64, f64)> = self.used.iter().copied().collect();
         used.sort_by_key(|(at_ms, _)| *at_ms);
         let sum_from = |start: usize| -> f64 {
-            let end_ms = used[start].0 + window_ms;
+            let end_ms = used[start].0 + WINDOW_MS;
             used[start..]
                 .iter()
                 .take_while(|(at_ms, _)| *at_ms <= end_ms)
--- a/crates/serve/tests/settings.rs
+++ b/crates/serve/tests/settings.rs
@@ -41,6 +41,13 @@
             change: ("[fleet]\n", "[authority]\nlease_ms = 1000\nrenew_every_ms = 800\n[fleet]\n"),
             errors: &["[authority] renew_every_ms: must be at most half a lease"],
         },
+        Case {
+            change: ("[fleet]\n", "[allowances]\nwindow_s = -1\nslak = 2\n[fleet]\n"),
+            errors: &[
+                "line 12: [allowances] slak: unknown key; did you mean [allowances] slack?",
+                "line 11: [allowances] window_s: \"-1\" is not a number from 0 on",
+            ],
+        },
         Case {
             change: ("[fleet]\n", "[config]\nheartbeat_ms = 5\n[fleet]\n"),
             errors: &[
