--- a/crates/allowance/tests/fleet/never_over.rs
+++ b/crates/allowance/tests/fleet/never_over.rs
@@ -40,8 +40,6 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig::with_cases(256))]
-
     #[test]
     fn no_window_exceeds_the_bound(
         faults in prop::collection::vec((0..STEPS, fault()), 0..12),
--- a/crates/bench/src/capacity.rs
+++ b/crates/bench/src/capacity.rs
@@ -10,6 +10,7 @@
 use cowslip_scheduling::{Candidate, Distance, pick_upstream};
 use cowslip_state::{OrderAction, SnapshotAssembler, State, StateRecord};
 
+use crate::allowances;
 use crate::fixtures::{
     decode_tickets, member_heartbeat, members, name, proto_heartbeat, ticket, tickets, workspace,
 };
@@ -27,6 +28,7 @@
     measure_terms();
     measure_orders();
     measure_upstream_selection();
+    allowances::run();
 }
 
 fn measure_members() {
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,6 +1,7 @@
 //! Benchmarks: state size and processing time of the crates that do no I/O, simulations of
 //! policies, and the overhead of an entry instance.
 
+mod allowances;
 mod capacity;
 mod cli;
 mod fixtures;
