--- a/crates/allowance/tests/fleet/never_over.rs
+++ b/crates/allowance/tests/fleet/never_over.rs
@@ -7,6 +7,7 @@
 const BROKERS: usize = 4;
 const INSTANCES: usize = 8;
 const STEPS: usize = 600;
+const MAX_REQUESTS: usize = 50;
 
 fn fault() -> impl Strategy<Value = Fault> {
     let broker = 0..BROKERS;
@@ -18,45 +19,54 @@
     ]
 }
 
+/// A time in which some instances get more requests than the allowance admits.
 #[derive(Clone, Debug)]
-struct Request {
-    step: usize,
-    instance: usize,
+struct Phase {
+    steps: usize,
+    /// One bit for each instance that gets requests.
+    instances: u8,
     cost: f64,
     use_after_ms: u64,
-    count: usize,
 }
 
-fn request() -> impl Strategy<Value = Request> {
-    (0..STEPS, 0..INSTANCES, 1..4_000_u32, 0..700_u64, 1..12_usize).prop_map(
-        |(step, instance, cost, use_after_ms, count)| Request {
-            step,
-            instance,
+fn phase() -> impl Strategy<Value = Phase> {
+    let instances = prop_oneof![Just(0), Just(u8::MAX), any::<u8>()];
+    (1..200_usize, instances, 20..400_u32, 0..700_u64).prop_map(
+        |(steps, instances, cost, use_after_ms)| Phase {
+            steps,
+            instances,
             cost: f64::from(cost),
             use_after_ms,
-            count,
         },
     )
 }
 
+/// Has an instance send requests until one is refused.
+fn saturate(fleet: &mut Fleet, instance: usize, phase: &Phase) {
+    for _ in 0..MAX_REQUESTS {
+        if !fleet.request(instance, phase.cost, phase.use_after_ms) {
+            return;
+        }
+    }
+}
+
 proptest! {
     #[test]
     fn no_window_exceeds_the_bound(
         faults in prop::collection::vec((0..STEPS, fault()), 0..12),
-        requests in prop::collection::vec(request(), 1..300),
+        phases in prop::collection::vec(phase(), 4..12),
         delays_ms in prop::collection::vec(0..4_000_u64, STEPS),
-        burst in 0..20_000_u32,
+        burst in prop_oneof![Just(0), 0..10_000_u32],
     ) {
         let allowance = allowance(5_000.0, f64::from(burst));
         let mut fleet = Fleet::new(&allowance, BROKERS, INSTANCES);
-        for (step, delay_ms) in delays_ms.into_iter().enumerate() {
+        let phases = phases.iter().flat_map(|phase| std::iter::repeat_n(phase, phase.steps));
+        for (step, (phase, delay_ms)) in phases.zip(delays_ms).enumerate() {
             // Half of the messages are prompt.
             fleet.step(if delay_ms % 2 == 0 { 0 } else { delay_ms });
             faults.iter().filter(|(at, _)| *at == step).for_each(|(_, fault)| fleet.apply(fault));
-            for request in requests.iter().filter(|request| request.step == step) {
-                for _ in 0..request.count {
-                    fleet.request(request.instance, request.cost, request.use_after_ms);
-                }
+            for instance in (0..INSTANCES).filter(|index| phase.instances >> index & 1 == 1) {
+                saturate(&mut fleet, instance, phase);
             }
         }
         let most = fleet.most_in_a_window();
