--- a/crates/serve/src/tasks/peer_server.rs
+++ b/crates/serve/src/tasks/peer_server.rs
@@ -42,13 +42,14 @@
 ) -> Result<Bytes, StatusCode> {
     match path {
         FEED_PATH => {
-            let feed = Box::new(codec.decode_request(body).map_err(refuse_malformed)?);
+            let feed =
+                Box::new(codec.decode_request(body).map_err(|error| refuse_malformed(&error))?);
             let reply = hub.request(|reply| HubMessage::HandleFeed { feed, reply }).await;
             let reply = reply.ok_or(StatusCode::SERVICE_UNAVAILABLE)?;
             codec.encode_reply(&reply).map_err(|_| StatusCode::INTERNAL_SERVER_ERROR)
         }
         RESERVATION_PATH => {
-            let request = decode_peer_message(body).map_err(refuse_malformed)?;
+            let request = decode_peer_message(body).map_err(|error| refuse_malformed(&error))?;
             let reply = hub.request(|reply| HubMessage::Reserve { request, reply }).await;
             let reply = reply.ok_or(StatusCode::SERVICE_UNAVAILABLE)?;
             let body = encode_peer_message(&reply);
@@ -58,7 +59,7 @@
     }
 }
 
-fn refuse_malformed(error: CodecError) -> StatusCode {
+fn refuse_malformed(error: &CodecError) -> StatusCode {
     event!(Event::PeerMessageMalformed, why = error);
     StatusCode::BAD_REQUEST
 }
