Test that crowds of callers leave a process within its machine

Callers outside our control ended a process: nothing bounds the sum of the bodies that it holds. The crowd is 96 callers from one address with bodies of up to 1 MiB, the machine has 64 MiB, and the bound on open descriptors comes from max_connections = 128. Checked are the life of the process, its peak memory, its descriptors, an ordinary request beside the crowd, and at cowslip-platform a body one byte under the limit afterwards.

--- a/crates/harness/src/lib.rs
+++ b/crates/harness/src/lib.rs
@@ -1,6 +1,7 @@
 //! Runs the platform, engines, a service and entry instances as processes on loopback, for tests
 //! and the demo.
 
+mod crowd;
 mod error;
 mod fleet;
 mod http;
@@ -8,6 +9,7 @@
 mod support;
 mod tickets;
 
+pub use crowd::{Crowd, Sending, leave, open_descriptors, peak_memory_kib};
 pub use error::Error;
 pub use fleet::{Engine, EntryInstance, Fleet, FleetOptions};
 pub use http::{HttpResponse, request};
