Bound the memory and the connections that callers can occupy

Cause: read_body bounded one body, nothing their sum; a body announced over the limit was read up to it; a response was copied into the write buffer of its connection at once; beyond max_connections new callers were turned away however long the others had been idle.

Change: one task owns the budget of bytes; bodies reserve in steps as they arrive and give way when they pause and others need the memory (503 no_memory, not run); responses count until their caller has read them; a connection that is not read, or idle for longest at the limit, is closed.

--- a/crates/entry/src/caller/error.rs
+++ b/crates/entry/src/caller/error.rs
@@ -29,6 +29,11 @@
         Self::not_run(StatusCode::BAD_REQUEST, "bad_request", "the request is malformed");
     pub(crate) const TOO_LARGE: Self =
         Self::not_run(StatusCode::PAYLOAD_TOO_LARGE, "too_large", "the body is too large");
+    pub(crate) const NO_MEMORY: Self = Self::not_run(
+        StatusCode::SERVICE_UNAVAILABLE,
+        "no_memory",
+        "others need the memory that the body takes",
+    );
     pub(crate) const LATE_BODY: Self =
         Self::not_run(StatusCode::REQUEST_TIMEOUT, "body_late", "the body did not arrive in time");
     pub(crate) const KEY_REUSED: Self = Self::not_run(
--- a/crates/entry/src/caller/mod.rs
+++ b/crates/entry/src/caller/mod.rs
@@ -3,6 +3,7 @@
 mod context;
 mod error;
 mod forward;
+mod memory;
 mod model;
 mod operator;
 mod request;
--- a/crates/entry/src/caller/model.rs
+++ b/crates/entry/src/caller/model.rs
@@ -1,7 +1,7 @@
 //! Model requests, buffered and streamed.
 
 use bytes::Bytes;
-use cowslip_net::{Body, ChunkSender, body_channel, full_body, read_body};
+use cowslip_net::{Body, ChunkSender, body_channel, full_body, read_response_body};
 use futures_util::FutureExt;
 use http::{Response, StatusCode};
 use http_body_util::BodyExt;
@@ -118,7 +118,8 @@
     loop {
         let (response, held_permit) = open_response(context, &request, permit, None).await?;
         let status = response.status();
-        match read_body(response.into_body(), MAX_RESPONSE_BYTES).await {
+        let account = &request.account;
+        match read_response_body(response.into_body(), MAX_RESPONSE_BYTES, account).await {
             Ok(body) => {
                 let usage = buffered_usage(&request, status, &body);
                 held_permit.release(UpstreamOutcome::Finished, usage).await;
@@ -151,8 +152,9 @@
     let (response, permit) = context.within_request_timeout(opening).await?;
     if response.status() != StatusCode::OK {
         let status = response.status();
-        let reading = read_body(response.into_body(), MAX_RESPONSE_BYTES)
-            .map(|body| body.map_err(|_| CallerError::OUTCOME_UNKNOWN));
+        let reading =
+            read_response_body(response.into_body(), MAX_RESPONSE_BYTES, &request.account)
+                .map(|body| body.map_err(|_| CallerError::OUTCOME_UNKNOWN));
         let body = context.within_request_timeout(reading).await?;
         permit.release(UpstreamOutcome::Finished, RequestUsage::default()).await;
         return Ok(json_response(status, String::from_utf8_lossy(&body).into_owned()));
--- a/crates/entry/src/caller/operator.rs
+++ b/crates/entry/src/caller/operator.rs
@@ -22,6 +22,7 @@
     max_connections: 64,
     max_header_bytes: 16_384,
     idle_timeout: Duration::from_secs(30),
+    unread_timeout: Duration::from_secs(30),
 };
 
 /// Serves operators until `stop` closes.
--- a/crates/entry/src/caller/request.rs
+++ b/crates/entry/src/caller/request.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use cowslip_ingress::{Defect, check_head, exposes_key};
-use cowslip_net::{Error, read_body};
+use cowslip_net::{Account, Error, read_request_body};
 use http::{HeaderMap, HeaderName, Method, Request};
 use hyper::body::Incoming;
 
@@ -24,6 +24,8 @@
     pub(crate) content_type: Option<String>,
     pub(crate) idempotency_key: Option<Arc<str>>,
     pub(crate) body: Bytes,
+    /// Account of the memory that responses to the caller use.
+    pub(crate) account: Account,
 }
 
 impl CallerRequest {
@@ -31,6 +33,7 @@
     pub(crate) async fn read(
         request: Request<Incoming>,
         max_body_bytes: usize,
+        account: Account,
     ) -> Result<(Self, Option<String>), CallerError> {
         let (head, body) = request.into_parts();
         check_head(&head).map_err(CallerError::from_defect)?;
@@ -38,8 +41,10 @@
         let path = head.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned();
         let idempotency_key = idempotency_key(&head.headers)?;
         let content_type = header_text(&head.headers, "content-type");
-        let body = read_body(body, max_body_bytes).await.map_err(|error| match error {
+        let reading = read_request_body(body, max_body_bytes, &account);
+        let body = reading.await.map_err(|error| match error {
             Error::TooLarge { .. } => CallerError::TOO_LARGE,
+            Error::NoMemory => CallerError::NO_MEMORY,
             _ => CallerError::BAD_REQUEST,
         })?;
         // The other headers are neither forwarded nor recorded.
@@ -53,7 +58,8 @@
         if bearer.as_deref().is_some_and(is_exposed) {
             return Err(CallerError::from_defect(Defect::ExposedKey));
         }
-        let request = Self { method: head.method, path, content_type, idempotency_key, body };
+        let request =
+            Self { method: head.method, path, content_type, idempotency_key, body, account };
         Ok((request, bearer))
     }
 
--- a/crates/entry/src/caller/server.rs
+++ b/crates/entry/src/caller/server.rs
@@ -4,7 +4,7 @@
 
 use async_channel::Receiver;
 use compio::net::TcpListener;
-use cowslip_net::{Body, ServerLimits, serve_http};
+use cowslip_net::{Body, Caller, ServerLimits, serve_callers};
 use cowslip_task::Expiry;
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
@@ -12,6 +12,7 @@
 
 use super::context::HandlerContext;
 use super::error::{CallerError, json_response};
+use super::memory::{memory_plan, start_memory};
 use super::request::CallerRequest;
 use super::{model, service};
 use crate::hub::{AdmissionError, HubMessage, RequestedRoute};
@@ -25,9 +26,9 @@
 const SERVICE_PREFIX: &str = "/services/";
 
 impl HandlerContext {
-    async fn handle(self, request: Request<Incoming>) -> Response<Body> {
+    async fn handle(self, request: Request<Incoming>, caller: Caller) -> Response<Body> {
         let started_ms = self.clock.now_ms();
-        let response = match Box::pin(self.route(request)).await {
+        let response = match Box::pin(self.route(request, &caller)).await {
             Ok(response) => response,
             Err(error) => {
                 if !error.is_not_run {
@@ -40,7 +41,11 @@
         response
     }
 
-    async fn route(&self, request: Request<Incoming>) -> Result<Response<Body>, CallerError> {
+    async fn route(
+        &self,
+        request: Request<Incoming>,
+        caller: &Caller,
+    ) -> Result<Response<Body>, CallerError> {
         let path = request.uri().path().to_owned();
         match (request.method(), path.as_str()) {
             (&Method::GET, "/healthz") => {
@@ -50,12 +55,13 @@
             _ => {}
         }
         let limit_bytes = usize::try_from(self.limits.max_body_bytes).unwrap_or(usize::MAX);
-        let reading = CallerRequest::read(request, limit_bytes);
+        let reading = CallerRequest::read(request, limit_bytes, caller.account(None));
         let read = self.service_end.within(BODY_TIMEOUT, reading).await;
         let (request, bearer) = read.unwrap_or_else(|expiry| match expiry {
             Expiry::Deadline => Err(CallerError::LATE_BODY),
             Expiry::ServiceEnd => Err(CallerError::from_admission_error(AdmissionError::NotReady)),
         })?;
+        caller.body_arrived();
         match (&request.method, path.as_str()) {
             (&Method::GET, "/v1/models") => self.models(bearer).await,
             (&Method::POST, "/v1/chat/completions" | "/v1/completions") => {
@@ -107,10 +113,14 @@
     listener: TcpListener,
     stop: Receiver<()>,
 ) {
+    let plan = memory_plan(&context.limits);
     let limits = ServerLimits {
-        max_connections: context.limits.max_connections as usize,
+        max_connections: plan.connections,
         max_header_bytes: context.limits.max_header_bytes as usize,
         idle_timeout: IDLE_TIMEOUT,
+        unread_timeout: Duration::from_millis(context.limits.unread_timeout_ms),
     };
-    serve_http(listener, limits, stop, move |request| context.clone().handle(request)).await;
+    let memory = start_memory(&context, plan);
+    let handler = move |request, caller| context.clone().handle(request, caller);
+    serve_callers(listener, limits, memory, stop, handler).await;
 }
--- a/crates/entry/src/caller/service.rs
+++ b/crates/entry/src/caller/service.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use cowslip_idempotency::{CallerReply, SendResult, StoredResponse};
-use cowslip_net::{Body, full_body, read_body};
+use cowslip_net::{Account, Body, full_body, read_response_body};
 use http::{Response, StatusCode};
 use hyper::body::Incoming;
 
@@ -78,7 +78,7 @@
     let mut may_have_run = false;
     loop {
         let outcome = match send_once(context, &permit, request, path, None).await {
-            Ok(response) => match read_response(response).await {
+            Ok(response) => match read_response(response, &request.account).await {
                 Some(stored) => {
                     permit.release(UpstreamOutcome::Finished, SERVICE_USAGE).await;
                     return Ok(caller_response(&stored));
@@ -170,7 +170,7 @@
     permit: &UpstreamPermit,
 ) -> (SendResult, UpstreamOutcome) {
     match send_once(context, permit, request, path, None).await {
-        Ok(response) => match read_response(response).await {
+        Ok(response) => match read_response(response, &request.account).await {
             Some(stored) => (SendResult::Responded(stored), UpstreamOutcome::Finished),
             None => (SendResult::Interrupted, UpstreamOutcome::Lost),
         },
@@ -179,14 +179,15 @@
     }
 }
 
-async fn read_response(response: Response<Incoming>) -> Option<StoredResponse> {
+async fn read_response(response: Response<Incoming>, account: &Account) -> Option<StoredResponse> {
     let status = response.status().as_u16();
     let content_type = response
         .headers()
         .get("content-type")
         .and_then(|value| value.to_str().ok())
         .map_or_else(|| Arc::from("application/json"), Arc::from);
-    let body = read_body(response.into_body(), MAX_RESPONSE_BYTES).await.ok()?;
+    let reading = read_response_body(response.into_body(), MAX_RESPONSE_BYTES, account);
+    let body = reading.await.ok()?;
     Some(StoredResponse { status, content_type, body: Arc::from(String::from_utf8_lossy(&body)) })
 }
 
--- a/crates/entry/src/config.rs
+++ b/crates/entry/src/config.rs
@@ -73,6 +73,17 @@
             "[config] member_timeout_ms",
             "must be at most stale_limit_ms",
         ),
+        (settings.limits.memory_mb >= 48, "[limits] memory_mb", "must be at least 48"),
+        (
+            settings.limits.max_descriptors >= 1_024,
+            "[limits] max_descriptors",
+            "must be at least 1024",
+        ),
+        (
+            settings.limits.unread_timeout_ms >= 1_000,
+            "[limits] unread_timeout_ms",
+            "must be at least 1000",
+        ),
         (settings.limits.poison_limit > 0, "[limits] poison_limit", "must be at least 1"),
         (
             settings.limits.max_waiting_tokens > 0,
--- a/crates/entry/src/events.rs
+++ b/crates/entry/src/events.rs
@@ -32,6 +32,7 @@
     PoisonRefused = 501, Warn, "a request was refused because upstreams were lost while they ran it";
     CallIdMismatch = 502, Warn, "a response to another call was dropped";
     StreamResumed = 503, Info, "a stream was resumed at another upstream";
+    CallerClosed = 504, Warn, "a caller's connection, body or response was closed, others needed its room or it was not read";
     PeerUnreachable = 600, Warn, "a peer is unreachable";
     PeerReachable = 601, Info, "a peer is reachable again";
     PeerMessageMalformed = 602, Warn, "a peer sent a malformed message";
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -16,6 +16,9 @@
     "requests.outcome_unknown",
     "answers.crossed",
     "requests.latency",
+    "requests.no_memory",
+    "callers.closed",
+    "callers.held_bytes",
     "requests.in_flight",
     "log.lag_ms",
 ];
@@ -29,6 +32,8 @@
     Resumed,
     OutcomeUnknown,
     CallIdMismatch,
+    MemoryRefused,
+    CallerClosed,
 }
 
 /// Statsd client of this instance.
@@ -64,6 +69,8 @@
             Counter::Resumed => "requests.resumed",
             Counter::OutcomeUnknown => "requests.outcome_unknown",
             Counter::CallIdMismatch => "answers.crossed",
+            Counter::MemoryRefused => "requests.no_memory",
+            Counter::CallerClosed => "callers.closed",
         };
         let _ = self.client.count(name, 1);
     }
@@ -72,6 +79,10 @@
         let _ = self.client.time("requests.latency", elapsed_ms);
     }
 
+    pub(crate) fn set_held_bytes(&self, bytes: u64) {
+        let _ = self.client.gauge("callers.held_bytes", bytes);
+    }
+
     pub(crate) fn set_gauges(&self, in_flight: u64, log_lag_ms: u64) {
         let _ = self.client.gauge("requests.in_flight", in_flight);
         let _ = self.client.gauge("log.lag_ms", log_lag_ms);
--- a/crates/harness/tests/crowds.rs
+++ b/crates/harness/tests/crowds.rs
@@ -77,7 +77,11 @@
 
 fn start_fleet() -> (Fleet, TestApiKeys) {
     let mut options = FleetOptions { instances: 1, ..FleetOptions::default() };
-    let limits = [("max_connections", MAX_CONNECTIONS), ("max_body_bytes", MAX_BODY_BYTES)];
+    let limits = [
+        ("max_connections", MAX_CONNECTIONS),
+        ("max_body_bytes", MAX_BODY_BYTES),
+        ("memory_mb", usize::try_from(MEMORY_MIB).expect("a small number")),
+    ];
     options.settings.extend(limits.map(|(key, value)| ("limits", key, value.to_string())));
     let fleet = Fleet::start(options).expect("the fleet starts");
     let api_keys = fleet.apply_initial_ticket(1).expect("the initial ticket applies");
--- a/crates/net/src/body.rs
+++ b/crates/net/src/body.rs
@@ -2,10 +2,12 @@
 
 use async_channel::{Receiver, Sender};
 use bytes::Bytes;
-use http_body_util::{Either, Full, StreamBody};
+use http_body_util::{Either, StreamBody};
 use hyper::body::Frame;
 use snafu::Snafu;
 
+use crate::whole_body::WholeBody;
+
 /// Maximum number of chunks buffered for a slow reader; when the buffer is full, the sender waits.
 const MAX_BUFFERED_CHUNKS: usize = 16;
 
@@ -17,7 +19,7 @@
 type Chunk = Result<Frame<Bytes>, BodyAborted>;
 
 /// A body that is either complete in memory or streamed in chunks.
-pub type Body = Either<Full<Bytes>, StreamBody<Receiver<Chunk>>>;
+pub type Body = Either<WholeBody, StreamBody<Receiver<Chunk>>>;
 
 /// Sending half of a streamed body.
 #[derive(Clone, Debug)]
@@ -52,7 +54,7 @@
 where
     B: Into<Bytes>,
 {
-    Either::Left(Full::new(bytes.into()))
+    Either::Left(WholeBody::new(bytes.into()))
 }
 
 /// Creates a streamed body and its sending half.
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -6,10 +6,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use bytes::{Bytes, BytesMut};
 use compio::net::TcpStream;
 use cyper_core::HyperStream;
-use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response};
@@ -17,13 +15,11 @@
 use socket2::SockRef;
 
 use crate::body::Body;
-use crate::error::{ConnectSnafu, Error, HttpSnafu, TimedOutSnafu, TooLargeSnafu};
+use crate::error::{ConnectSnafu, Error, HttpSnafu, TimedOutSnafu};
 use crate::fair_stream::FairStream;
 
 /// Largest head of a response, in bytes; also bounds the read buffer of a connection.
 const MAX_HEAD_BYTES: usize = 65_536;
-/// Size from which a part of a body is kept as it is while the rest is read, in bytes.
-const SEGMENT_BYTES: usize = 65_536;
 /// Maximum number of idle connections kept per address.
 const MAX_IDLE_PER_ADDRESS: usize = 64;
 /// Delay before a returned connection is reused. Surplus bytes after a response arrive within this
@@ -98,7 +94,7 @@
             .context(ConnectSnafu { address })?;
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
-            .handshake(FairStream::new(HyperStream::new_plain(tcp)))
+            .handshake(FairStream::new(HyperStream::new_plain(tcp), None))
             .await
             .context(HttpSnafu)?;
         compio::runtime::spawn(async move {
@@ -224,32 +220,3 @@
         })
     }
 }
-
-/// Reads a body of at most `limit_bytes`.
-///
-/// # Errors
-/// Returns [`Error::TooLarge`] for a longer body and [`Error::Http`] for an incomplete one.
-pub async fn read_body(mut body: Incoming, limit_bytes: usize) -> Result<Bytes, Error> {
-    // Chunks are copied, since each one keeps the whole read buffer that it arrived in, and a body
-    // may consist of tiny ones. One buffer for all would be held twice whenever it grows.
-    let mut full_segments: Vec<Bytes> = Vec::new();
-    let mut segment = BytesMut::new();
-    let mut total_bytes = 0;
-    while let Some(frame) = body.frame().await {
-        // Trailers are ignored.
-        let Ok(chunk) = frame.context(HttpSnafu)?.into_data() else { continue };
-        total_bytes += chunk.len();
-        if total_bytes > limit_bytes {
-            return TooLargeSnafu { limit_bytes }.fail();
-        }
-        segment.extend_from_slice(&chunk);
-        if segment.len() >= SEGMENT_BYTES {
-            full_segments.push(segment.split().freeze());
-        }
-    }
-    if full_segments.is_empty() {
-        return Ok(segment.freeze());
-    }
-    full_segments.push(segment.freeze());
-    Ok(full_segments.concat().into())
-}
--- a/crates/net/src/error.rs
+++ b/crates/net/src/error.rs
@@ -49,6 +49,9 @@
         /// Largest allowed size of the body.
         limit_bytes: usize,
     },
+    /// The memory for callers is used up, or others needed that of this body.
+    #[snafu(display("no memory for the body"))]
+    NoMemory,
     /// The connection or the response took too long.
     #[snafu(display("timed out after {after:?}"))]
     TimedOut {
@@ -75,6 +78,7 @@
             | Self::H2 { .. }
             | Self::BuildRequest { .. }
             | Self::TooLarge { .. }
+            | Self::NoMemory
             | Self::TimedOut { .. }
             | Self::Status { .. } => false,
         }
--- a/crates/net/src/fair_stream.rs
+++ b/crates/net/src/fair_stream.rs
@@ -2,10 +2,13 @@
 
 use std::io;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::{Context, Poll, ready};
 
 use hyper::rt::{Read, ReadBufCursor, Write};
 
+use crate::connection::ServedConnection;
+
 /// Successive reads that succeed at once before the stream yields.
 const MAX_READY_READS: u32 = 2; // up to 128 KiB, some milliseconds of parsing
 
@@ -16,11 +19,20 @@
 pub(crate) struct FairStream<S> {
     inner: S,
     ready_reads: u32,
+    /// Gets to know whether the other side reads what is written.
+    connection: Option<Rc<ServedConnection>>,
 }
 
 impl<S> FairStream<S> {
-    pub(crate) fn new(inner: S) -> Self {
-        Self { inner, ready_reads: 0 }
+    pub(crate) fn new(inner: S, connection: Option<Rc<ServedConnection>>) -> Self {
+        Self { inner, ready_reads: 0, connection }
+    }
+
+    fn record_write<T>(&self, polled: Poll<T>) -> Poll<T> {
+        if let Some(connection) = &self.connection {
+            connection.set_unread(polled.is_pending());
+        }
+        polled
     }
 }
 
@@ -53,7 +65,8 @@
         context: &mut Context<'_>,
         buffer: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.inner).poll_write(context, buffer)
+        let polled = Pin::new(&mut self.inner).poll_write(context, buffer);
+        self.record_write(polled)
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -65,11 +78,13 @@
         context: &mut Context<'_>,
         buffers: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.inner).poll_write_vectored(context, buffers)
+        let polled = Pin::new(&mut self.inner).poll_write_vectored(context, buffers);
+        self.record_write(polled)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_flush(context)
+        let polled = Pin::new(&mut self.inner).poll_flush(context);
+        self.record_write(polled)
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/net/src/peer.rs
+++ b/crates/net/src/peer.rs
@@ -122,7 +122,7 @@
     H: Fn(String, Bytes) -> F + Clone + 'static,
     F: Future<Output = Result<Bytes, StatusCode>> + 'static,
 {
-    while let Some(tcp) = accept(&listener, &stop).await {
+    while let Some((tcp, _)) = accept(&listener, &stop).await {
         let handler = handler.clone();
         compio::runtime::spawn(async move {
             // An error concerns this peer only: it disconnected or violated the protocol.
--- a/crates/proto/src/generated.rs
+++ b/crates/proto/src/generated.rs
@@ -2389,13 +2389,16 @@
 ///  "required": [
 ///    "max_body_bytes",
 ///    "max_connections",
+///    "max_descriptors",
 ///    "max_header_bytes",
 ///    "max_waiting_tokens",
+///    "memory_mb",
 ///    "poison_limit",
 ///    "queue_deadline_ms",
 ///    "request_deadline_ms",
 ///    "service_deadline_ms",
-///    "shutdown_grace_ms"
+///    "shutdown_grace_ms",
+///    "unread_timeout_ms"
 ///  ],
 ///  "properties": {
 ///    "max_body_bytes": {
@@ -2404,7 +2407,12 @@
 ///      "format": "uint64"
 ///    },
 ///    "max_connections": {
-///      "description": "Most open connections of callers; further ones are closed at once.",
+///      "description": "Most open connections of callers, as far as memory_mb and max_descriptors have room for them. For a further one, the connection that has been idle for longest is closed.",
+///      "type": "integer",
+///      "format": "uint32"
+///    },
+///    "max_descriptors": {
+///      "description": "Number of descriptors that the process may open, 1024 or more. Less 512 for other uses, half of them are for connections of callers, the others for connections to upstreams.",
 ///      "type": "integer",
 ///      "format": "uint32"
 ///    },
@@ -2418,6 +2426,11 @@
 ///      "type": "integer",
 ///      "format": "uint64"
 ///    },
+///    "memory_mb": {
+///      "description": "Memory of the machine for this process, in megabytes (1000000 bytes), 48 or more. What exceeds the need of the process is divided between connections and the bodies that are held for callers.",
+///      "type": "integer",
+///      "format": "uint32"
+///    },
 ///    "poison_limit": {
 ///      "description": "Number of upstreams lost while they ran the same request, or requests with the same prompt segment, at which such requests are refused. At least 1.",
 ///      "type": "integer",
@@ -2442,6 +2455,11 @@
 ///      "description": "Longest wait in milliseconds for requests in flight at shutdown; those left get a final response. Used by cowslip-entry only.",
 ///      "type": "integer",
 ///      "format": "uint64"
+///    },
+///    "unread_timeout_ms": {
+///      "description": "Time in milliseconds, 1000 or more, after which a connection is closed whose caller reads nothing of a response.",
+///      "type": "integer",
+///      "format": "uint64"
 ///    }
 ///  },
 ///  "additionalProperties": false,
@@ -2454,12 +2472,16 @@
 pub struct LimitSettings {
     ///Largest body of a request, in bytes. Used by cowslip-entry only: a declared fleet names its own limit.
     pub max_body_bytes: u64,
-    ///Most open connections of callers; further ones are closed at once.
+    ///Most open connections of callers, as far as memory_mb and max_descriptors have room for them. For a further one, the connection that has been idle for longest is closed.
     pub max_connections: u32,
+    ///Number of descriptors that the process may open, 1024 or more. Less 512 for other uses, half of them are for connections of callers, the others for connections to upstreams.
+    pub max_descriptors: u32,
     ///Largest header block of a request, in bytes; values below 8192 count as 8192.
     pub max_header_bytes: u32,
     ///Number of prompt tokens at an engine, from this instance's requests without an output token yet, at which the instance sends it no further request. At least 1. Used by cowslip-entry only.
     pub max_waiting_tokens: u64,
+    ///Memory of the machine for this process, in megabytes (1000000 bytes), 48 or more. What exceeds the need of the process is divided between connections and the bodies that are held for callers.
+    pub memory_mb: u32,
     ///Number of upstreams lost while they ran the same request, or requests with the same prompt segment, at which such requests are refused. At least 1.
     pub poison_limit: u32,
     ///Longest time in milliseconds that a model request is queued for an engine before it is refused as not run. Used by cowslip-entry only.
@@ -2470,6 +2492,8 @@
     pub service_deadline_ms: u64,
     ///Longest wait in milliseconds for requests in flight at shutdown; those left get a final response. Used by cowslip-entry only.
     pub shutdown_grace_ms: u64,
+    ///Time in milliseconds, 1000 or more, after which a connection is closed whose caller reads nothing of a response.
+    pub unread_timeout_ms: u64,
 }
 ///Row of the platform's instance list.
 ///
--- a/crates/proto/src/setting_table.rs
+++ b/crates/proto/src/setting_table.rs
@@ -243,7 +243,14 @@
         key: "max_connections",
         kind: SettingKind::Integer,
         default: Some("4096"),
-        help: "Most open connections of callers; further ones are closed at once.",
+        help: "Most open connections of callers, as far as memory_mb and max_descriptors have room for them. For a further one, the connection that has been idle for longest is closed.",
+    },
+    SettingSpec {
+        section: "limits",
+        key: "max_descriptors",
+        kind: SettingKind::Integer,
+        default: Some("65536"),
+        help: "Number of descriptors that the process may open, 1024 or more. Less 512 for other uses, half of them are for connections of callers, the others for connections to upstreams.",
     },
     SettingSpec {
         section: "limits",
@@ -259,6 +266,13 @@
         default: Some("500"),
         help: "Number of prompt tokens at an engine, from this instance's requests without an output token yet, at which the instance sends it no further request. At least 1. Used by cowslip-entry only.",
     },
+    SettingSpec {
+        section: "limits",
+        key: "memory_mb",
+        kind: SettingKind::Integer,
+        default: Some("1024"),
+        help: "Memory of the machine for this process, in megabytes (1000000 bytes), 48 or more. What exceeds the need of the process is divided between connections and the bodies that are held for callers.",
+    },
     SettingSpec {
         section: "limits",
         key: "poison_limit",
@@ -294,6 +308,13 @@
         default: Some("120000"),
         help: "Longest wait in milliseconds for requests in flight at shutdown; those left get a final response. Used by cowslip-entry only.",
     },
+    SettingSpec {
+        section: "limits",
+        key: "unread_timeout_ms",
+        kind: SettingKind::Integer,
+        default: Some("30000"),
+        help: "Time in milliseconds, 1000 or more, after which a connection is closed whose caller reads nothing of a response.",
+    },
     SettingSpec {
         section: "metrics",
         key: "statsd_address",
--- a/crates/serve/src/caller/error_response.rs
+++ b/crates/serve/src/caller/error_response.rs
@@ -27,6 +27,8 @@
 impl ErrorResponse {
     /// The body is longer than allowed.
     pub(crate) const TOO_LARGE: Self = error(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large");
+    /// Others need the memory of the body; other instances have their own.
+    pub(crate) const NO_MEMORY: Self = not_run("no_memory", RETRY_AFTER_MS);
     /// The body ended early.
     pub(crate) const INCOMPLETE_BODY: Self = error(StatusCode::BAD_REQUEST, "body_incomplete");
     /// The body did not arrive in time; nothing was sent to an upstream.
--- a/crates/serve/src/caller/exchange.rs
+++ b/crates/serve/src/caller/exchange.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use cowslip_fleet::{Failure, Framing, Interruption, Progress, ResponseKind, Upstream, check_end};
-use cowslip_net::{Client, Connection, Error, SendError, read_body};
+use cowslip_net::{Client, Connection, Error, SendError, read_body, read_response_body};
 use http::response::Parts;
 use hyper::body::{Body, Incoming};
 
@@ -205,7 +205,7 @@
     response: UpstreamResponse,
 ) -> Result<BufferedResponse, Failure> {
     let (parts, body) = response.split();
-    let result = read_body(body.incoming, MAX_RESPONSE_BYTES)
+    let result = read_response_body(body.incoming, MAX_RESPONSE_BYTES, &caller_request.account)
         .await
         .map_err(|error| (Failure::of_interruption(true, interruption(&error)), error.to_string()))
         .and_then(|bytes| {
--- a/crates/serve/src/caller/mod.rs
+++ b/crates/serve/src/caller/mod.rs
@@ -5,6 +5,7 @@
 mod error_response;
 mod exchange;
 mod in_flight_request;
+mod memory;
 mod relay;
 mod server;
 mod shared;
--- a/crates/serve/src/caller/server.rs
+++ b/crates/serve/src/caller/server.rs
@@ -8,12 +8,16 @@
 use cowslip_clock::Clock;
 use cowslip_fleet::RetrySafety;
 use cowslip_ingress::{Defect, check_head, exposes_key};
-use cowslip_net::{Body, Client, ClientOptions, Error, ServerLimits, read_body, serve_http};
+use cowslip_net::{
+    Body, Caller, Client, ClientOptions, Error, Memory, ServerLimits, read_request_body,
+    serve_callers,
+};
 use cowslip_task::{Expiry, ServiceEnd};
 use http::{Request, Response};
 use hyper::body::Incoming;
 
 use super::in_flight_request::InFlightRequest;
+use super::memory::{memory_plan, start_memory};
 use super::shared::Shared;
 use super::{buffered, stream};
 use crate::config::Config;
@@ -40,6 +44,7 @@
 pub(crate) struct CallerServer<P> {
     shared: Shared<P>,
     limits: Rc<ServerLimits>,
+    memory: Memory,
 }
 
 impl<P> CallerServer<P>
@@ -58,25 +63,32 @@
         let options =
             ClientOptions { connect_timeout: CONNECT_TIMEOUT, user_timeout: TCP_USER_TIMEOUT };
         let limits = &config.settings.limits;
+        let plan = memory_plan(limits);
         let limits = ServerLimits {
-            max_connections: limits.max_connections as usize,
+            max_connections: plan.connections,
             max_header_bytes: limits.max_header_bytes as usize,
             idle_timeout: IDLE_TIMEOUT,
+            unread_timeout: Duration::from_millis(limits.unread_timeout_ms),
         };
+        let memory = start_memory(plan, clock, metrics.clone());
         let client = Client::new(options);
         let shared = Shared::new(platform, hub, client, clock, metrics, service_end);
-        Self { shared, limits: Rc::new(limits) }
+        Self { shared, limits: Rc::new(limits), memory }
     }
 
-    async fn handle(self, request: Request<Incoming>) -> Response<Body> {
+    async fn handle(self, request: Request<Incoming>, caller: Caller) -> Response<Body> {
         let platform = self.shared.platform.clone();
-        match self.serve(request).await {
+        match self.serve(request, &caller).await {
             Ok(response) => response,
             Err(error_response) => platform.error_response(&error_response),
         }
     }
 
-    async fn serve(self, request: Request<Incoming>) -> Result<Response<Body>, ErrorResponse> {
+    async fn serve(
+        self,
+        request: Request<Incoming>,
+        caller: &Caller,
+    ) -> Result<Response<Body>, ErrorResponse> {
         let started_ms = self.shared.clock.now_ms();
         let (parts, body) = request.into_parts();
         check_head(&parts)
@@ -102,23 +114,32 @@
         let timeout_ms =
             head.timeout_ms.unwrap_or(DEFAULT_TIMEOUT_MS).min(authorized.route.timeout_ms);
         let deadline_ms = started_ms + timeout_ms;
-        let reading = read_body(body, authorized_request.max_body_bytes);
+        let account = caller.account(authorized.workspace.clone());
+        let reading = read_request_body(body, authorized_request.max_body_bytes, &account);
         let timeout = Duration::from_millis(timeout_ms);
         let body = match self.shared.service_end.within(timeout, reading).await {
             Ok(Ok(body)) => Ok(body),
             Ok(Err(Error::TooLarge { .. })) => Err(ErrorResponse::TOO_LARGE),
+            Ok(Err(Error::NoMemory)) => Err(ErrorResponse::NO_MEMORY),
             Ok(Err(_)) => Err(ErrorResponse::INCOMPLETE_BODY),
             Err(Expiry::Deadline) => Err(ErrorResponse::LATE_BODY),
             Err(Expiry::ServiceEnd) => Err(ErrorResponse::from_rejection(Rejection::Stopping)),
         };
         let body = body.map_err(|response| self.reject(&head.attempt_id, response))?;
+        caller.body_arrived();
         let is_exposed = |key: &String| exposes_key(key, &parts.uri, &parts.headers, &body);
         if head.api_key.as_ref().is_some_and(is_exposed) {
             let error_response = ErrorResponse::bad_head(Defect::ExposedKey.code());
             return Err(self.reject(&head.attempt_id, error_response));
         }
-        let caller_request =
-            CallerRequest { head, method: parts.method, path, headers: parts.headers, body };
+        let caller_request = CallerRequest {
+            head,
+            method: parts.method,
+            path,
+            headers: parts.headers,
+            body,
+            account,
+        };
         let prompt = caller_request.head.prompt.as_ref();
         let guard = self.shared.reserve_assignment();
         let unplaced = UnplacedRequest {
@@ -197,6 +218,7 @@
 ) where
     P: Platform,
 {
-    let limits = *server.limits;
-    serve_http(listener, limits, stop, move |request| server.clone().handle(request)).await;
+    let (limits, memory) = (*server.limits, server.memory.clone());
+    let handler = move |request, caller| server.clone().handle(request, caller);
+    serve_callers(listener, limits, memory, stop, handler).await;
 }
--- a/crates/serve/src/config.rs
+++ b/crates/serve/src/config.rs
@@ -12,7 +12,7 @@
 use cowslip_codec::{FLEET_SETTING_SECTIONS, SettingError, load_settings};
 use cowslip_fleet::{Locality, RetryBudgetLimits};
 use cowslip_membership::FeedTimes;
-use cowslip_proto::FleetEntrySettings;
+use cowslip_proto::{FleetEntrySettings, LimitSettings};
 use cowslip_usage::WindowTimes;
 use num_traits::ToPrimitive;
 use snafu::ResultExt;
@@ -29,6 +29,11 @@
 /// Least time allowed for two feed exchanges. With less, one busy second would make an
 /// instance read the store itself.
 const MIN_FEED_VALID_MS: u64 = 1_200;
+/// Least memory of the machine, in megabytes, least number of descriptors, and shortest time for which
+/// a response may stay unread.
+const MIN_MEMORY_MB: u64 = 48;
+const MIN_DESCRIPTORS: u64 = 1_024;
+const MIN_UNREAD_TIMEOUT_MS: u64 = 1_000;
 
 /// Settings of an instance, read once at its start.
 #[derive(Clone, Debug)]
@@ -73,6 +78,7 @@
                 "must be at most half a lease",
             )]);
         }
+        check_limits(&settings.limits)?;
         let parse_address = |location: &str, text: &str| {
             text.parse::<SocketAddr>().map_err(|_| {
                 vec![setting_error(location, &format!("{text:?} is not an IP address and port"))]
@@ -168,6 +174,20 @@
     }
 }
 
+fn check_limits(limits: &LimitSettings) -> Result<(), Vec<SettingError>> {
+    let rows = [
+        ("[limits] memory_mb", u64::from(limits.memory_mb), MIN_MEMORY_MB),
+        ("[limits] max_descriptors", u64::from(limits.max_descriptors), MIN_DESCRIPTORS),
+        ("[limits] unread_timeout_ms", limits.unread_timeout_ms, MIN_UNREAD_TIMEOUT_MS),
+    ];
+    let errors: Vec<SettingError> = rows
+        .into_iter()
+        .filter(|(_, value, least)| value < least)
+        .map(|(location, _, least)| setting_error(location, &format!("must be at least {least}")))
+        .collect();
+    if errors.is_empty() { Ok(()) } else { Err(errors) }
+}
+
 fn setting_error(location: &str, reason: &str) -> SettingError {
     SettingError { line: 0, location: location.to_owned(), reason: reason.to_owned() }
 }
--- a/crates/serve/src/events.rs
+++ b/crates/serve/src/events.rs
@@ -41,6 +41,7 @@
     RequestQuarantined = 512, Warn, "a request is refused from now on, it may crash upstreams";
     RequestReleased = 513, Info, "a request is no longer refused";
     RequestOverAllowance = 514, Info, "a request exceeds the allowance of its workspace";
+    CallerClosed = 515, Warn, "a caller's connection, body or response was closed, others needed its room or it was not read";
     PeerUnreachable = 600, Warn, "a peer is unreachable";
     PeerReachable = 601, Info, "a peer is reachable again";
     PeerMessageMalformed = 602, Warn, "a peer sent a malformed message";
--- a/crates/serve/src/metrics.rs
+++ b/crates/serve/src/metrics.rs
@@ -33,6 +33,9 @@
     "cowslip_feed_bytes_total",
     "cowslip_allowance_checks_total",
     "cowslip_allowance_grants_total",
+    "cowslip_held_bytes",
+    "cowslip_memory_refusals_total",
+    "cowslip_closed_callers_total",
 ];
 
 /// The metrics of this instance.
@@ -78,6 +81,12 @@
     pub(crate) allowance_checks: IntCounterVec,
     /// Grants of shares: `given`, `applied`, `expired`.
     pub(crate) allowance_grants: IntCounterVec,
+    /// Bytes of bodies and responses that are held for callers, beyond small ones.
+    pub(crate) held_bytes: IntGauge,
+    /// Bodies and responses that were refused memory.
+    pub(crate) memory_refusals: IntCounter,
+    /// Callers whose connection, body or response was closed, by cause.
+    pub(crate) closed_callers: IntCounterVec,
 }
 
 impl Metrics {
@@ -108,6 +117,11 @@
         let reassignments =
             IntCounter::new("cowslip_moves_total", "Requests that were sent to another upstream")?;
         registry.register(Box::new(reassignments.clone()))?;
+        let memory_refusals = IntCounter::new(
+            "cowslip_memory_refusals_total",
+            "Bodies and responses that were refused memory",
+        )?;
+        registry.register(Box::new(memory_refusals.clone()))?;
         Ok(Self {
             requests: counter_by("cowslip_requests_total", "Requests by how they ended", "end")?,
             sends: counter_by("cowslip_sends_total", "Sends to upstreams by outcome", "outcome")?,
@@ -150,6 +164,13 @@
                 "Grants of shares of allowances",
                 "step",
             )?,
+            held_bytes: gauge("cowslip_held_bytes", "Bytes held for callers")?,
+            memory_refusals,
+            closed_callers: counter_by(
+                "cowslip_closed_callers_total",
+                "Callers that were closed",
+                "cause",
+            )?,
             registry,
         })
     }
--- a/crates/serve/src/platform.rs
+++ b/crates/serve/src/platform.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use cowslip_fleet::{CapacityOrder, DeclaredConfig, EngineRole, Prompt, Upstream};
-use cowslip_net::Body;
+use cowslip_net::{Account, Body};
 use http::{HeaderMap, Method, Request, Response, StatusCode, request, response};
 
 /// The traits that an adapter implements.
@@ -233,6 +233,8 @@
     pub headers: HeaderMap,
     /// Complete body.
     pub body: Bytes,
+    /// Account of the memory that responses to the caller use.
+    pub account: Account,
 }
 
 /// The parameters of one send of a request to an upstream.
--- a/crates/serve/src/run.rs
+++ b/crates/serve/src/run.rs
@@ -271,6 +271,7 @@
         max_connections: CONTROL_CONNECTIONS,
         max_header_bytes: 16_384,
         idle_timeout: CONTROL_IDLE,
+        unread_timeout: CONTROL_IDLE,
     };
     let handler = move |request: Request<Incoming>| {
         let (hub, metrics) = (hub.clone(), metrics.clone());
--- a/crates/standin/src/http.rs
+++ b/crates/standin/src/http.rs
@@ -70,8 +70,12 @@
     F: Future<Output = Response<Body>> + 'static,
 {
     let listener = bind(address).await.map_err(io::Error::other)?;
-    let limits =
-        ServerLimits { max_connections: 16_384, max_header_bytes: 65_536, idle_timeout: idle };
+    let limits = ServerLimits {
+        max_connections: 16_384,
+        max_header_bytes: 65_536,
+        idle_timeout: idle,
+        unread_timeout: idle,
+    };
     let (_stop_sender, stop) = async_channel::bounded(1);
     serve_http(listener, limits, stop, handler).await;
     Ok(())
