Bound the peers' listener

Connections of peers and the bytes of their requests had no bound of their own: 2,048 connections and 16 MiB that are being read, further ones are refused with 503.

--- a/crates/entry/src/caller/server.rs
+++ b/crates/entry/src/caller/server.rs
@@ -65,11 +65,11 @@
         match (&request.method, path.as_str()) {
             (&Method::GET, "/v1/models") => self.models(bearer).await,
             (&Method::POST, "/v1/chat/completions" | "/v1/completions") => {
-                model::complete(self, request, bearer).await
+                Box::pin(model::complete(self, request, bearer)).await
             }
             _ => {
                 if let Some(rest) = path.strip_prefix(SERVICE_PREFIX) {
-                    service::call(self, request, bearer, rest).await
+                    Box::pin(service::call(self, request, bearer, rest)).await
                 } else {
                     let method = request.method.to_string();
                     let route = RequestedRoute::Open { method, path };
--- a/crates/net/src/connection.rs
+++ b/crates/net/src/connection.rs
@@ -93,21 +93,21 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Connections {
     open: Rc<RefCell<Vec<Weak<ServedConnection>>>>,
-    max_connections: usize,
+    limit: usize,
     memory: Option<Memory>,
 }
 
 impl Connections {
-    pub(crate) fn new(max_connections: usize, memory: Option<Memory>) -> Self {
-        Self { open: Rc::default(), max_connections, memory }
+    pub(crate) fn new(limit: usize, memory: Option<Memory>) -> Self {
+        Self { open: Rc::default(), limit, memory }
     }
 
     /// Adds a connection, and closes another one if there are too many. Returns `false` if none of
     /// them can be closed.
     pub(crate) fn admit(&self, connection: &Rc<ServedConnection>) -> bool {
-        if self.open.borrow().len() >= self.max_connections {
+        if self.open.borrow().len() >= self.limit {
             let open = self.remaining();
-            if open.len() >= self.max_connections {
+            if open.len() >= self.limit {
                 let ages = open.iter().map(|other| (other.clone(), other.age()));
                 let Some(other) = connection_to_close(ages) else {
                     self.report(connection, CloseCause::NoRoom);
--- a/crates/net/src/memory.rs
+++ b/crates/net/src/memory.rs
@@ -120,6 +120,11 @@
 /// The part of the budget that one caller's requests and responses use.
 #[derive(Clone, Debug)]
 pub struct Account {
+    owner: Rc<AccountOwner>,
+}
+
+#[derive(Debug)]
+struct AccountOwner {
     memory: Memory,
     party: Party,
     close_connection: Sender<()>,
@@ -127,19 +132,22 @@
 
 impl Account {
     pub(crate) fn new(memory: Memory, party: Party, close_connection: Sender<()>) -> Self {
-        Self { memory, party, close_connection }
+        Self { owner: Rc::new(AccountOwner { memory, party, close_connection }) }
+    }
+
+    fn holder(&self, purpose: Purpose) -> Holder {
+        self.owner.memory.holder(self.owner.party.clone(), purpose)
     }
 
     /// Returns the holder of a request's body, and the signal that it must give way.
     pub(crate) fn request_holder(&self) -> (Holder, Sender<()>, Receiver<()>) {
         let (sender, evicted) = async_channel::bounded(1);
-        (self.memory.holder(self.party.clone(), Purpose::Request), sender, evicted)
+        (self.holder(Purpose::Request), sender, evicted)
     }
 
     /// Returns the holder of a response, which gives way with its connection.
     pub(crate) fn response_holder(&self) -> (Holder, Sender<()>) {
-        let holder = self.memory.holder(self.party.clone(), Purpose::Response);
-        (holder, self.close_connection.clone())
+        (self.holder(Purpose::Response), self.owner.close_connection.clone())
     }
 }
 
--- a/crates/net/src/peer.rs
+++ b/crates/net/src/peer.rs
@@ -1,6 +1,8 @@
 //! Requests between instances: one HTTP/2 connection, one stream per request.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use async_channel::Receiver;
@@ -15,7 +17,8 @@
 use tokio_util::compat::FuturesAsyncReadCompatExt;
 
 use crate::error::{
-    BuildRequestSnafu, ConnectSnafu, Error, H2Snafu, StatusSnafu, TimedOutSnafu, TooLargeSnafu,
+    BuildRequestSnafu, ConnectSnafu, Error, H2Snafu, NoMemorySnafu, StatusSnafu, TimedOutSnafu,
+    TooLargeSnafu,
 };
 use crate::server::accept;
 
@@ -28,6 +31,11 @@
 /// Longest wait for the body of a request.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Most open connections of peers; further ones are closed at once.
+const MAX_CONNECTIONS: usize = 2_048;
+/// Most bytes of all requests that are being read; further ones are refused.
+const MAX_READING_BYTES: usize = 16_777_216;
+
 /// HTTP/2 connection to a peer.
 #[derive(Debug)]
 pub struct PeerConnection {
@@ -83,7 +91,7 @@
         if status != StatusCode::OK {
             return StatusSnafu { status: status.as_u16() }.fail();
         }
-        read_stream(response.into_body(), limit_bytes).await
+        read_stream(response.into_body(), limit_bytes, &Rc::default()).await
     }
 }
 
@@ -97,13 +105,45 @@
     }
 }
 
-async fn read_stream(mut stream: RecvStream, limit_bytes: usize) -> Result<Bytes, Error> {
+/// Bytes of requests that are being read.
+type ReadingBytes = Rc<Cell<usize>>;
+
+/// Counts the bytes of one request until it has been read or given up.
+struct ReadingGuard<'a> {
+    total: &'a ReadingBytes,
+    own_bytes: usize,
+}
+
+impl ReadingGuard<'_> {
+    /// Adds bytes; returns `false` if there are too many.
+    fn add(&mut self, bytes: usize) -> bool {
+        self.own_bytes += bytes;
+        self.total.set(self.total.get() + bytes);
+        self.total.get() <= MAX_READING_BYTES
+    }
+}
+
+impl Drop for ReadingGuard<'_> {
+    fn drop(&mut self) {
+        self.total.set(self.total.get() - self.own_bytes);
+    }
+}
+
+async fn read_stream(
+    mut stream: RecvStream,
+    limit_bytes: usize,
+    reading_bytes: &ReadingBytes,
+) -> Result<Bytes, Error> {
     let mut content = Vec::new();
+    let mut guard = ReadingGuard { total: reading_bytes, own_bytes: 0 };
     while let Some(chunk) = stream.data().await {
         let chunk = chunk.context(H2Snafu)?;
         if content.len() + chunk.len() > limit_bytes {
             return TooLargeSnafu { limit_bytes }.fail();
         }
+        if !guard.add(chunk.len()) {
+            return NoMemorySnafu.fail();
+        }
         content.extend_from_slice(&chunk);
         let _ = stream.flow_control().release_capacity(chunk.len());
     }
@@ -122,17 +162,29 @@
     H: Fn(String, Bytes) -> F + Clone + 'static,
     F: Future<Output = Result<Bytes, StatusCode>> + 'static,
 {
+    let connections = Rc::new(());
+    let reading_bytes = ReadingBytes::default();
     while let Some((tcp, _)) = accept(&listener, &stop).await {
-        let handler = handler.clone();
+        if Rc::strong_count(&connections) > MAX_CONNECTIONS {
+            continue;
+        }
+        let (handler, reading_bytes) = (handler.clone(), reading_bytes.clone());
+        let connection_guard = connections.clone();
         compio::runtime::spawn(async move {
             // An error concerns this peer only: it disconnected or violated the protocol.
-            let _ = serve_connection(tcp, limit_bytes, handler).await;
+            let _ = serve_connection(tcp, limit_bytes, reading_bytes, handler).await;
+            drop(connection_guard);
         })
         .detach();
     }
 }
 
-async fn serve_connection<H, F>(tcp: TcpStream, limit_bytes: usize, handler: H) -> Result<(), Error>
+async fn serve_connection<H, F>(
+    tcp: TcpStream,
+    limit_bytes: usize,
+    reading_bytes: ReadingBytes,
+    handler: H,
+) -> Result<(), Error>
 where
     H: Fn(String, Bytes) -> F + Clone + 'static,
     F: Future<Output = Result<Bytes, StatusCode>> + 'static,
@@ -149,13 +201,14 @@
         let accepting = connection.accept().map(Ok);
         let Some(accepted) = with_timeout(IDLE_TIMEOUT, accepting).await? else { return Ok(()) };
         let (request, mut respond) = accepted.context(H2Snafu)?;
-        let handler = handler.clone();
+        let (handler, reading_bytes) = (handler.clone(), reading_bytes.clone());
         compio::runtime::spawn(async move {
             let path = request.uri().path().to_owned();
-            let reading = read_stream(request.into_body(), limit_bytes);
+            let reading = read_stream(request.into_body(), limit_bytes, &reading_bytes);
             let result = match with_timeout(REQUEST_TIMEOUT, reading).await {
                 Ok(body) => handler(path, body).await,
                 Err(Error::TimedOut { .. }) => Err(StatusCode::REQUEST_TIMEOUT),
+                Err(Error::NoMemory) => Err(StatusCode::SERVICE_UNAVAILABLE),
                 Err(_) => Err(StatusCode::PAYLOAD_TOO_LARGE),
             };
             let (status, body) = match result {
