--- a/crates/serve/tests/settings.rs
+++ b/crates/serve/tests/settings.rs
@@ -48,6 +48,17 @@
                 "line 11: [allowances] window_s: \"-1\" is not a number from 0 on",
             ],
         },
+        Case {
+            change: (
+                "[fleet]\n",
+                "[limits]\nmemory_mb = 47\nmax_descriptors = 1000\nunread_timeout_ms = 999\n[fleet]\n",
+            ),
+            errors: &[
+                "[limits] memory_mb: must be at least 48",
+                "[limits] max_descriptors: must be at least 1024",
+                "[limits] unread_timeout_ms: must be at least 1000",
+            ],
+        },
         Case {
             change: ("[fleet]\n", "[config]\nheartbeat_ms = 5\n[fleet]\n"),
             errors: &[
