--- a/crates/serve/src/config.rs
+++ b/crates/serve/src/config.rs
@@ -23,7 +23,7 @@
 /// exchanges, one interval of a reader's writes and reserve.
 const SETTLE_MS: u64 = 3_200;
 /// Time reserved for the report of a window before the window counts as late.
-const REPORT_MARGIN_MS: u64 = 200;
+const REPORT_MARGIN_MS: u64 = 500;
 /// Time allowed for a feed exchange: a round trip between regions and reserve for a busy instance.
 const EXCHANGE_MARGIN_MS: u64 = 200;
 /// Least time allowed for two feed exchanges. With less, one busy second would make an
