Follow the present role while waiting to read the store again

Cause: the delay after a failed read was drawn once and slept out. An instance that became a reader in the meantime waited up to 6.4 s as a fed instance, and all others waited with it, longer than a configuration may take.

The reader of a topic asks the hub for the delay every 50 ms; the topology gives it for the present role, with the same random spread.

delays_between_failed_reads_follow_the_present_role checks the delay before and after a promotion; the wait itself has no test of its own.

--- a/crates/membership/src/feed_topology.rs
+++ b/crates/membership/src/feed_topology.rs
@@ -5,6 +5,7 @@
 use cowslip_name::Name;
 
 use crate::feeder_selection::{assigned_feeders, select_feeders, select_readers};
+use crate::store_retry::store_retry_delay_ms;
 
 /// Maximum number of instances with successful reads that an instance whose own reads fail adds to
 /// its feed peers.
@@ -205,6 +206,14 @@
         now_ms.saturating_sub(read_at_ms) >= max_age_ms
     }
 
+    /// Returns the delay after the given number of consecutive failed reads of the store, at least 1,
+    /// by the present part of this instance. `spread_permille` varies it as in
+    /// [`store_retry_delay_ms`].
+    #[must_use]
+    pub fn store_retry_delay_ms(&self, failures: u32, spread_permille: u64) -> u64 {
+        store_retry_delay_ms(self.role(), failures, spread_permille)
+    }
+
     /// Returns whether this instance has to read the instances' entries itself. Feeders need all of
     /// them to find instances that know no feeder.
     #[must_use]
--- a/crates/membership/tests/feed_start.rs
+++ b/crates/membership/tests/feed_start.rs
@@ -9,6 +9,12 @@
     Name::new(text).expect("a name")
 }
 
+/// Returns a location whose region and failure domain are the first letter of the instance's name.
+fn location(instance: &str) -> Location {
+    let letter = name(&instance[..1]);
+    Location { region: letter.clone(), failure_domain: letter }
+}
+
 #[test]
 fn an_instance_that_has_started_waits_for_sources_that_answer() {
     /// Result of an exchange with an instance.
@@ -80,10 +86,6 @@
         },
     ];
     for case in cases {
-        let location = |text: &str| {
-            let region = name(&text[..1]);
-            Location { failure_domain: region.clone(), region }
-        };
         let mut topology = FeedTopology::new(name("a3"), location("a3"), TIMES, 0);
         let live = ["a0", "a1", "a2", "a3", "b0", "b1"];
         topology.set_live_instances(live.map(|text| (name(text), location(text))));
@@ -100,3 +102,40 @@
         assert_eq!(topology.must_read_store(6_000), case.reads_at_6_000_ms, "{}", case.name);
     }
 }
+
+#[test]
+fn delays_between_failed_reads_follow_the_present_role() {
+    struct Case {
+        name: &'static str,
+        listed: &'static [&'static str],
+        failures: u32,
+        delay_ms: u64,
+    }
+    let cases = [
+        Case {
+            name: "fed",
+            listed: &["a0", "a1", "a2", "a3", "b0", "b1"],
+            failures: 3,
+            delay_ms: 6_400,
+        },
+        Case {
+            name: "promoted to feeder",
+            listed: &["a2", "a3", "b0", "b1"],
+            failures: 3,
+            delay_ms: 1_600,
+        },
+        Case {
+            name: "promoted to reader",
+            listed: &["a3", "b0", "b1"],
+            failures: 3,
+            delay_ms: 800,
+        },
+    ];
+    let mut topology = FeedTopology::new(name("a3"), location("a3"), TIMES, 0);
+    topology.on_feed_received(0, &name("a0"), Some(0));
+    for case in cases {
+        topology.set_live_instances(case.listed.iter().map(|text| (name(text), location(text))));
+        let delay_ms = topology.store_retry_delay_ms(case.failures, 1_000);
+        assert_eq!(delay_ms, case.delay_ms, "{}", case.name);
+    }
+}
--- a/crates/serve/src/hub/message.rs
+++ b/crates/serve/src/hub/message.rs
@@ -58,7 +58,7 @@
     /// Asks whether and how this instance reads a topic of the store.
     ReadMode { topic: Topic, reply: ReplySender<ReadMode> },
     /// Asks for the delay of the next read after consecutive failures.
-    RetryDelay { failures: u32, reply: ReplySender<Duration> },
+    RetryDelay { failures: u32, spread_permille: u64, reply: ReplySender<Duration> },
     /// Builds the next feed request to a peer; the reply also holds the state of the link that
     /// applies once the peer has received the request.
     BuildFeed { to: Name, link: LinkState, reply: ReplySender<(proto::FeedRequest, LinkState)> },
--- a/crates/serve/src/hub/mod.rs
+++ b/crates/serve/src/hub/mod.rs
@@ -21,7 +21,7 @@
     DeclaredConfig, RetryBudget, StopSchedule, UpstreamChange, UpstreamHealth, UpstreamRegistry,
     plan_capacity, plan_roles,
 };
-use cowslip_membership::{FeedRole, FeedTopology, store_retry_delay_ms};
+use cowslip_membership::{FeedRole, FeedTopology};
 use cowslip_poison::{Quarantine, Refusal, SuspectKey};
 use cowslip_task::send_reply;
 use cowslip_usage::{ClusterClock, StartCounters, StartWindows, WindowTimes};
@@ -204,9 +204,8 @@
             HubMessage::Records { topic, page, is_list } => self.on_records(topic, page, is_list),
             HubMessage::StoreState { topic, is_up } => self.on_store_state(topic, is_up),
             HubMessage::ReadMode { topic, reply } => send_reply(&reply, self.read_mode(topic)),
-            HubMessage::RetryDelay { failures, reply } => {
-                let role = self.feed_topology.role();
-                let delay_ms = store_retry_delay_ms(role, failures, fastrand::u64(..=1_000));
+            HubMessage::RetryDelay { failures, spread_permille, reply } => {
+                let delay_ms = self.feed_topology.store_retry_delay_ms(failures, spread_permille);
                 send_reply(&reply, Duration::from_millis(delay_ms));
             }
             HubMessage::BuildFeed { to, link, reply } => {
--- a/crates/serve/src/tasks/topic_reader.rs
+++ b/crates/serve/src/tasks/topic_reader.rs
@@ -1,7 +1,7 @@
 //! Reads a topic of the store and passes its records to the hub.
 
 use std::pin::pin;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use futures_util::future::{Either, select};
 
@@ -14,7 +14,7 @@
 
 /// Time without a response after which a read is sent once more on a new connection.
 const HEDGE_AFTER: Duration = Duration::from_millis(500); // a response of the store takes some milliseconds
-/// Interval between checks whether feeders still read for this instance.
+/// Interval between checks whether this instance has to read now.
 const SKIP_INTERVAL: Duration = Duration::from_millis(50);
 
 /// How often a topic is read, and how long each read may wait.
@@ -97,14 +97,31 @@
             Err(StoreError::Expired) => next = None,
             Err(_) => {
                 failures += 1;
-                let delay = hub.request(|reply| HubMessage::RetryDelay { failures, reply }).await;
-                let Some(delay) = delay else { return };
-                compio::time::sleep(delay).await;
+                if wait_to_retry(&hub, failures).await.is_none() {
+                    return;
+                }
             }
         }
     }
 }
 
+/// Waits after a failed read. The delay follows this instance's role, which may change meanwhile.
+/// `None` if the process ends.
+async fn wait_to_retry(hub: &HubHandle, failures: u32) -> Option<()> {
+    let spread_permille = fastrand::u64(..=1_000);
+    let failed_at = Instant::now();
+    loop {
+        let delay = hub
+            .request(|reply| HubMessage::RetryDelay { failures, spread_permille, reply })
+            .await?;
+        let left = delay.saturating_sub(failed_at.elapsed());
+        if left.is_zero() {
+            return Some(());
+        }
+        compio::time::sleep(left.min(SKIP_INTERVAL)).await;
+    }
+}
+
 /// Reads, and reads once more on a new connection if no response arrives in time. An open connection
 /// may go silent while the store serves others, which is no outage of the store.
 async fn read_hedged<P>(
