Send silent reads of a reader once more also after a failure

Cause: after one failure a read was no longer sent a second time, so one silent connection held up a reader, and all instances with it, for the timeout of 2 s in place of 0.5 s.

After a failure the reads of readers are hedged, and those of other instances are not, since an outage would then cost them twice the calls. A list of all keys is never hedged. reads_after_a_failure_follow_the_present_role checks it by role; no process test plays a silent read after a failure.

--- a/crates/membership/src/feed_topology.rs
+++ b/crates/membership/src/feed_topology.rs
@@ -5,7 +5,7 @@
 use cowslip_name::Name;
 
 use crate::feeder_selection::{assigned_feeders, select_feeders, select_readers};
-use crate::store_retry::store_retry_delay_ms;
+use crate::store_retry::{StoreRetry, store_retry_delay_ms};
 
 /// Maximum number of instances with successful reads that an instance whose own reads fail adds to
 /// its feed peers.
@@ -206,12 +206,16 @@
         now_ms.saturating_sub(read_at_ms) >= max_age_ms
     }
 
-    /// Returns the delay after the given number of consecutive failed reads of the store, at least 1,
-    /// by the present part of this instance. `spread_permille` varies it as in
+    /// Returns how this instance, in its present part, reads the store after the given number of
+    /// consecutive failures, at least 1. `spread_permille` varies the delay as in
     /// [`store_retry_delay_ms`].
     #[must_use]
-    pub fn store_retry_delay_ms(&self, failures: u32, spread_permille: u64) -> u64 {
-        store_retry_delay_ms(self.role(), failures, spread_permille)
+    pub fn store_retry(&self, failures: u32, spread_permille: u64) -> StoreRetry {
+        let role = self.role();
+        StoreRetry {
+            delay_ms: store_retry_delay_ms(role, failures, spread_permille),
+            is_hedged: role == FeedRole::Reader,
+        }
     }
 
     /// Returns whether this instance has to read the instances' entries itself. Feeders need all of
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -13,4 +13,4 @@
 pub use feed_topology::{FeedRole, FeedTimes, FeedTopology, Location};
 pub use feeder_selection::{assigned_feeders, select_feeders, select_readers};
 pub use members::{Heartbeat, ListedMember, Members};
-pub use store_retry::store_retry_delay_ms;
+pub use store_retry::{StoreRetry, store_retry_delay_ms};
--- a/crates/membership/src/store_retry.rs
+++ b/crates/membership/src/store_retry.rs
@@ -13,6 +13,16 @@
 /// Longest delay of any other instance.
 const MAX_FED_DELAY_MS: u64 = 6_400;
 
+/// How an instance reads the store after failed reads.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct StoreRetry {
+    /// Delay between the end of the last read and the next.
+    pub delay_ms: u64,
+    /// Whether the next read is sent once more on a new connection if it gets no response. Only the
+    /// reads of readers are, since all instances wait for them.
+    pub is_hedged: bool,
+}
+
 /// Returns the delay after the given number of consecutive failures, at least 1.
 ///
 /// `spread_permille`, a random number up to 1,000, varies the delay between half of it and all, so
--- a/crates/membership/tests/feed_start.rs
+++ b/crates/membership/tests/feed_start.rs
@@ -104,12 +104,13 @@
 }
 
 #[test]
-fn delays_between_failed_reads_follow_the_present_role() {
+fn reads_after_a_failure_follow_the_present_role() {
     struct Case {
         name: &'static str,
         listed: &'static [&'static str],
         failures: u32,
         delay_ms: u64,
+        is_hedged: bool,
     }
     let cases = [
         Case {
@@ -117,25 +118,33 @@
             listed: &["a0", "a1", "a2", "a3", "b0", "b1"],
             failures: 3,
             delay_ms: 6_400,
+            is_hedged: false,
         },
         Case {
             name: "promoted to feeder",
             listed: &["a2", "a3", "b0", "b1"],
             failures: 3,
             delay_ms: 1_600,
+            is_hedged: false,
         },
         Case {
             name: "promoted to reader",
             listed: &["a3", "b0", "b1"],
             failures: 3,
             delay_ms: 800,
+            is_hedged: true,
         },
     ];
     let mut topology = FeedTopology::new(name("a3"), location("a3"), TIMES, 0);
     topology.on_feed_received(0, &name("a0"), Some(0));
     for case in cases {
         topology.set_live_instances(case.listed.iter().map(|text| (name(text), location(text))));
-        let delay_ms = topology.store_retry_delay_ms(case.failures, 1_000);
-        assert_eq!(delay_ms, case.delay_ms, "{}", case.name);
+        let retry = topology.store_retry(case.failures, 1_000);
+        assert_eq!(
+            (retry.delay_ms, retry.is_hedged),
+            (case.delay_ms, case.is_hedged),
+            "{}",
+            case.name
+        );
     }
 }
--- a/crates/serve/src/hub/message.rs
+++ b/crates/serve/src/hub/message.rs
@@ -8,6 +8,7 @@
 use cowslip_fleet::{
     Authorized, CapacityOrder, Prompt, RoleOrder, SendOutcome, StopSchedule, Upstream,
 };
+use cowslip_membership::StoreRetry;
 use cowslip_name::Name;
 use cowslip_poison::{RequestDigest, SegmentId};
 use cowslip_proto as proto;
@@ -57,8 +58,8 @@
     StoreState { topic: Topic, is_up: bool },
     /// Asks whether and how this instance reads a topic of the store.
     ReadMode { topic: Topic, reply: ReplySender<ReadMode> },
-    /// Asks for the delay of the next read after consecutive failures.
-    RetryDelay { failures: u32, spread_permille: u64, reply: ReplySender<Duration> },
+    /// Asks for how to read the store after consecutive failures.
+    StoreRetry { failures: u32, spread_permille: u64, reply: ReplySender<StoreRetry> },
     /// Builds the next feed request to a peer; the reply also holds the state of the link that
     /// applies once the peer has received the request.
     BuildFeed { to: Name, link: LinkState, reply: ReplySender<(proto::FeedRequest, LinkState)> },
--- a/crates/serve/src/hub/mod.rs
+++ b/crates/serve/src/hub/mod.rs
@@ -11,7 +11,6 @@
 
 use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
-use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
 use cowslip_authority::Holder;
@@ -204,9 +203,8 @@
             HubMessage::Records { topic, page, is_list } => self.on_records(topic, page, is_list),
             HubMessage::StoreState { topic, is_up } => self.on_store_state(topic, is_up),
             HubMessage::ReadMode { topic, reply } => send_reply(&reply, self.read_mode(topic)),
-            HubMessage::RetryDelay { failures, spread_permille, reply } => {
-                let delay_ms = self.feed_topology.store_retry_delay_ms(failures, spread_permille);
-                send_reply(&reply, Duration::from_millis(delay_ms));
+            HubMessage::StoreRetry { failures, spread_permille, reply } => {
+                send_reply(&reply, self.feed_topology.store_retry(failures, spread_permille));
             }
             HubMessage::BuildFeed { to, link, reply } => {
                 send_reply(&reply, self.build_feed(&to, &link));
--- a/crates/serve/src/tasks/topic_reader.rs
+++ b/crates/serve/src/tasks/topic_reader.rs
@@ -3,6 +3,7 @@
 use std::pin::pin;
 use std::time::{Duration, Instant};
 
+use cowslip_membership::StoreRetry;
 use futures_util::future::{Either, select};
 
 use super::HubHandle;
@@ -52,6 +53,7 @@
     let mut next = None;
     let mut delay = schedule.min_delay;
     let mut failures = 0;
+    let mut is_hedged = true;
     let mut store = StoreAvailability::new(topic, "reading");
     compio::time::sleep(schedule.first_delay).await;
     loop {
@@ -59,6 +61,7 @@
             Some(ReadMode::Skip) => {
                 next = None;
                 failures = 0;
+                is_hedged = true;
                 delay = schedule.min_delay;
                 compio::time::sleep(SKIP_INTERVAL).await;
                 continue;
@@ -70,12 +73,13 @@
             Some(ReadMode::Restart) => next = None,
             Some(ReadMode::Continue) | None => {}
         }
-        // A second read helps against a silent connection, not against an outage. A list of all keys
-        // takes longer than other reads, and a second one would make it slower still.
-        let result = if failures == 0 && next.is_some() {
-            read_hedged(&platform, topic, next, schedule.wait_ms).await
+        let wait_ms = if failures == 0 { schedule.wait_ms } else { 0 };
+        // A list of all keys takes longer than other reads, and a second one would make it slower
+        // still.
+        let result = if is_hedged && next.is_some() {
+            read_hedged(&platform, topic, next, wait_ms).await
         } else {
-            read(&platform, topic, next, 0).await
+            read(&platform, topic, next, wait_ms).await
         };
         let outcome = if result.is_ok() { "ok" } else { "failed" };
         metrics.store_calls.with_label_values(&[outcome]).inc();
@@ -87,6 +91,7 @@
         match result {
             Ok(page) => {
                 failures = 0;
+                is_hedged = true;
                 let is_list = next.is_none();
                 next = Some(page.next_offset);
                 forward(&hub, topic, page, is_list).await;
@@ -97,9 +102,8 @@
             Err(StoreError::Expired) => next = None,
             Err(_) => {
                 failures += 1;
-                if wait_to_retry(&hub, failures).await.is_none() {
-                    return;
-                }
+                let Some(retry) = wait_to_retry(&hub, failures).await else { return };
+                is_hedged = retry.is_hedged;
             }
         }
     }
@@ -107,16 +111,16 @@
 
 /// Waits after a failed read. The delay follows this instance's role, which may change meanwhile.
 /// `None` if the process ends.
-async fn wait_to_retry(hub: &HubHandle, failures: u32) -> Option<()> {
+async fn wait_to_retry(hub: &HubHandle, failures: u32) -> Option<StoreRetry> {
     let spread_permille = fastrand::u64(..=1_000);
     let failed_at = Instant::now();
     loop {
-        let delay = hub
-            .request(|reply| HubMessage::RetryDelay { failures, spread_permille, reply })
+        let retry = hub
+            .request(|reply| HubMessage::StoreRetry { failures, spread_permille, reply })
             .await?;
-        let left = delay.saturating_sub(failed_at.elapsed());
+        let left = Duration::from_millis(retry.delay_ms).saturating_sub(failed_at.elapsed());
         if left.is_zero() {
-            return Some(());
+            return Some(retry);
         }
         compio::time::sleep(left.min(SKIP_INTERVAL)).await;
     }
