Read the store like a feeder until a peer has fed this instance

Cause: without a list of instances an instance counts as fed. If the store refused the calls while all instances started, each of them, future readers included, waited up to 6.4 s between reads, and read the instances' entries only after a read of the upstreams' entries. Nobody had a peer to be told by.

Until it has a list and has been fed, an instance reads with the delays of a feeder (1.6 s at most), and without a list its reads of the instances' entries are not held back.

instances_that_start_in_an_outage_serve_soon_after_it starts nine instances in an outage.

--- a/crates/membership/src/feed_topology.rs
+++ b/crates/membership/src/feed_topology.rs
@@ -212,12 +212,24 @@
     #[must_use]
     pub fn store_retry(&self, failures: u32, spread_permille: u64) -> StoreRetry {
         let role = self.role();
+        let delay_role = match role {
+            // No peer tells it when the store is back.
+            FeedRole::Fed if !self.has_list || !self.has_been_fed => FeedRole::Feeder,
+            FeedRole::Reader | FeedRole::Feeder | FeedRole::Fed => role,
+        };
         StoreRetry {
-            delay_ms: store_retry_delay_ms(role, failures, spread_permille),
+            delay_ms: store_retry_delay_ms(delay_role, failures, spread_permille),
             is_hedged: role == FeedRole::Reader,
         }
     }
 
+    /// Returns whether reads of the instances' entries may be held back until the store serves this
+    /// instance again. Without a list of them, nobody knows who reads for whom.
+    #[must_use]
+    pub fn may_hold_back_instances(&self) -> bool {
+        self.has_list
+    }
+
     /// Returns whether this instance has to read the instances' entries itself. Feeders need all of
     /// them to find instances that know no feeder.
     #[must_use]
--- a/crates/membership/tests/feed_start.rs
+++ b/crates/membership/tests/feed_start.rs
@@ -136,6 +136,11 @@
         },
     ];
     let mut topology = FeedTopology::new(name("a3"), location("a3"), TIMES, 0);
+    assert!(!topology.may_hold_back_instances());
+    assert_eq!(topology.store_retry(3, 1_000).delay_ms, 1_600, "no list");
+    topology.set_live_instances(cases[0].listed.iter().map(|text| (name(text), location(text))));
+    assert!(topology.may_hold_back_instances());
+    assert_eq!(topology.store_retry(3, 1_000).delay_ms, 1_600, "never fed");
     topology.on_feed_received(0, &name("a0"), Some(0));
     for case in cases {
         topology.set_live_instances(case.listed.iter().map(|text| (name(text), location(text))));
--- a/crates/serve/src/hub/mod.rs
+++ b/crates/serve/src/hub/mod.rs
@@ -279,9 +279,14 @@
                 self.feed_topology.must_read_store(now_ms)
             }
         };
+        let may_hold_back = match topic {
+            Topic::Roster => false,
+            Topic::Instances => self.feed_topology.may_hold_back_instances(),
+            Topic::Declaration | Topic::Lease | Topic::Starts => true,
+        };
         if !must_read {
             ReadMode::Skip
-        } else if topic != Topic::Roster && self.awaits_store(now_ms) {
+        } else if may_hold_back && self.awaits_store(now_ms) {
             ReadMode::Wait
         } else if topic == Topic::Instances && self.instances.is_fed() {
             ReadMode::Restart
