Learn the speeds of engines and spread prompts over known queues

Cause: a hot segment's prefill engine was chosen without regard to its speed, and each instance knew only its own prompts there, one in some 80.

Change: every instance reports timings and waiting prompt tokens up the feed tree; the readers sum them into one table of speed levels and queues that travels back. Rendezvous hashing is weighted by speed, slow decode engines cost more, and a prompt leaves its segment's engine for a shorter queue while engines are uneven. [placement] uneven_from switches it on.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -10,6 +10,8 @@
 mod registry;
 mod response_end;
 mod retry_budget;
+mod shared_loads;
+mod speed;
 mod standing;
 mod stop;
 
@@ -25,5 +27,9 @@
 };
 pub use response_end::{Failure, Framing, Interruption, Progress, ResponseKind, check_end};
 pub use retry_budget::{RetryBudget, RetryBudgetLimits};
+pub use shared_loads::{
+    EngineLoad, EngineLoads, EngineWork, LoadTable, LoadTableRow, ReportLevel, SharedLoads,
+};
+pub use speed::{Slowness, SpeedChange, SpeedLevels, Timings, UpstreamTag, speed_of_level};
 pub use standing::Standing;
 pub use stop::StopSchedule;
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -3,16 +3,26 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use num_traits::ToPrimitive;
+
 use crate::registry::{EngineRole, Upstream};
 
 /// Prompts with fewer tokens are prefilled by the engine that decodes them: moving the KV cache and
 /// a second request cost more than the prefill (docs/MEASUREMENTS.md).
 const MIN_DISAGGREGATED_TOKENS: u64 = 2_500;
-/// Number of active prefills of this instance at which an engine counts as busy, so that the next
-/// engine in the order of affinity is used.
-const MAX_AFFINE_PREFILLS: u32 = 3;
+/// Number of active prefills of this instance at which an engine of the usual speed counts as busy,
+/// so that the next engine in the order of affinity is used.
+const MAX_AFFINE_PREFILLS: f64 = 3.0;
 /// Number of engines that prefill the prompts with the same shared segment.
 const AFFINE_ENGINES: usize = 2;
+/// Number of engines that prefill the prompts with the same shared segment where queues are known
+/// across instances.
+const MAX_QUEUE_ENGINES: usize = 4;
+/// Tokens by which a queue must be shorter before a prompt leaves the first engine of its segment,
+/// in addition to the shared segments that are prefilled again. Known queues are a second old.
+const MIN_SAVED_TOKENS: f64 = 4_000.0;
+/// Part of a prompt's shared segments that an engine is assumed not to have cached, 0 to 1.
+const UNCACHED_SHARE: f64 = 0.3;
 /// Failure rate from which on a prefill engine is skipped, 0 to 1.
 const MAX_FAILURE_RATE: f64 = 0.5;
 /// Cost of one step of distance, in queued requests of this instance: a step adds some dozen
@@ -48,10 +58,26 @@
         let shared_count = self.segments.len().saturating_sub(1);
         self.segments.iter().take(shared_count).map(|segment| segment.id)
     }
+
+    /// Returns the length of the segments that other requests may share, in tokens.
+    #[must_use]
+    pub fn shared_tokens(&self) -> u64 {
+        let shared_count = self.segments.len().saturating_sub(1);
+        self.segments.iter().take(shared_count).map(|segment| segment.tokens).sum()
+    }
+
+    /// Returns the number of tokens that an engine with an affinity to the prompt's segments is
+    /// expected to prefill.
+    #[must_use]
+    pub fn expected_prefill_tokens(&self) -> u64 {
+        let shared_tokens = self.shared_tokens().min(self.tokens);
+        let uncached = (shared_tokens as f64 * UNCACHED_SHARE).to_u64().unwrap_or(0);
+        self.tokens - shared_tokens + uncached
+    }
 }
 
 /// Load of an upstream as this instance knows it.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Load {
     /// Requests of this instance that were sent to the upstream and have not started.
     pub queued: u32,
@@ -61,6 +87,23 @@
     pub failure_rate: f64,
     /// Whether this instance keeps a connection to the upstream open.
     pub is_connected: bool,
+    /// Speed as a factor of the usual one of the service.
+    pub speed: f64,
+    /// Prompt tokens that all instances wait for, and that the upstream has not prefilled yet.
+    pub waiting_tokens: u64,
+}
+
+impl Default for Load {
+    fn default() -> Self {
+        Self {
+            queued: 0,
+            active_prefills: 0,
+            failure_rate: 0.0,
+            is_connected: false,
+            speed: 1.0,
+            waiting_tokens: 0,
+        }
+    }
 }
 
 /// Location of this instance and the regions of all failure domains.
@@ -97,6 +140,9 @@
     /// Failure domain near which the request runs: that of the prefill engine once prefill is done,
     /// `None` for that of this instance.
     pub preferred_domain: Option<&'a str>,
+    /// Whether a prompt leaves the engines of its segment for a shorter queue, as known across
+    /// instances.
+    pub spreads_queues: bool,
     /// Random number that selects among equal upstreams.
     pub tie_breaker: u64,
 }
@@ -131,9 +177,8 @@
             && prompt.tokens >= MIN_DISAGGREGATED_TOKENS
             && !prefill_engines.is_empty()
     });
-    let prefill_engine = prompt.and_then(|prompt| {
-        choose_prefill_engine(prompt, request.tie_breaker, &prefill_engines, &load)
-    });
+    let prefill_engine =
+        prompt.and_then(|prompt| choose_prefill_engine(request, prompt, &prefill_engines, &load));
     // The KV cache is moved from the prefill engine to the serving upstream, so the two should be
     // near each other.
     let target_domain = prefill_engine
@@ -144,35 +189,74 @@
     Some(Placement { prefill_upstream: prefill_engine.cloned(), upstream: upstream.clone() })
 }
 
-/// Returns the prefill engine that all instances prefer for the prompt's shared segment, or the
-/// second one if the first is busy with prefills of this instance.
+/// Returns the prefill engine for a prompt, from the order of affinity that all instances agree on.
 ///
-/// Each further engine would have to prefill the shared segment too, which takes longer than the
+/// Each further engine would have to prefill the shared segments too, which takes longer than the
 /// request's own segment, so a burst must not spread over all engines.
 fn choose_prefill_engine<'a, F>(
+    request: &PlacementRequest<'_>,
     prompt: &Prompt,
-    tie_breaker: u64,
     prefill_engines: &[&'a Arc<Upstream>],
     load: &F,
 ) -> Option<&'a Arc<Upstream>>
 where
     F: Fn(&Upstream) -> Load,
 {
-    let key = prompt.shared_segment_ids().next_back().unwrap_or(tie_breaker);
-    let mut ranked: Vec<(&'a Arc<Upstream>, u64)> =
-        prefill_engines.iter().map(|up| (*up, affinity(key, &up.id))).collect();
-    ranked.sort_by_key(|(_, weight)| std::cmp::Reverse(*weight));
+    let key = prompt.shared_segment_ids().next_back().unwrap_or(request.tie_breaker);
+    let mut ranked: Vec<(&'a Arc<Upstream>, f64)> = prefill_engines
+        .iter()
+        .map(|up| (*up, weighted_affinity(affinity(key, &up.id), load(up).speed)))
+        .collect();
+    ranked.sort_by(|(_, a), (_, b)| b.total_cmp(a));
     let is_healthy = |up: &Upstream| load(up).failure_rate < MAX_FAILURE_RATE;
-    let preferred: Vec<&'a Arc<Upstream>> =
-        ranked.iter().map(|(up, _)| *up).filter(|up| is_healthy(up)).take(AFFINE_ENGINES).collect();
-    preferred
+    let healthy = ranked.iter().map(|(up, _)| *up).filter(|up| is_healthy(up));
+    let chosen = if request.spreads_queues {
+        shortest_prefill(prompt, healthy.take(MAX_QUEUE_ENGINES), load)
+    } else {
+        first_idle(&healthy.take(AFFINE_ENGINES).collect::<Vec<_>>(), load)
+    };
+    chosen.or_else(|| ranked.first().map(|(up, _)| *up))
+}
+
+/// Returns the first engine that is not busy with prefills of this instance, or else the least busy
+/// one.
+fn first_idle<'a, F>(engines: &[&'a Arc<Upstream>], load: &F) -> Option<&'a Arc<Upstream>>
+where
+    F: Fn(&Upstream) -> Load,
+{
+    let is_idle = |up: &Upstream| {
+        let load = load(up);
+        f64::from(load.active_prefills) < (MAX_AFFINE_PREFILLS * load.speed).round().max(1.0)
+    };
+    engines
         .iter()
-        .find(|up| load(up).active_prefills < MAX_AFFINE_PREFILLS)
-        .or_else(|| preferred.iter().min_by_key(|up| load(up).active_prefills))
-        .or_else(|| ranked.first().map(|(up, _)| up))
+        .find(|up| is_idle(up))
+        .or_else(|| engines.iter().min_by_key(|up| load(up).active_prefills))
         .copied()
 }
 
+/// Returns the engine at which the prefill is expected to end first. All engines but the first one
+/// are assumed to lack the shared segments.
+fn shortest_prefill<'a, F, I>(prompt: &Prompt, engines: I, load: &F) -> Option<&'a Arc<Upstream>>
+where
+    F: Fn(&Upstream) -> Load,
+    I: IntoIterator<Item = &'a Arc<Upstream>>,
+{
+    let affine_tokens = prompt.expected_prefill_tokens() as f64;
+    let cold_tokens = prompt.tokens as f64 + MIN_SAVED_TOKENS;
+    let expected_time = |rank: usize, up: &Upstream| {
+        let load = load(up);
+        let tokens = if rank == 0 { affine_tokens } else { cold_tokens };
+        (load.waiting_tokens as f64 + tokens) / load.speed
+    };
+    engines
+        .into_iter()
+        .enumerate()
+        .map(|(rank, up)| (up, expected_time(rank, up)))
+        .min_by(|(_, a), (_, b)| a.total_cmp(b))
+        .map(|(up, _)| up)
+}
+
 /// Returns the rendezvous-hashing weight of an upstream for a key, equal at every instance.
 fn affinity(key: u64, id: &str) -> u64 {
     let mut hasher = blake3::Hasher::new();
@@ -183,7 +267,16 @@
     u64::from_le_bytes(weight)
 }
 
-/// Returns the upstream with the lowest cost by load, distance and failures.
+/// Weighs an affinity so that an engine is first for a share of the keys in proportion to its speed.
+/// Equal speeds keep the order of the affinities, and a changed speed moves the fewest keys.
+fn weighted_affinity(affinity: u64, speed: f64) -> f64 {
+    let uniform = (affinity as f64 + 1.0) / (u64::MAX as f64 + 2.0);
+    -speed / uniform.ln()
+}
+
+/// Returns the upstream with the lowest cost by load, distance and failures. Slow upstreams cost
+/// more; among equals, upstreams are chosen in proportion to their speed, since all instances would
+/// choose the same one if the fastest cost least.
 fn cheapest<'a, F>(
     candidates: &[&'a Arc<Upstream>],
     target_domain: &str,
@@ -197,7 +290,9 @@
     let max_slots = candidates.iter().map(|up| up.slots).max()?;
     let cost = |up: &Upstream| {
         let load = load(up);
-        (f64::from(load.queued) + 1.0) * f64::from(max_slots) / f64::from(up.slots.max(1))
+        let slowdown = 1.0 / load.speed.min(1.0);
+        (f64::from(load.queued) + 1.0) * slowdown * f64::from(max_slots)
+            / f64::from(up.slots.max(1))
             + DISTANCE_COST * f64::from(locality.distance(target_domain, &up.failure_domain))
             + FAILURE_COST * load.failure_rate
     };
@@ -206,6 +301,27 @@
     // A new connection costs a round trip and is billed.
     let connected: Vec<_> = tied.iter().filter(|up| load(up).is_connected).copied().collect();
     let pool = if connected.is_empty() { tied } else { connected };
-    let index = usize::try_from(tie_breaker % pool.len() as u64).ok()?;
-    pool.get(index).map(|up| **up)
+    pick_by_speed(&pool, tie_breaker, load)
+}
+
+/// Picks an upstream at random, in proportion to its speed.
+fn pick_by_speed<'a, F>(
+    pool: &[&&'a Arc<Upstream>],
+    tie_breaker: u64,
+    load: &F,
+) -> Option<&'a Arc<Upstream>>
+where
+    F: Fn(&Upstream) -> Load,
+{
+    let speeds: Vec<f64> = pool.iter().map(|up| load(up).speed).collect();
+    if speeds.windows(2).all(|pair| pair[0] >= pair[1] && pair[0] <= pair[1]) {
+        let index = usize::try_from(tie_breaker % pool.len() as u64).ok()?;
+        return pool.get(index).map(|up| **up);
+    }
+    let mut left = speeds.iter().sum::<f64>() * (tie_breaker as f64 / u64::MAX as f64);
+    let index = speeds.iter().position(|speed| {
+        left -= speed;
+        left <= 0.0
+    });
+    index.or(Some(pool.len() - 1)).and_then(|index| pool.get(index)).map(|up| **up)
 }
--- a/crates/fleet/tests/placement.rs
+++ b/crates/fleet/tests/placement.rs
@@ -83,6 +83,7 @@
             prompt: None,
             may_disaggregate: true,
             preferred_domain: None,
+            spreads_queues: false,
             tie_breaker: 5,
         };
         let placement = place(&request, &eligible, &locality(), load).expect("placement");
@@ -123,6 +124,7 @@
             prompt: None,
             may_disaggregate: true,
             preferred_domain: None,
+            spreads_queues: false,
             tie_breaker: 0,
         };
         let placement = place(&request, &eligible, &locality(), load).expect("placement");
@@ -173,6 +175,7 @@
             prompt: None,
             may_disaggregate: true,
             preferred_domain: None,
+            spreads_queues: false,
             tie_breaker,
         };
         let placement = place(&request, &eligible, &locality(), load).expect("placement");
@@ -210,6 +213,7 @@
             prompt: Some(&prompt),
             may_disaggregate,
             preferred_domain: None,
+            spreads_queues: false,
             tie_breaker: 0,
         };
         let placement =
@@ -239,7 +243,7 @@
         reversed.reverse();
         let prompt = prompt(shared_segment_id, 9_000);
         let idle = |_: &Upstream| Load::default();
-        let request = |tie_breaker| PlacementRequest { prompt: Some(&prompt), may_disaggregate: true, preferred_domain: None, tie_breaker };
+        let request = |tie_breaker| PlacementRequest { prompt: Some(&prompt), may_disaggregate: true, preferred_domain: None, spreads_queues: false, tie_breaker };
         let first = place(&request(tie_breaker), &eligible, &locality(), idle).expect("placement");
         let second = place(&request(tie_breaker ^ 1), &reversed, &locality(), idle).expect("placement");
         prop_assert_eq!(&first.prefill_upstream, &second.prefill_upstream);
@@ -263,6 +267,7 @@
         prompt: None,
         may_disaggregate: true,
         preferred_domain: None,
+        spreads_queues: false,
         tie_breaker: 0,
     };
     assert_eq!(place(&request, &eligible, &locality(), |_| Load::default()), None);
--- a/crates/proto/src/generated.rs
+++ b/crates/proto/src/generated.rs
@@ -673,6 +673,59 @@
     ///Delay in milliseconds between reading the engine's state and sending it.
     pub hold_state_ms: u64,
 }
+///Load of an engine by the reporting instance and those that report to it.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "Load of an engine by the reporting instance and those that report to it.",
+///  "type": "object",
+///  "required": [
+///    "is_prefill",
+///    "timings",
+///    "upstream",
+///    "waiting_tokens"
+///  ],
+///  "properties": {
+///    "is_prefill": {
+///      "description": "Whether the row is about prefills for other engines.",
+///      "type": "boolean"
+///    },
+///    "timings": {
+///      "description": "Recent timings.",
+///      "type": "array",
+///      "items": {
+///        "$ref": "#/definitions/TimingBucket"
+///      }
+///    },
+///    "upstream": {
+///      "description": "Hash of the engine's id.",
+///      "type": "integer",
+///      "format": "uint32"
+///    },
+///    "waiting_tokens": {
+///      "description": "Prompt tokens sent there whose prefill has not ended.",
+///      "type": "integer",
+///      "format": "uint32"
+///    }
+///  },
+///  "additionalProperties": false
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct EngineLoadRow {
+    ///Whether the row is about prefills for other engines.
+    pub is_prefill: bool,
+    ///Recent timings.
+    pub timings: ::std::vec::Vec<TimingBucket>,
+    ///Hash of the engine's id.
+    pub upstream: u32,
+    ///Prompt tokens sent there whose prefill has not ended.
+    pub waiting_tokens: u32,
+}
 ///Order to an engine.
 ///
 /// <details><summary>JSON schema</summary>
@@ -971,6 +1024,7 @@
 ///  "required": [
 ///    "declaration",
 ///    "instances",
+///    "loads",
 ///    "place",
 ///    "read_age_ms",
 ///    "roster",
@@ -1001,6 +1055,17 @@
 ///        }
 ///      ]
 ///    },
+///    "loads": {
+///      "description": "Load table that the requester lacks; otherwise null.",
+///      "oneOf": [
+///        {
+///          "$ref": "#/definitions/LoadTable"
+///        },
+///        {
+///          "type": "null"
+///        }
+///      ]
+///    },
 ///    "place": {
 ///      "$ref": "#/definitions/FeedCursor"
 ///    },
@@ -1043,6 +1108,8 @@
     pub declaration: ::std::option::Option<StoredRecord>,
     ///Instance list, if it is wanted and changed after `seen`; otherwise null.
     pub instances: ::std::option::Option<FeederList>,
+    ///Load table that the requester lacks; otherwise null.
+    pub loads: ::std::option::Option<LoadTable>,
     pub place: FeedCursor,
     ///Age in milliseconds of the newest read of the upstreams' entries that the replying instance has made or was fed; null if it has none.
     pub read_age_ms: ::std::option::Option<u64>,
@@ -1066,6 +1133,7 @@
 ///    "declaration_offset",
 ///    "failure_domain",
 ///    "from",
+///    "loads",
 ///    "peer_address",
 ///    "reads_store",
 ///    "roster_digests",
@@ -1091,6 +1159,17 @@
 ///    "from": {
 ///      "$ref": "#/definitions/Holder"
 ///    },
+///    "loads": {
+///      "description": "Loads of engines; null if the sender treats all engines alike.",
+///      "oneOf": [
+///        {
+///          "$ref": "#/definitions/LoadReport"
+///        },
+///        {
+///          "type": "null"
+///        }
+///      ]
+///    },
 ///    "peer_address": {
 ///      "description": "IP address and port on which the sender accepts other instances.",
 ///      "type": "string"
@@ -1153,6 +1232,8 @@
     pub declaration_offset: ::std::option::Option<u64>,
     pub failure_domain: cowslip_name::Name,
     pub from: Holder,
+    ///Loads of engines; null if the sender treats all engines alike.
+    pub loads: ::std::option::Option<LoadReport>,
     ///IP address and port on which the sender accepts other instances.
     pub peer_address: ::std::string::String,
     ///Whether the sender's own reads of the store succeed.
@@ -1299,6 +1380,7 @@
 ///    "fleet",
 ///    "instance",
 ///    "limits",
+///    "placement",
 ///    "platform"
 ///  ],
 ///  "properties": {
@@ -1314,6 +1396,9 @@
 ///    "limits": {
 ///      "$ref": "#/definitions/LimitSettings"
 ///    },
+///    "placement": {
+///      "$ref": "#/definitions/PlacementSettings"
+///    },
 ///    "platform": {
 ///      "$ref": "#/definitions/PlatformSettings"
 ///    }
@@ -1329,6 +1414,7 @@
     pub fleet: FleetSettings,
     pub instance: InstanceSettings,
     pub limits: LimitSettings,
+    pub placement: PlacementSettings,
     pub platform: PlatformSettings,
 }
 ///Serving a declared fleet.
@@ -2228,6 +2314,147 @@
     ///IP address and port on which the instance accepts other instances.
     pub peer_address: ::std::string::String,
 }
+///Loads of engines by the reporting instance and by those that report to it, or an equal part of them for each of several receivers.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "Loads of engines by the reporting instance and by those that report to it, or an equal part of them for each of several receivers.",
+///  "type": "object",
+///  "required": [
+///    "level",
+///    "rows",
+///    "table"
+///  ],
+///  "properties": {
+///    "level": {
+///      "description": "Position of the sender in the feed topology: 0 fed, 1 feeder, 2 reader. Reports are summed by higher positions only.",
+///      "type": "integer",
+///      "format": "uint8"
+///    },
+///    "rows": {
+///      "description": "Engines with load or timings.",
+///      "type": "array",
+///      "items": {
+///        "$ref": "#/definitions/EngineLoadRow"
+///      }
+///    },
+///    "table": {
+///      "description": "Number of the sender's load table, 0 for none.",
+///      "type": "integer",
+///      "format": "uint64"
+///    }
+///  },
+///  "additionalProperties": false
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct LoadReport {
+    ///Position of the sender in the feed topology: 0 fed, 1 feeder, 2 reader. Reports are summed by higher positions only.
+    pub level: u8,
+    ///Engines with load or timings.
+    pub rows: ::std::vec::Vec<EngineLoadRow>,
+    ///Number of the sender's load table, 0 for none.
+    pub table: u64,
+}
+///Loads and speeds of all engines, summed by a reader.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "Loads and speeds of all engines, summed by a reader.",
+///  "type": "object",
+///  "required": [
+///    "age_ms",
+///    "number",
+///    "origin",
+///    "rows"
+///  ],
+///  "properties": {
+///    "age_ms": {
+///      "description": "Time since the loads were summed in milliseconds.",
+///      "type": "integer",
+///      "format": "uint64"
+///    },
+///    "number": {
+///      "description": "Number that identifies the table.",
+///      "type": "integer",
+///      "format": "uint64"
+///    },
+///    "origin": {
+///      "$ref": "#/definitions/Name"
+///    },
+///    "rows": {
+///      "description": "Engines that are loaded or of unusual speed.",
+///      "type": "array",
+///      "items": {
+///        "$ref": "#/definitions/LoadTableRow"
+///      }
+///    }
+///  },
+///  "additionalProperties": false
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct LoadTable {
+    ///Time since the loads were summed in milliseconds.
+    pub age_ms: u64,
+    ///Number that identifies the table.
+    pub number: u64,
+    pub origin: cowslip_name::Name,
+    ///Engines that are loaded or of unusual speed.
+    pub rows: ::std::vec::Vec<LoadTableRow>,
+}
+///Load and speed of an engine.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "Load and speed of an engine.",
+///  "type": "object",
+///  "required": [
+///    "speed_level",
+///    "upstream",
+///    "waiting_tokens"
+///  ],
+///  "properties": {
+///    "speed_level": {
+///      "description": "Speed in levels from the usual one, each a factor of 1.25.",
+///      "type": "integer",
+///      "format": "int8"
+///    },
+///    "upstream": {
+///      "description": "Hash of the engine's id.",
+///      "type": "integer",
+///      "format": "uint32"
+///    },
+///    "waiting_tokens": {
+///      "description": "Prompt tokens that all instances wait for there.",
+///      "type": "integer",
+///      "format": "uint32"
+///    }
+///  },
+///  "additionalProperties": false
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct LoadTableRow {
+    ///Speed in levels from the usual one, each a factor of 1.25.
+    pub speed_level: i8,
+    ///Hash of the engine's id.
+    pub upstream: u32,
+    ///Prompt tokens that all instances wait for there.
+    pub waiting_tokens: u32,
+}
 ///Entry of the log: the records of one group commit.
 ///
 /// <details><summary>JSON schema</summary>
@@ -3054,6 +3281,35 @@
         Self::Tail(value)
     }
 }
+///Placement of requests on uneven upstreams.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "Placement of requests on uneven upstreams.",
+///  "type": "object",
+///  "required": [
+///    "uneven_from"
+///  ],
+///  "properties": {
+///    "uneven_from": {
+///      "description": "Factor, above 1, by which the speed of an engine must differ from the usual one of its service before it counts; 0 to treat all engines alike.",
+///      "type": "number",
+///      "format": "double"
+///    }
+///  },
+///  "additionalProperties": false,
+///  "x-section": "placement"
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct PlacementSettings {
+    ///Factor, above 1, by which the speed of an engine must differ from the usual one of its service before it counts; 0 to treat all engines alike.
+    pub uneven_from: f64,
+}
 ///Faults of the platform stand-in; a control request replaces all of them.
 ///
 /// <details><summary>JSON schema</summary>
@@ -4951,6 +5207,42 @@
         value.parse()
     }
 }
+///Recent timings of an engine's work that took about equally long in relation to their expected time.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "Recent timings of an engine's work that took about equally long in relation to their expected time.",
+///  "type": "object",
+///  "required": [
+///    "bucket",
+///    "weight_hundredths"
+///  ],
+///  "properties": {
+///    "bucket": {
+///      "description": "Number of the bucket; each one is a fixed factor slower than the one before.",
+///      "type": "integer",
+///      "format": "uint8"
+///    },
+///    "weight_hundredths": {
+///      "description": "Number of timings in hundredths; older ones count less.",
+///      "type": "integer",
+///      "format": "uint32"
+///    }
+///  },
+///  "additionalProperties": false
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct TimingBucket {
+    ///Number of the bucket; each one is a fixed factor slower than the one before.
+    pub bucket: u8,
+    ///Number of timings in hundredths; older ones count less.
+    pub weight_hundredths: u32,
+}
 ///One process of an engine or a plain service.
 ///
 /// <details><summary>JSON schema</summary>
--- a/crates/proto/src/setting_table.rs
+++ b/crates/proto/src/setting_table.rs
@@ -280,6 +280,13 @@
         default: Some(""),
         help: "IP address and UDP port to which metrics are sent in the statsd format; empty to send none.",
     },
+    SettingSpec {
+        section: "placement",
+        key: "uneven_from",
+        kind: SettingKind::Number,
+        default: Some("0"),
+        help: "Factor, above 1, by which the speed of an engine must differ from the usual one of its service before it counts; 0 to treat all engines alike.",
+    },
     SettingSpec {
         section: "platform",
         key: "address",
--- a/crates/serve/src/caller/in_flight_request.rs
+++ b/crates/serve/src/caller/in_flight_request.rs
@@ -157,10 +157,13 @@
     }
 
     /// Asks the hub for the engine that serves the request after the prefill ended.
-    pub(super) async fn upstream_after_prefill(&self) -> Result<Arc<Upstream>, ErrorResponse> {
+    pub(super) async fn upstream_after_prefill(
+        &self,
+        is_prefilled: bool,
+    ) -> Result<Arc<Upstream>, ErrorResponse> {
         let id = self.assignment.id();
         let hub = &self.shared.hub;
-        hub.request(|reply| HubMessage::PrefillEnded { id, reply })
+        hub.request(|reply| HubMessage::PrefillEnded { id, is_prefilled, reply })
             .await
             .unwrap_or(Err(Rejection::NotReady))
             .map_err(ErrorResponse::from_rejection)
--- a/crates/serve/src/caller/stream.rs
+++ b/crates/serve/src/caller/stream.rs
@@ -78,7 +78,7 @@
     let mut refusals = 0;
     if let Some(prefill_upstream) = prefill_upstream {
         let result = run_prefill(request, &prefill_upstream).await;
-        upstream = request.upstream_after_prefill().await?;
+        upstream = request.upstream_after_prefill(result.is_ok()).await?;
         match result {
             Ok(prefill) => held_prefill = Some(prefill),
             Err(failure) => request.acquire_prefill_fallback(failure).await?,
--- a/crates/serve/src/config.rs
+++ b/crates/serve/src/config.rs
@@ -72,6 +72,10 @@
                 "must be at most half a lease",
             )]);
         }
+        let uneven_from = settings.placement.uneven_from;
+        if uneven_from > 0.0 && uneven_from <= 1.0 {
+            return Err(vec![setting_error("[placement] uneven_from", "must be 0 or above 1")]);
+        }
         let parse_address = |location: &str, text: &str| {
             text.parse::<SocketAddr>().map_err(|_| {
                 vec![setting_error(location, &format!("{text:?} is not an IP address and port"))]
@@ -133,6 +137,11 @@
         }
     }
 
+    /// Returns the factor by which speeds must differ to count, `None` if they never do.
+    pub(crate) fn uneven_from(&self) -> Option<f64> {
+        Some(self.settings.placement.uneven_from).filter(|factor| *factor > 1.0)
+    }
+
     /// Returns the interval between reads of the upstreams' entries.
     pub(crate) fn follow_every(&self) -> Duration {
         Duration::from_millis(self.settings.fleet.follow_every_ms)
--- a/crates/serve/src/events.rs
+++ b/crates/serve/src/events.rs
@@ -17,6 +17,7 @@
     UpstreamLeft = 311, Info, "an upstream gets no new requests";
     UpstreamRole = 312, Info, "the role of an engine changed";
     UpstreamHeld = 313, Info, "an upstream wants no requests from this instance for some time";
+    UpstreamSpeed = 314, Info, "the speed level of an engine changed";
     LeaseAcquired = 400, Info, "this instance acquired the lease";
     LeaseLost = 401, Info, "this instance no longer holds the lease";
     CapacityOrdered = 402, Info, "capacity was ordered";
--- a/crates/serve/src/hub/feed.rs
+++ b/crates/serve/src/hub/feed.rs
@@ -113,6 +113,7 @@
             true_ms: self.cluster_ms(),
             suspects,
             starts,
+            loads: self.load_report(),
         };
         let next_link = LinkState {
             received_cursor: link.received_cursor.clone(),
@@ -133,6 +134,7 @@
             let windows = start_windows_from_proto(peer_starts.windows);
             self.starts.merge_peer(&Arc::from(peer_starts.key), &windows);
         }
+        let loads = self.on_load_report(&request.from.instance, request.loads.as_ref());
         let empty = proto::FeedCursor {
             incarnation: self.identity.incarnation,
             roster: 0,
@@ -161,6 +163,7 @@
         let roster_version = roster.as_ref().map_or(cursor.roster, |batch| batch.version);
         let (suspects, sent_suspects) = self.suspects_since(cursor.suspects);
         proto::FeedReply {
+            loads,
             read_age_ms: self.read_at_ms(now_ms).map(|at_ms| now_ms.saturating_sub(at_ms)),
             declaration,
             roster_has_more: roster_version < log.version(),
@@ -187,6 +190,7 @@
         self.cluster_clock.on_estimate(now_ms, feed.true_ms);
         self.on_suspects(&feed.suspects);
         self.update_transfer(now_ms, from, &feed);
+        self.on_load_table(feed.loads);
         if let Some(record) = feed.declaration {
             self.on_declaration(from_proto(record), "instance");
         }
--- a/crates/serve/src/hub/message.rs
+++ b/crates/serve/src/hub/message.rs
@@ -30,9 +30,13 @@
     Retry { id: u64, reason: RetryReason, reply: ReplySender<Result<Arc<Upstream>, Rejection>> },
     /// Acquires one retry from the shared retry budget; the reply is false if it is used up.
     AcquireRetry { id: u64, reply: ReplySender<bool> },
-    /// Reports that the prefill of a request ended, successfully or not; the reply is the upstream
-    /// that serves the request.
-    PrefillEnded { id: u64, reply: ReplySender<Result<Arc<Upstream>, Rejection>> },
+    /// Reports that the prefill of a request ended; the reply is the upstream that serves the
+    /// request.
+    PrefillEnded {
+        id: u64,
+        is_prefilled: bool,
+        reply: ReplySender<Result<Arc<Upstream>, Rejection>>,
+    },
     /// Reports that an upstream runs the request.
     RequestStarted { id: u64 },
     /// Reports that an upstream sent a complete, successful response.
--- a/crates/serve/src/hub/mod.rs
+++ b/crates/serve/src/hub/mod.rs
@@ -2,6 +2,7 @@
 
 mod feed;
 mod instances;
+mod loads;
 mod message;
 mod quarantine;
 mod records;
@@ -16,8 +17,8 @@
 use cowslip_clock::{Clock, unix_ms};
 use cowslip_codec::{holder_to_proto, request_starts_key};
 use cowslip_fleet::{
-    DeclaredConfig, RetryBudget, StopSchedule, UpstreamChange, UpstreamHealth, UpstreamRegistry,
-    plan_capacity, plan_roles,
+    DeclaredConfig, RetryBudget, SharedLoads, StopSchedule, UpstreamChange, UpstreamHealth,
+    UpstreamRegistry, plan_capacity, plan_roles,
 };
 use cowslip_membership::{FeedRole, FeedTopology, store_retry_delay_ms};
 use cowslip_poison::{Quarantine, Refusal, SuspectKey};
@@ -66,6 +67,8 @@
     roster_transfer: Option<RosterTransfer>,
     health: UpstreamHealth,
     loads: HashMap<Arc<str>, LocalLoad>,
+    /// Loads and speeds of engines over all instances; `None` if all engines are treated alike.
+    shared_loads: Option<SharedLoads>,
     /// Time until which the client's pool holds a connection to an upstream.
     pooled_until_ms: HashMap<Arc<str>, u64>,
     /// Requests in flight, by the id of their assignment.
@@ -127,6 +130,9 @@
             roster_transfer: None,
             health: UpstreamHealth::default(),
             loads: HashMap::new(),
+            shared_loads: config
+                .uneven_from()
+                .map(|factor| SharedLoads::new(Arc::from(identity.instance.as_str()), factor)),
             pooled_until_ms: HashMap::new(),
             in_flight: HashMap::new(),
             retry_budget: RetryBudget::new(config.retry_budget_limits()),
@@ -169,8 +175,8 @@
             HubMessage::Misdirected { upstream } => {
                 self.registry.on_role_mismatch(self.clock.now_ms(), &upstream);
             }
-            HubMessage::PrefillEnded { id, reply } => {
-                send_reply(&reply, self.on_prefill_ended(id));
+            HubMessage::PrefillEnded { id, is_prefilled, reply } => {
+                send_reply(&reply, self.on_prefill_ended(id, is_prefilled));
             }
             HubMessage::RequestStarted { id } => self.on_request_started(id),
             HubMessage::RequestSucceeded { id } => self.on_request_succeeded(id),
@@ -229,6 +235,7 @@
         self.on_upstream_changes(&changes, "store");
         self.update_store_reader(now_ms);
         self.update_links();
+        self.update_load_table();
         self.metrics.in_flight.set(i64::try_from(self.in_flight.len()).unwrap_or(i64::MAX));
     }
 
--- a/crates/serve/src/hub/requests.rs
+++ b/crates/serve/src/hub/requests.rs
@@ -4,12 +4,13 @@
 use std::time::Duration;
 
 use cowslip_fleet::{
-    Authorized, Denial, Load, Placement, PlacementRequest, Prompt, RetrySafety, Standing, Upstream,
-    place,
+    Authorized, Denial, EngineRole, Load, Placement, PlacementRequest, Prompt, RetrySafety, Standing,
+    Upstream, UpstreamTag, place,
 };
 use cowslip_name::Name;
 use cowslip_poison::{Accused, LostUpstream, RequestDigest, SegmentId};
 
+use super::loads::EngineRun;
 use super::quarantine::format_segments;
 use super::{
     Assignment, AuthorizedRequest, Hub, Rejection, RetryReason, RouteQuery, UnplacedRequest,
@@ -30,6 +31,8 @@
     queued: u32,
     /// Prefills that the upstream runs for requests which another upstream serves.
     active_prefills: u32,
+    /// Expected prompt tokens of these prefills.
+    pub(super) waiting_tokens: u64,
 }
 
 /// A placed request, until its assignment ends.
@@ -51,6 +54,8 @@
     tried: Vec<Arc<str>>,
     /// Number of upstreams that may have run the request, the current one included.
     attempts: u32,
+    /// The part that an engine runs at present, `None` for requests to other upstreams.
+    engine_run: Option<EngineRun>,
     /// Whether the request counts as queued in the load of `upstream`.
     is_queued: bool,
     /// Whether the request was counted for its workspace's usage.
@@ -110,9 +115,18 @@
             own_waiting = self.loads.get(&upstream.id).map_or(0, |load| load.queued),
             deployment = self.declared_config.as_ref().map_or(0, |config| config.version)
         );
-        if let Some(prefill) = &prefill_upstream {
-            self.loads.entry(prefill.id.clone()).or_default().active_prefills += 1;
-        }
+        let prompt = unplaced.prompt.as_ref();
+        let engine_run = prompt.map(|prompt| match &prefill_upstream {
+            Some(prefill) => {
+                let run =
+                    EngineRun::prefill(now_ms, prompt, self.load(now_ms, prefill).waiting_tokens);
+                let load = self.loads.entry(prefill.id.clone()).or_default();
+                load.active_prefills += 1;
+                load.waiting_tokens += run.prefill_tokens();
+                run
+            }
+            None => EngineRun::unassisted(now_ms, prompt),
+        });
         self.loads.entry(upstream.id.clone()).or_default().queued += 1;
         let request = PlacedRequest {
             attempt_id: unplaced.attempt_id,
@@ -125,6 +139,7 @@
             tried: vec![upstream.id.clone()],
             upstream: upstream.clone(),
             attempts: 1,
+            engine_run,
             is_queued: true,
             is_counted: false,
         };
@@ -153,6 +168,7 @@
             prompt,
             may_disaggregate: tried.is_empty(),
             preferred_domain,
+            spreads_queues: self.spreads_queues(now_ms),
             tie_breaker: fastrand::u64(..),
         };
         Standing::place_by(|worst| {
@@ -177,7 +193,17 @@
 
     fn load(&self, now_ms: u64, upstream: &Upstream) -> Load {
         let local = self.loads.get(&upstream.id).copied().unwrap_or_default();
+        let (speed, waiting_tokens) = match &self.shared_loads {
+            Some(shared) => {
+                let tag = UpstreamTag::of(&upstream.id);
+                let waiting = shared.waiting_tokens(now_ms, tag, local.waiting_tokens);
+                (shared.speed(now_ms, tag), waiting)
+            }
+            None => (1.0, local.waiting_tokens),
+        };
         Load {
+            speed,
+            waiting_tokens,
             queued: local.queued,
             active_prefills: local.active_prefills,
             failure_rate: self.health.failure_rate(&upstream.id),
@@ -264,6 +290,7 @@
         let previous = std::mem::replace(&mut request.upstream, upstream.clone());
         request.tried.push(upstream.id.clone());
         request.attempts += u32::from(reason == RetryReason::MayHaveRun);
+        request.engine_run = request.engine_run.map(|run| run.resent(now_ms, false));
         self.metrics.reassignments.inc();
         let was_queued = std::mem::replace(&mut request.is_queued, true);
         if was_queued {
@@ -282,14 +309,23 @@
     /// Handles the end of a prefill, successful or not. A prefill may take longer than an engine
     /// takes to drain and leave, so another engine is picked if the assigned one no longer accepts
     /// work. A request that was quarantined meanwhile is rejected.
-    pub(super) fn on_prefill_ended(&mut self, id: u64) -> Result<Arc<Upstream>, Rejection> {
+    pub(super) fn on_prefill_ended(
+        &mut self,
+        id: u64,
+        is_prefilled: bool,
+    ) -> Result<Arc<Upstream>, Rejection> {
         let now_ms = self.clock.now_ms();
         let request = self.in_flight.get_mut(&id).ok_or(Rejection::NoUpstream)?;
         let service = request.service.clone();
         let assigned = request.upstream.clone();
         let prefill_upstream = request.prefill_upstream.take();
-        if let Some(prefill_upstream) = &prefill_upstream {
-            self.release_prefill(prefill_upstream);
+        let run = request.engine_run;
+        request.engine_run = run.map(|run| run.resent(now_ms, is_prefilled));
+        if let (Some(prefill_upstream), Some(run)) = (&prefill_upstream, run) {
+            self.release_prefill(prefill_upstream, run);
+            if is_prefilled {
+                self.record_timing(prefill_upstream, EngineRole::Prefill, run);
+            }
         }
         let Some(request) = self.in_flight.get(&id) else { return Err(Rejection::NoUpstream) };
         if !request.is_probe && self.is_quarantined(&request.accused()) {
@@ -333,15 +369,19 @@
             self.starts.count(&self.starts_key, window, workspace);
         }
         if std::mem::replace(&mut request.is_queued, false) {
-            let upstream = request.upstream.id.clone();
+            let (upstream, run) = (request.upstream.id.clone(), request.engine_run);
             self.release_queued(&upstream);
+            if let Some(run) = run {
+                self.record_timing(&upstream, EngineRole::Decode, run);
+            }
         }
     }
 
     pub(super) fn on_request_ended(&mut self, id: u64) {
         let Some(request) = self.in_flight.remove(&id) else { return };
-        if let Some(prefill_upstream) = &request.prefill_upstream {
-            self.release_prefill(prefill_upstream);
+        if let (Some(prefill_upstream), Some(run)) = (&request.prefill_upstream, request.engine_run)
+        {
+            self.release_prefill(prefill_upstream, run);
         }
         if request.is_queued {
             self.release_queued(&request.upstream.id);
@@ -376,9 +416,10 @@
         self.log_refusals();
     }
 
-    fn release_prefill(&mut self, id: &str) {
+    fn release_prefill(&mut self, id: &str, run: EngineRun) {
         if let Some(load) = self.loads.get_mut(id) {
             load.active_prefills = load.active_prefills.saturating_sub(1);
+            load.waiting_tokens = load.waiting_tokens.saturating_sub(run.prefill_tokens());
         }
     }
 
--- a/crates/serve/src/metrics.rs
+++ b/crates/serve/src/metrics.rs
@@ -31,6 +31,7 @@
     "cowslip_quarantined_segments",
     "cowslip_feeds_total",
     "cowslip_feed_bytes_total",
+    "cowslip_uneven_upstreams",
 ];
 
 /// The metrics of this instance.
@@ -72,6 +73,8 @@
     /// Bytes of feed messages before compression, by field and direction; the field `compressed`
     /// counts the bytes of whole messages after it.
     pub(crate) feed_bytes: IntCounterVec,
+    /// Engines that are known to be faster or slower than usual.
+    pub(crate) uneven_upstreams: IntGauge,
 }
 
 impl Metrics {
@@ -134,6 +137,10 @@
                 "Bytes of feed messages by field and direction",
                 &["field", "direction"],
             )?,
+            uneven_upstreams: gauge(
+                "cowslip_uneven_upstreams",
+                "Engines that are faster or slower than usual",
+            )?,
             registry,
         })
     }
