Leave a segment's engine only for an idle one, and play uneven engines in small

Cause: in the played load, prompts that left for any shorter queue read their shared segments again everywhere; the median prefill took 528 ms in place of 103.

Change: a prompt leaves only for an idle engine at which its prefill ends in a quarter of the time. Timings count for longer, since waiting behind cold prompts made levels waver.

--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -18,9 +18,11 @@
 /// Number of engines that prefill the prompts with the same shared segment where queues are known
 /// across instances.
 const MAX_QUEUE_ENGINES: usize = 4;
-/// Tokens by which a queue must be shorter before a prompt leaves the first engine of its segment,
-/// in addition to the shared segments that are prefilled again. Known queues are a second old.
-const MIN_SAVED_TOKENS: f64 = 4_000.0;
+/// Factor by which the prefill must end sooner at another engine than at the first one. With less
+/// than 3, the shared segments that are prefilled again lengthen all queues (`tests/uneven_engines.rs`).
+const MIN_SPREAD_GAIN: f64 = 4.0;
+/// Number of waiting tokens up to which an engine counts as idle.
+const MAX_IDLE_TOKENS: u64 = 4_000;
 /// Part of a prompt's shared segments that an engine is assumed not to have cached, 0 to 1.
 const UNCACHED_SHARE: f64 = 0.3;
 /// Failure rate from which on a prefill engine is skipped, 0 to 1.
@@ -235,26 +237,24 @@
         .copied()
 }
 
-/// Returns the engine at which the prefill is expected to end first. All engines but the first one
-/// are assumed to lack the shared segments.
+/// Returns the first engine, or one of the others if it is idle and the prefill would end there in a
+/// fraction of the time. The others are assumed to lack the shared segments.
 fn shortest_prefill<'a, F, I>(prompt: &Prompt, engines: I, load: &F) -> Option<&'a Arc<Upstream>>
 where
     F: Fn(&Upstream) -> Load,
     I: IntoIterator<Item = &'a Arc<Upstream>>,
 {
-    let affine_tokens = prompt.expected_prefill_tokens() as f64;
-    let cold_tokens = prompt.tokens as f64 + MIN_SAVED_TOKENS;
-    let expected_time = |rank: usize, up: &Upstream| {
+    let expected_time =
+        |load: Load, tokens: u64| (load.waiting_tokens + tokens) as f64 / load.speed;
+    let mut engines = engines.into_iter();
+    let first = engines.next()?;
+    let first_time = expected_time(load(first), prompt.expected_prefill_tokens());
+    let is_shorter = |up: &&Arc<Upstream>| {
         let load = load(up);
-        let tokens = if rank == 0 { affine_tokens } else { cold_tokens };
-        (load.waiting_tokens as f64 + tokens) / load.speed
+        load.waiting_tokens <= MAX_IDLE_TOKENS
+            && expected_time(load, prompt.tokens) * MIN_SPREAD_GAIN < first_time
     };
-    engines
-        .into_iter()
-        .enumerate()
-        .map(|(rank, up)| (up, expected_time(rank, up)))
-        .min_by(|(_, a), (_, b)| a.total_cmp(b))
-        .map(|(up, _)| up)
+    engines.find(is_shorter).or(Some(first))
 }
 
 /// Returns the rendezvous-hashing weight of an upstream for a key, equal at every instance.
@@ -270,7 +270,7 @@
 /// Weighs an affinity so that an engine is first for a share of the keys in proportion to its speed.
 /// Equal speeds keep the order of the affinities, and a changed speed moves the fewest keys.
 fn weighted_affinity(affinity: u64, speed: f64) -> f64 {
-    let uniform = (affinity as f64 + 1.0) / (u64::MAX as f64 + 2.0);
+    let uniform = (affinity as f64 / u64::MAX as f64).min(1.0 - f64::EPSILON);
     -speed / uniform.ln()
 }
 
--- a/crates/fleet/src/speed.rs
+++ b/crates/fleet/src/speed.rs
@@ -20,7 +20,7 @@
 /// Slowness of the first bucket, in levels.
 const FIRST_BUCKET: f64 = -8.0;
 /// Time in which the weight of a timing halves.
-const HALF_LIFE_MS: f64 = 4_000.0;
+const HALF_LIFE_MS: f64 = 8_000.0;
 /// Weight of timings below which they say nothing about the speed.
 const MIN_WEIGHT: f64 = 6.0;
 /// Weight of a bucket below which it is forgotten.
@@ -181,7 +181,9 @@
         for row in rows {
             groups.entry(&row.group).or_default().push(row.levels);
         }
-        groups.values_mut().for_each(|levels| levels.sort_by(f64::total_cmp));
+        for levels in groups.values_mut() {
+            levels.sort_by(f64::total_cmp);
+        }
         rows.iter()
             .filter_map(|row| {
                 let sorted = groups.get(&row.group).filter(|rows| rows.len() >= MIN_COMPARABLE)?;
