--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -314,7 +314,8 @@
     F: Fn(&Upstream) -> Load,
 {
     let speeds: Vec<f64> = pool.iter().map(|up| load(up).speed).collect();
-    if speeds.windows(2).all(|pair| pair[0] >= pair[1] && pair[0] <= pair[1]) {
+    let first_speed = speeds.first()?;
+    if speeds.iter().all(|speed| speed.total_cmp(first_speed).is_eq()) {
         let index = usize::try_from(tie_breaker % pool.len() as u64).ok()?;
         return pool.get(index).map(|up| **up);
     }
--- a/crates/fleet/tests/uneven_engines.rs
+++ b/crates/fleet/tests/uneven_engines.rs
@@ -120,7 +120,9 @@
                     .map(|engine| (tags[engine], own_tokens(&running, instance, engine)));
                 let report = instances[instance].report(now_ms, ReportLevel::Fed, waiting);
                 instances[0].on_report(now_ms, &names[instance], ReportLevel::Fed, report);
-                table.iter().for_each(|table| instances[instance].on_table(now_ms, table.clone()));
+                if let Some(table) = &table {
+                    instances[instance].on_table(now_ms, table.clone());
+                }
             }
             let waiting: Vec<_> = (0..ENGINES)
                 .map(|engine| (tags[engine], own_tokens(&running, 0, engine)))
@@ -152,7 +154,7 @@
                 let own = own_tokens(&running, instance, engine);
                 let shared = &instances[instance];
                 Load {
-                    active_prefills: own_active as u32,
+                    active_prefills: u32::try_from(own_active).expect("a count"),
                     speed: if is_shared { shared.speed(now_ms, tags[engine]) } else { 1.0 },
                     waiting_tokens: shared.waiting_tokens(now_ms, tags[engine], own),
                     ..Load::default()
@@ -162,18 +164,18 @@
             let chosen = placement.prefill_upstream.expect("a prefill engine");
             let known_tokens = load(&chosen).waiting_tokens;
             let index = upstreams.iter().position(|up| up.id == chosen.id).expect("known");
-            let engine = &mut engines[index];
+            let queue = &mut engines[index];
             let in_spell = site.has_slow_spell && index == 0 && (16_000..24_000).contains(&now_ms);
-            let speed = site.speeds[index % 3] * if in_spell { 0.2 } else { 1.0 };
-            let cold = if engine.cached.insert(segment) { SHARED_TOKENS } else { 0 };
-            let start_ms = engine.free_at_ms.max(now_ms as f64);
-            engine.free_at_ms = start_ms + 10.0 + (own + cold) as f64 / TOKENS_PER_MS / speed;
-            *engine.prefills_by_second.entry(now_ms / 1_000).or_default() += 1;
+            let pace = site.speeds[index % 3] * if in_spell { 0.2 } else { 1.0 };
+            let cold = if queue.cached.insert(segment) { SHARED_TOKENS } else { 0 };
+            let start_ms = queue.free_at_ms.max(now_ms as f64);
+            queue.free_at_ms = start_ms + 10.0 + (own + cold) as f64 / TOKENS_PER_MS / pace;
+            *queue.prefills_by_second.entry(now_ms / 1_000).or_default() += 1;
             running.push(Running {
                 instance,
                 engine: index,
                 sent_ms: now_ms as f64,
-                end_ms: engine.free_at_ms,
+                end_ms: queue.free_at_ms,
                 tokens: prompt.expected_prefill_tokens(),
                 expected_ms: 20.0 + (known_tokens + own) as f64 / 50.0,
             });
--- a/crates/serve/src/hub/loads.rs
+++ b/crates/serve/src/hub/loads.rs
@@ -5,8 +5,8 @@
 use std::sync::Arc;
 
 use cowslip_fleet::{
-    EngineLoad, EngineLoads, EngineRole, EngineWork, LoadTable, LoadTableRow, Prompt, ReportLevel,
-    Timings, UpstreamTag,
+    EngineLoad, EngineLoads, EngineRole, EngineWork, Load, LoadTable, LoadTableRow, Prompt,
+    ReportLevel, Timings, Upstream, UpstreamTag,
 };
 use cowslip_membership::FeedRole;
 use cowslip_name::Name;
@@ -29,6 +29,17 @@
 /// Scale of timing weights in messages.
 const WEIGHT_SCALE: f64 = 100.0;
 
+/// Load that this instance itself puts on an upstream.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct LocalLoad {
+    /// Requests that were sent to the upstream and have not started there.
+    pub(super) queued: u32,
+    /// Prefills that the upstream runs for requests which another upstream serves.
+    pub(super) active_prefills: u32,
+    /// Expected prompt tokens of these prefills.
+    pub(super) waiting_tokens: u64,
+}
+
 /// The part of a request that an engine runs at present.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct EngineRun {
@@ -78,6 +89,46 @@
 where
     P: Platform,
 {
+    /// Returns the load of an upstream as this instance knows it.
+    pub(super) fn load(&self, now_ms: u64, upstream: &Upstream) -> Load {
+        let local = self.loads.get(&upstream.id).copied().unwrap_or_default();
+        let (speed, waiting_tokens) = match &self.shared_loads {
+            Some(shared) => {
+                let tag = UpstreamTag::of(&upstream.id);
+                let waiting = shared.waiting_tokens(now_ms, tag, local.waiting_tokens);
+                (shared.speed(now_ms, tag), waiting)
+            }
+            None => (1.0, local.waiting_tokens),
+        };
+        Load {
+            speed,
+            waiting_tokens,
+            queued: local.queued,
+            active_prefills: local.active_prefills,
+            failure_rate: self.health.failure_rate(&upstream.id),
+            is_connected: self
+                .pooled_until_ms
+                .get(&upstream.id)
+                .is_some_and(|until_ms| now_ms < *until_ms),
+        }
+    }
+
+    pub(super) fn release_prefill(&mut self, id: &str, run: EngineRun) {
+        if let Some(load) = self.loads.get_mut(id) {
+            load.active_prefills = load.active_prefills.saturating_sub(1);
+            load.waiting_tokens = load.waiting_tokens.saturating_sub(run.prefill_tokens());
+        }
+    }
+
+    pub(super) fn release_queued(&mut self, id: &str) {
+        if let Some(load) = self.loads.get_mut(id) {
+            load.queued = load.queued.saturating_sub(1);
+            if load.queued == 0 && load.active_prefills == 0 {
+                self.loads.remove(id);
+            }
+        }
+    }
+
     /// Whether prompts leave the engines of their segments for shorter queues: only while engines
     /// are known to be uneven.
     pub(super) fn spreads_queues(&self, now_ms: u64) -> bool {
@@ -168,7 +219,7 @@
         }
         let waiting: Vec<(UpstreamTag, u64)> = self.waiting_tokens().collect();
         let Some(shared_loads) = &mut self.shared_loads else { return };
-        let upstreams: HashMap<UpstreamTag, &Arc<cowslip_fleet::Upstream>> =
+        let upstreams: HashMap<UpstreamTag, &Arc<Upstream>> =
             self.registry.iter().map(|up| (UpstreamTag::of(&up.id), up)).collect();
         let service_of = |work: EngineWork| {
             let upstream = upstreams.get(&work.upstream)?;
--- a/crates/serve/src/hub/mod.rs
+++ b/crates/serve/src/hub/mod.rs
@@ -38,8 +38,9 @@
 
 use feed::RosterTransfer;
 use instances::{Instances, location_in};
+use loads::LocalLoad;
 use records::{RosterReads, RosterRecords};
-use requests::{LocalLoad, PlacedRequest};
+use requests::PlacedRequest;
 
 /// Usage windows whose request starts are kept, so that a late or retried write still includes
 /// them.
--- a/crates/serve/src/hub/requests.rs
+++ b/crates/serve/src/hub/requests.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use cowslip_fleet::{
-    Authorized, Denial, EngineRole, Load, Placement, PlacementRequest, Prompt, RetrySafety, Standing,
-    Upstream, UpstreamTag, place,
+    Authorized, Denial, EngineRole, Placement, PlacementRequest, Prompt, RetrySafety, Standing,
+    Upstream, place,
 };
 use cowslip_name::Name;
 use cowslip_poison::{Accused, LostUpstream, RequestDigest, SegmentId};
@@ -24,17 +24,6 @@
 /// Most upstreams that are asked whether they meet a caller's condition.
 const MAX_UNMET_ATTEMPTS: usize = 2;
 
-/// Load that this instance itself puts on an upstream.
-#[derive(Clone, Copy, Debug, Default)]
-pub(super) struct LocalLoad {
-    /// Requests that were sent to the upstream and have not started there.
-    queued: u32,
-    /// Prefills that the upstream runs for requests which another upstream serves.
-    active_prefills: u32,
-    /// Expected prompt tokens of these prefills.
-    pub(super) waiting_tokens: u64,
-}
-
 /// A placed request, until its assignment ends.
 #[derive(Debug)]
 pub(super) struct PlacedRequest {
@@ -191,29 +180,6 @@
         }
     }
 
-    fn load(&self, now_ms: u64, upstream: &Upstream) -> Load {
-        let local = self.loads.get(&upstream.id).copied().unwrap_or_default();
-        let (speed, waiting_tokens) = match &self.shared_loads {
-            Some(shared) => {
-                let tag = UpstreamTag::of(&upstream.id);
-                let waiting = shared.waiting_tokens(now_ms, tag, local.waiting_tokens);
-                (shared.speed(now_ms, tag), waiting)
-            }
-            None => (1.0, local.waiting_tokens),
-        };
-        Load {
-            speed,
-            waiting_tokens,
-            queued: local.queued,
-            active_prefills: local.active_prefills,
-            failure_rate: self.health.failure_rate(&upstream.id),
-            is_connected: self
-                .pooled_until_ms
-                .get(&upstream.id)
-                .is_some_and(|until_ms| now_ms < *until_ms),
-        }
-    }
-
     /// Applies what an upstream stated in a response about further requests.
     pub(super) fn on_announced(
         &mut self,
@@ -415,20 +381,4 @@
         self.quarantine.on_upstream_lost(self.clock.now_ms(), &accused, &lost);
         self.log_refusals();
     }
-
-    fn release_prefill(&mut self, id: &str, run: EngineRun) {
-        if let Some(load) = self.loads.get_mut(id) {
-            load.active_prefills = load.active_prefills.saturating_sub(1);
-            load.waiting_tokens = load.waiting_tokens.saturating_sub(run.prefill_tokens());
-        }
-    }
-
-    fn release_queued(&mut self, id: &str) {
-        if let Some(load) = self.loads.get_mut(id) {
-            load.queued = load.queued.saturating_sub(1);
-            if load.queued == 0 && load.active_prefills == 0 {
-                self.loads.remove(id);
-            }
-        }
-    }
 }
--- a/crates/serve/tests/settings.rs
+++ b/crates/serve/tests/settings.rs
@@ -41,6 +41,10 @@
             change: ("[fleet]\n", "[authority]\nlease_ms = 1000\nrenew_every_ms = 800\n[fleet]\n"),
             errors: &["[authority] renew_every_ms: must be at most half a lease"],
         },
+        Case {
+            change: ("[fleet]\n", "[placement]\nuneven_from = 0.8\n[fleet]\n"),
+            errors: &["[placement] uneven_from: must be 0 or above 1"],
+        },
         Case {
             change: ("[fleet]\n", "[config]\nheartbeat_ms = 5\n[fleet]\n"),
             errors: &[
