--- a/crates/fleet/tests/uneven_engines.rs
+++ b/crates/fleet/tests/uneven_engines.rs
@@ -218,6 +218,18 @@
     }
 }
 
+#[test]
+fn alike_engines_serve_no_worse_with_learned_speeds() {
+    for requests_per_s in [70.0, 110.0] {
+        for seed in 1..4 {
+            let site = Site { speeds: [1.0; 3], requests_per_s, has_slow_spell: false };
+            let (known, alone) =
+                (play(site, true, seed).late_share(), play(site, false, seed).late_share());
+            assert!(known <= alone, "{requests_per_s}/s, seed {seed}: {known} and {alone}");
+        }
+    }
+}
+
 #[test]
 fn engine_in_a_slow_spell_loses_work_and_gets_it_back() {
     let site = Site { speeds: [1.0; 3], requests_per_s: 80.0, has_slow_spell: true };
