--- a/crates/serve/src/tasks/feed_codec.rs
+++ b/crates/serve/src/tasks/feed_codec.rs
@@ -84,6 +84,7 @@
             ("starts", peer_message_bytes(&request.starts)),
             ("suspects", peer_message_bytes(&request.suspects)),
             ("roster_digests", peer_message_bytes(&request.roster_digests)),
+            ("loads", peer_message_bytes(&request.loads)),
         ];
         self.count_fields(direction, total_bytes, &fields);
     }
@@ -96,6 +97,7 @@
             ("suspects", peer_message_bytes(&reply.suspects)),
             ("instances", peer_message_bytes(&reply.instances)),
             ("declaration", peer_message_bytes(&reply.declaration)),
+            ("loads", peer_message_bytes(&reply.loads)),
         ];
         self.count_fields(direction, total_bytes, &fields);
     }
