Back off after failed usage reports, and place orders before a retry

Cause: a failing report read all request starts again and posted every 200 ms, and orders for capacity waited behind it for timeouts of 2 s each.

--- a/crates/serve/src/tasks/duties.rs
+++ b/crates/serve/src/tasks/duties.rs
@@ -10,7 +10,7 @@
 use cowslip_codec::{from_json, start_windows_from_proto};
 use cowslip_fleet::{CapacityOrder, RoleOrder};
 use cowslip_proto as proto;
-use cowslip_usage::{StartCounts, WindowTimes, merge_max, sum_window};
+use cowslip_usage::{ReportRetry, StartCounts, WindowTimes, merge_max, sum_window};
 
 use super::HubHandle;
 use super::lease::LeaseMessage;
@@ -47,6 +47,7 @@
     lease: Sender<LeaseMessage>,
     /// Windows that were reported and may still be due.
     reported: BTreeSet<u64>,
+    report_retry: ReportRetry,
     /// Earliest time of the next order, by service, failure domain and whether the capacity is
     /// reclaimable.
     capacity_due_ms: HashMap<(Arc<str>, Arc<str>, bool), u64>,
@@ -78,6 +79,7 @@
         times,
         lease,
         reported: BTreeSet::new(),
+        report_retry: ReportRetry::default(),
         capacity_due_ms: HashMap::new(),
         role_due_ms: HashMap::new(),
         role_desired_since_ms: HashMap::new(),
@@ -86,11 +88,17 @@
     for tick in (0..TICKS_PER_PLAN).cycle() {
         compio::time::sleep(TICK).await;
         if duties.credentials().await.is_some() {
-            // Reports have a deadline.
-            duties.report_usage().await;
+            // Reports have a deadline, but orders do not wait for the timeouts of a retry.
+            let is_retry = duties.report_retry.is_retry();
+            if !is_retry {
+                duties.report_usage().await;
+            }
             if tick == 0 {
                 duties.place_orders().await;
             }
+            if is_retry {
+                duties.report_usage().await;
+            }
         }
     }
 }
@@ -188,22 +196,33 @@
         }
     }
 
+    /// Reports the windows that are due, unless a failed attempt was too recent.
     async fn report_usage(&mut self) {
+        if !self.report_retry.is_due(self.clock.now_ms()) {
+            return;
+        }
         let cluster_ms = self.hub.request(|reply| HubMessage::ClusterTime { reply }).await;
         let Some(cluster_ms) = cluster_ms else { return };
         let due = self.times.due(cluster_ms);
         self.reported = self.reported.split_off(due.start());
         let due_windows: Vec<u64> = due.filter(|window| !self.reported.contains(window)).collect();
-        if due_windows.is_empty() {
-            return;
+        let is_reported = self.report_windows(cluster_ms, &due_windows).await;
+        self.report_retry.on_attempt(self.clock.now_ms(), is_reported);
+    }
+
+    /// Reports windows; returns whether all were reported.
+    async fn report_windows(&mut self, cluster_ms: u64, windows: &[u64]) -> bool {
+        if windows.is_empty() {
+            return true;
         }
-        let Some(counters) = self.read_counters(cluster_ms).await else { return };
-        for window in due_windows {
-            let counts = sum_window(window, counters.values());
-            if self.report_window(window, counts).await.is_none() {
-                return;
+        let Some(counters) = self.read_counters(cluster_ms).await else { return false };
+        for window in windows {
+            let counts = sum_window(*window, counters.values());
+            if self.report_window(*window, counts).await.is_none() {
+                return false;
             }
         }
+        windows.iter().all(|window| self.reported.contains(window))
     }
 
     /// Finalizes and reports a window; `None` if it was not finalized or the lease is lost.
@@ -236,7 +255,7 @@
     ) -> Option<BTreeMap<Arc<str>, BTreeMap<u64, StartCounts>>> {
         let result = self.platform.read_latest(Topic::Starts).await;
         self.store.record(&result);
-        // After a failed read, the windows are still due at the next tick.
+        // After a failed read, the windows are still due at the next attempt.
         let page = result.ok()?;
         let oldest = self.times.window_of(cluster_ms.saturating_sub(4 * self.times.late_ms));
         let mut counters = BTreeMap::new();
--- a/crates/usage/src/lib.rs
+++ b/crates/usage/src/lib.rs
@@ -6,12 +6,14 @@
 
 mod cluster_clock;
 mod meter;
+mod report_retry;
 mod starts;
 mod totals;
 mod usage_state;
 
 pub use cluster_clock::ClusterClock;
 pub use meter::{Batch, Meter};
+pub use report_retry::ReportRetry;
 pub use starts::{StartCounters, StartCounts, StartWindows, WindowTimes, merge_max, sum_window};
 pub use totals::{Usage, UsageTotals};
 pub use usage_state::{UsageState, WriterCursor};
