Bound the request starts in a feed request

Cause: while the store is away, an instance sends all starts that it knows to a peer in one request, however many there are.

Starts are sent in batches that end at 128 KiB, windows with the oldest changes first, with the version of the last one as the cursor. The own starts that readers send each other, at most six windows of one instance, stay as they are. batches_are_bounded_and_deliver_all_sums plays counts between batches.

--- a/crates/serve/src/hub/feed.rs
+++ b/crates/serve/src/hub/feed.rs
@@ -15,6 +15,8 @@
 const MAX_MISSED_READS: u32 = 3;
 /// Largest batch of upstreams' records in one reply, before compression.
 const MAX_ROSTER_BYTES: usize = 32_768; // a tenth of a second of the slowest link, uncompressed
+/// Size at which a batch of request starts in one request ends, before compression.
+const MAX_STARTS_BYTES: usize = 131_072;
 /// Bytes of a record in a reply in addition to its key and value.
 const RECORD_OVERHEAD_BYTES: usize = 12;
 /// Time without a batch after which a transfer of upstreams' records counts as broken off.
@@ -84,8 +86,9 @@
         }
         let writes_own = self.feed_topology.must_read_store(now_ms) && self.reads_store(now_ms);
         if is_reader || !writes_own || starts.has_failed() {
-            let all = starts.changed_since(link.sent_starts).map(to_proto).collect();
-            return (all, starts.version(), starts.version());
+            let (batch, version) = starts.batch_since(link.sent_starts, MAX_STARTS_BYTES);
+            let batch = batch.iter().map(|(key, windows)| to_proto_starts(key, windows)).collect();
+            return (batch, version, link.sent_own_starts.max(version));
         }
         (Vec::new(), link.sent_starts, link.sent_own_starts)
     }
--- a/crates/usage/src/starts.rs
+++ b/crates/usage/src/starts.rs
@@ -116,6 +116,38 @@
             .map(move |(key, windows)| (key, windows_since(windows, version)))
             .filter(|(_, windows)| !windows.is_empty())
     }
+
+    /// Returns windows that changed after version `version`, those with the oldest changes first, and
+    /// the version up to which a peer that receives them has all changes. Stops at the window with
+    /// which the batch reaches `max_bytes`.
+    #[must_use]
+    pub fn batch_since(
+        &self,
+        version: u64,
+        max_bytes: usize,
+    ) -> (BTreeMap<Arc<str>, StartWindows>, u64) {
+        let rows = self.entries.iter().flat_map(|(key, windows)| {
+            windows.iter().map(move |(number, window)| (window.changed_at, key, *number, window))
+        });
+        let mut changed: Vec<_> = rows.filter(|(changed_at, ..)| *changed_at > version).collect();
+        changed.sort_unstable_by_key(|(changed_at, ..)| *changed_at);
+        let mut batch: BTreeMap<Arc<str>, StartWindows> = BTreeMap::new();
+        let mut batch_bytes = 0;
+        let mut sent_version = version;
+        for (changed_at, key, number, window) in changed {
+            if batch_bytes >= max_bytes {
+                return (batch, sent_version);
+            }
+            batch_bytes += key.len() + window_bytes(window);
+            batch.entry(key.clone()).or_default().insert(number, window.counts.clone());
+            sent_version = changed_at;
+        }
+        (batch, self.version.max(version))
+    }
+}
+
+fn window_bytes(window: &Window) -> usize {
+    window.counts.keys().map(|workspace| workspace.len() + size_of::<u64>()).sum()
 }
 
 fn windows_since(windows: &BTreeMap<u64, Window>, version: u64) -> StartWindows {
--- a/crates/usage/tests/starts.rs
+++ b/crates/usage/tests/starts.rs
@@ -12,6 +12,41 @@
 const TIMES: WindowTimes = WindowTimes { window_ms: 5_000, settle_ms: 2_400, late_ms: 9_500 };
 
 proptest! {
+    /// Batches are bounded, and a peer that gets them has all sums in the end, whatever changes
+    /// between them.
+    #[test]
+    fn batches_are_bounded_and_deliver_all_sums(
+        steps in prop::collection::vec((0usize..3, 0u64..4, 0usize..2, any::<bool>()), 0..100)
+    ) {
+        const MAX_BYTES: usize = 20;
+        let names: [Arc<str>; 2] = [Arc::from("alpha"), Arc::from("beta")];
+        let keys: [Arc<str>; 3] = [Arc::from("one"), Arc::from("two"), Arc::from("three")];
+        let (mut source, mut peer) = (StartCounters::default(), StartCounters::default());
+        let mut sent_version = 0;
+        let rest = (0..12).map(|_| (None, true));
+        let steps = steps.into_iter().map(|(key, window, name, sends)| (Some((key, window, name)), sends));
+        for (counted, sends) in steps.chain(rest) {
+            if let Some((key, window, name)) = counted {
+                source.count(&keys[key], window, &names[name]);
+            }
+            if sends {
+                let (batch, version) = source.batch_since(sent_version, MAX_BYTES);
+                // A window with both workspaces takes up to 30 bytes, and only one may exceed.
+                prop_assert!(batch.values().map(BTreeMap::len).sum::<usize>() <= 2);
+                prop_assert!(version >= sent_version);
+                sent_version = version;
+                for (key, windows) in &batch {
+                    peer.merge_peer(key, windows);
+                }
+            }
+        }
+        prop_assert_eq!(sent_version, source.version());
+        let sums = |counters: &StartCounters| -> BTreeMap<Arc<str>, StartWindows> {
+            counters.changed_since(0).map(|(key, windows)| (key.clone(), windows)).collect()
+        };
+        prop_assert_eq!(sums(&peer), sums(&source));
+    }
+
     /// Whichever writes and messages to peers are lost or arrive twice, the stored sums add up to
     /// the counted starts: none is lost and none counts twice.
     #[test]
