Take the size of a feed message from its encoded form

Cause: each message was serialized once more only to count its bytes.

The total is the length of what is sent or received. The counts by field still serialize the fields.

--- a/crates/serve/src/tasks/feed_codec.rs
+++ b/crates/serve/src/tasks/feed_codec.rs
@@ -6,8 +6,6 @@
     encode_peer_message, peer_message_bytes,
 };
 use cowslip_proto as proto;
-use serde::Serialize;
-use serde::de::DeserializeOwned;
 
 use crate::metrics::Metrics;
 
@@ -39,47 +37,49 @@
     }
 
     pub(super) fn encode_request(&self, request: &proto::FeedRequest) -> Result<Bytes, CodecError> {
-        self.count_request(Direction::Sent, request);
-        self.encode(request)
+        let encoded = encode_peer_message(request)?;
+        self.count_request(Direction::Sent, request, encoded.len());
+        Ok(self.compress(&encoded))
     }
 
     pub(super) fn decode_request(&self, bytes: &[u8]) -> Result<proto::FeedRequest, CodecError> {
-        let request = self.decode(bytes)?;
-        self.count_request(Direction::Received, &request);
+        let encoded = self.decompress(bytes)?;
+        let request = decode_peer_message(&encoded)?;
+        self.count_request(Direction::Received, &request, encoded.len());
         Ok(request)
     }
 
     pub(super) fn encode_reply(&self, reply: &proto::FeedReply) -> Result<Bytes, CodecError> {
-        self.count_reply(Direction::Sent, reply);
-        self.encode(reply)
+        let encoded = encode_peer_message(reply)?;
+        self.count_reply(Direction::Sent, reply, encoded.len());
+        Ok(self.compress(&encoded))
     }
 
     pub(super) fn decode_reply(&self, bytes: &[u8]) -> Result<proto::FeedReply, CodecError> {
-        let reply = self.decode(bytes)?;
-        self.count_reply(Direction::Received, &reply);
+        let encoded = self.decompress(bytes)?;
+        let reply = decode_peer_message(&encoded)?;
+        self.count_reply(Direction::Received, &reply, encoded.len());
         Ok(reply)
     }
 
-    fn encode<T>(&self, message: &T) -> Result<Bytes, CodecError>
-    where
-        T: Serialize,
-    {
-        let compressed = compress_peer_message(&encode_peer_message(message)?);
+    fn compress(&self, encoded: &[u8]) -> Bytes {
+        let compressed = compress_peer_message(encoded);
         self.count_bytes(Direction::Sent, "compressed", compressed.len());
-        Ok(Bytes::from(compressed))
+        Bytes::from(compressed)
     }
 
-    fn decode<T>(&self, bytes: &[u8]) -> Result<T, CodecError>
-    where
-        T: DeserializeOwned,
-    {
+    fn decompress(&self, bytes: &[u8]) -> Result<Vec<u8>, CodecError> {
         self.count_bytes(Direction::Received, "compressed", bytes.len());
-        decode_peer_message(&decompress_peer_message(bytes)?)
+        decompress_peer_message(bytes)
     }
 
-    fn count_request(&self, direction: Direction, request: &proto::FeedRequest) {
+    fn count_request(
+        &self,
+        direction: Direction,
+        request: &proto::FeedRequest,
+        total_bytes: usize,
+    ) {
         self.metrics.feeds.with_label_values(&["request", direction.label()]).inc();
-        let total_bytes = peer_message_bytes(request);
         let fields = [
             ("starts", peer_message_bytes(&request.starts)),
             ("suspects", peer_message_bytes(&request.suspects)),
@@ -89,9 +89,8 @@
         self.count_fields(direction, total_bytes, &fields);
     }
 
-    fn count_reply(&self, direction: Direction, reply: &proto::FeedReply) {
+    fn count_reply(&self, direction: Direction, reply: &proto::FeedReply, total_bytes: usize) {
         self.metrics.feeds.with_label_values(&["reply", direction.label()]).inc();
-        let total_bytes = peer_message_bytes(reply);
         let fields = [
             ("roster", peer_message_bytes(&reply.roster)),
             ("suspects", peer_message_bytes(&reply.suspects)),
