--- a/crates/membership/src/change_log.rs
+++ b/crates/membership/src/change_log.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 /// Groups of keys whose contents are compared by one digest each.
-pub const DIGEST_GROUPS: usize = 64; // half a kilobyte in a request; one difference costs a 64th of the list
+pub const DIGEST_GROUPS: usize = 64;
 
 /// Newest row of each key, with the order in which keys changed.
 ///
--- a/crates/serve/src/hub/feed.rs
+++ b/crates/serve/src/hub/feed.rs
@@ -14,7 +14,7 @@
 /// failed.
 const MAX_MISSED_READS: u32 = 3;
 /// Largest batch of upstreams' records in one reply, before compression.
-const MAX_ROSTER_BYTES: usize = 32_768; // a tenth of a second of the slowest link, uncompressed
+const MAX_ROSTER_BYTES: usize = 32_768;
 /// Size at which a batch of request starts in one request ends, before compression.
 const MAX_STARTS_BYTES: usize = 131_072;
 /// Bytes of a record in a reply in addition to its key and value.
