Read the number of upstreams from the registry's length

Cause: each heartbeat counted the whole registry, thousands of upstreams.

The iterator has an exact size, so the number is read in constant time.

--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -188,7 +188,8 @@
     }
 
     /// Iterates over all upstreams, draining or not, in the order of their ids.
-    pub fn iter(&self) -> impl Iterator<Item = &Arc<Upstream>> {
+    #[must_use]
+    pub fn iter(&self) -> impl ExactSizeIterator<Item = &Arc<Upstream>> {
         self.registrations.values().map(|registration| &registration.upstream)
     }
 
--- a/crates/serve/src/hub/records.rs
+++ b/crates/serve/src/hub/records.rs
@@ -198,7 +198,7 @@
                 }
             }
         };
-        self.roster_records.insert(record, digest, self.registry.iter().count());
+        self.roster_records.insert(record, digest, self.registry.iter().len());
         self.on_upstream_changes(&changes, source);
     }
 
