Send slow requests to a second upstream, within a share

Change: crates/hedging decides when a send counts as slow (a quantile of the recent times of its route or service), and withholds a second send by what may be repeated, attempts, quarantine, refusals, busy upstreams, share and retry budget. The caller's task races the two sends. Off unless [hedging] share is set. A request now counts its possible runs, since one of two sends may be refused while the other runs.

--- a/crates/codec/src/settings.rs
+++ b/crates/codec/src/settings.rs
@@ -36,7 +36,7 @@
     &["instance", "platform", "authority", "config", "usage", "limits", "metrics"];
 /// Sections that an instance serving a declared fleet reads.
 pub const FLEET_SETTING_SECTIONS: &[&str] =
-    &["instance", "platform", "authority", "limits", "fleet", "allowances"];
+    &["instance", "platform", "authority", "limits", "fleet", "allowances", "hedging"];
 
 /// Loads the settings in `sections` from the text of an INI file, with defaults for absent keys.
 ///
--- a/crates/fleet/src/response_end.rs
+++ b/crates/fleet/src/response_end.rs
@@ -93,6 +93,13 @@
         matches!(self, Self::NotArrived | Self::NotRun | Self::Misdirected | Self::Unmet)
     }
 
+    /// Returns the failure of a request that was sent to two upstreams: the one after which it may
+    /// have run, if there is one.
+    #[must_use]
+    pub fn gravest(self, other: Self) -> Self {
+        if self.is_not_run() { other } else { self }
+    }
+
     /// Returns whether the upstream may have crashed on the request.
     #[must_use]
     pub fn is_loss(self) -> bool {
--- /dev/null
+++ b/crates/hedging/tests/hedging.rs
@@ -0,0 +1,264 @@
+//! Checks when slow sends are hedged, and how many of them.
+
+use std::sync::Arc;
+
+use cowslip_hedging::{
+    Hedging, HedgingLimits, Part, ResponseTimes, SecondUpstream, ShareWindow, SlowSend, Withheld,
+};
+use proptest::prelude::*;
+
+const LIMITS: HedgingLimits = HedgingLimits {
+    share: 0.05,
+    quantile: 0.95,
+    min_delay_ms: 20,
+    has_requests: true,
+    has_prefills: true,
+};
+
+const SLOW: SlowSend<'_> = SlowSend {
+    service: "look-ups",
+    part: Part::Request,
+    is_repeatable: true,
+    is_suspected: false,
+    attempts: 1,
+    max_attempts: 2,
+    second: SecondUpstream::Free,
+};
+
+const PREFILL: Part = Part::Prefill { tokens: 4_000 };
+
+#[test]
+fn slow_sends_are_hedged_only_where_all_allows_it() {
+    struct Case {
+        name: &'static str,
+        limits: HedgingLimits,
+        send: SlowSend<'static>,
+        requests: usize,
+        refused_before_ms: Option<u64>,
+        has_retry: bool,
+        result: Result<(), Withheld>,
+    }
+    const ALLOWED: Case = Case {
+        name: "allowed",
+        limits: LIMITS,
+        send: SLOW,
+        requests: 20,
+        refused_before_ms: None,
+        has_retry: true,
+        result: Ok(()),
+    };
+    let cases = [
+        ALLOWED,
+        Case {
+            name: "off",
+            limits: HedgingLimits { share: 0.0, ..LIMITS },
+            result: Err(Withheld::NotRepeatable),
+            ..ALLOWED
+        },
+        Case {
+            name: "requests are not hedged",
+            limits: HedgingLimits { has_requests: false, ..LIMITS },
+            result: Err(Withheld::NotRepeatable),
+            ..ALLOWED
+        },
+        Case {
+            name: "a booking",
+            send: SlowSend { is_repeatable: false, ..SLOW },
+            result: Err(Withheld::NotRepeatable),
+            ..ALLOWED
+        },
+        Case {
+            name: "a suspect",
+            send: SlowSend { is_suspected: true, ..SLOW },
+            result: Err(Withheld::Suspected),
+            ..ALLOWED
+        },
+        Case {
+            name: "one attempt only",
+            send: SlowSend { max_attempts: 1, ..SLOW },
+            result: Err(Withheld::NoAttempts),
+            ..ALLOWED
+        },
+        Case {
+            name: "a prefill is no attempt",
+            send: SlowSend { max_attempts: 1, part: PREFILL, ..SLOW },
+            ..ALLOWED
+        },
+        Case {
+            name: "a refusal just before",
+            refused_before_ms: Some(1_999),
+            result: Err(Withheld::Refusing),
+            ..ALLOWED
+        },
+        Case { name: "a refusal long before", refused_before_ms: Some(2_000), ..ALLOWED },
+        Case {
+            name: "no other upstream",
+            send: SlowSend { second: SecondUpstream::Missing, ..SLOW },
+            result: Err(Withheld::NoUpstream),
+            ..ALLOWED
+        },
+        Case {
+            name: "full upstreams",
+            send: SlowSend { second: SecondUpstream::Busy, ..SLOW },
+            result: Err(Withheld::Busy),
+            ..ALLOWED
+        },
+        Case {
+            name: "too few requests",
+            requests: 19,
+            result: Err(Withheld::ShareUsed),
+            ..ALLOWED
+        },
+        Case {
+            name: "no retries left",
+            has_retry: false,
+            result: Err(Withheld::NoRetries),
+            ..ALLOWED
+        },
+    ];
+    for case in cases {
+        let service: Arc<str> = Arc::from(case.send.service);
+        let mut hedging = Hedging::new(case.limits);
+        for _ in 0..case.requests {
+            let _ = hedging.on_sent(100, &service, &service, case.send.part);
+        }
+        if let Some(before_ms) = case.refused_before_ms {
+            hedging.on_refusal(10_000 - before_ms, &service);
+        }
+        let result = hedging.try_hedge(10_000, &case.send, || case.has_retry);
+        assert_eq!(result, case.result, "{}", case.name);
+    }
+}
+
+#[test]
+fn delay_is_a_quantile_of_the_times_and_never_below_the_floor() {
+    struct Case {
+        name: &'static str,
+        part: Part,
+        /// Times of this route, and of others of the service.
+        times: (&'static [u64], &'static [u64]),
+        repeat: usize,
+        delay_ms: Option<u64>,
+    }
+    let cases = [
+        Case { name: "none", part: Part::Request, times: (&[], &[]), repeat: 1, delay_ms: None },
+        Case { name: "few", part: Part::Request, times: (&[50], &[]), repeat: 19, delay_ms: None },
+        Case {
+            name: "the floor",
+            part: Part::Request,
+            times: (&[3], &[]),
+            repeat: 100,
+            delay_ms: Some(20),
+        },
+        Case {
+            name: "1 in 25 is slow",
+            part: Part::Request,
+            times: (
+                &[
+                    50, 51, 52, 53, 54, 55, 56, 57, 58, 59, 50, 51, 52, 53, 54, 55, 56, 57, 58, 59,
+                    50, 51, 52, 53, 900,
+                ],
+                &[],
+            ),
+            repeat: 4,
+            delay_ms: Some(59),
+        },
+        Case {
+            name: "times of the service",
+            part: Part::Request,
+            times: (&[], &[80]),
+            repeat: 20,
+            delay_ms: Some(80),
+        },
+        Case {
+            name: "by length of the prompt",
+            part: PREFILL,
+            times: (&[400], &[]),
+            repeat: 20,
+            delay_ms: Some(400),
+        },
+    ];
+    let (service, route, other) = (Arc::from("s"), Arc::from("r"), Arc::from("o"));
+    for Case { name, part, times: (own, others), repeat, delay_ms } in cases {
+        let mut hedging = Hedging::new(LIMITS);
+        for _ in 0..repeat {
+            for time_ms in own {
+                hedging.on_time(&service, &route, part, *time_ms);
+            }
+            for time_ms in others {
+                hedging.on_time(&service, &other, part, *time_ms);
+            }
+        }
+        assert_eq!(hedging.on_sent(0, &service, &route, part), delay_ms, "{name}");
+    }
+    let mut hedging = Hedging::new(LIMITS);
+    (0..20).for_each(|_| hedging.on_time(&service, &route, PREFILL, 400));
+    let long = Part::Prefill { tokens: 12_000 };
+    assert_eq!(hedging.on_sent(0, &service, &route, long), Some(1_200));
+}
+
+proptest! {
+    #[test]
+    fn hedges_never_exceed_the_share_in_any_window(
+        steps in prop::collection::vec((0_u64..3_000, 0_usize..40, any::<bool>()), 1..200),
+        share in 0.0..0.3_f64,
+    ) {
+        let mut window = ShareWindow::default();
+        let (mut now_ms, mut requests, mut hedges) = (0, Vec::new(), Vec::new());
+        for (pause_ms, request_count, is_slow) in steps {
+            now_ms += pause_ms;
+            for _ in 0..request_count {
+                window.on_request(now_ms);
+                requests.push(now_ms);
+            }
+            if is_slow && window.has_room(now_ms, share) {
+                window.on_hedge(now_ms);
+                hedges.push(now_ms);
+            }
+            let in_window = |at_ms: &&u64| **at_ms + ShareWindow::WINDOW_MS > now_ms;
+            if hedges.last() == Some(&now_ms) {
+                let hedge_count = hedges.iter().filter(in_window).count() as f64;
+                let request_count = requests.iter().filter(in_window).count() as f64;
+                prop_assert!(hedge_count <= share * request_count);
+            }
+        }
+    }
+
+    #[test]
+    fn nothing_is_hedged_that_may_not_be_repeated_or_while_upstreams_are_full(
+        is_repeatable in any::<bool>(),
+        second in prop::sample::select(vec![
+            SecondUpstream::Missing, SecondUpstream::Busy, SecondUpstream::Free,
+        ]),
+        requests in 0_usize..200,
+    ) {
+        let service = Arc::from(SLOW.service);
+        let mut hedging = Hedging::new(LIMITS);
+        for _ in 0..requests {
+            let _ = hedging.on_sent(0, &service, &service, Part::Request);
+        }
+        let send = SlowSend { is_repeatable, second, ..SLOW };
+        let is_sent = hedging.try_hedge(0, &send, || true).is_ok();
+        prop_assert_eq!(is_sent, is_repeatable && second == SecondUpstream::Free && requests >= 20);
+    }
+
+    #[test]
+    fn quantile_agrees_with_a_naive_version(
+        times in prop::collection::vec(0_u64..1_000, 1..600),
+        quantile in 0.5..0.99_f64,
+    ) {
+        let mut kept = ResponseTimes::default();
+        for time in &times {
+            kept.insert(*time);
+        }
+        let mut newest: Vec<u64> = times.iter().rev().take(256).copied().collect();
+        newest.sort_unstable();
+        // The first time above which lies no larger part than 1 - quantile.
+        let is_quantile = |index: &usize| {
+            (newest.len() - index - 1) as f64 <= newest.len() as f64 * (1.0 - quantile)
+        };
+        let index = (0..newest.len()).find(is_quantile).filter(|index| index + 1 < newest.len());
+        let naive = index.map(|index| newest[index]);
+        prop_assert_eq!(kept.quantile(quantile), naive);
+    }
+}
--- a/crates/proto/src/generated.rs
+++ b/crates/proto/src/generated.rs
@@ -1580,6 +1580,7 @@
 ///    "allowances",
 ///    "authority",
 ///    "fleet",
+///    "hedging",
 ///    "instance",
 ///    "limits",
 ///    "platform"
@@ -1594,6 +1595,9 @@
 ///    "fleet": {
 ///      "$ref": "#/definitions/FleetSettings"
 ///    },
+///    "hedging": {
+///      "$ref": "#/definitions/HedgingSettings"
+///    },
 ///    "instance": {
 ///      "$ref": "#/definitions/InstanceSettings"
 ///    },
@@ -1614,6 +1618,7 @@
     pub allowances: AllowanceSettings,
     pub authority: AuthoritySettings,
     pub fleet: FleetSettings,
+    pub hedging: HedgingSettings,
     pub instance: InstanceSettings,
     pub limits: LimitSettings,
     pub platform: PlatformSettings,
@@ -1811,6 +1816,58 @@
     ///Suspects that the sender knows, those with the oldest changes first.
     pub suspects: ::std::vec::Vec<Suspect>,
 }
+///Second sends of requests whose first upstream is slow.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "Second sends of requests whose first upstream is slow.",
+///  "type": "object",
+///  "required": [
+///    "kinds",
+///    "min_delay_ms",
+///    "quantile",
+///    "share"
+///  ],
+///  "properties": {
+///    "kinds": {
+///      "description": "What is hedged, separated by commas: `requests` (idempotent requests with buffered responses), `prefills` (disaggregated prefills).",
+///      "type": "string"
+///    },
+///    "min_delay_ms": {
+///      "description": "Shortest time in milliseconds after which a send counts as slow.",
+///      "type": "integer",
+///      "format": "uint64"
+///    },
+///    "quantile": {
+///      "description": "Quantile of the recent response times of the same route or service, from 0.5 to 0.999, after which a send counts as slow.",
+///      "type": "number",
+///      "format": "double"
+///    },
+///    "share": {
+///      "description": "Most second sends, as a fraction of the sends that may be hedged in the last minute, 0 to 0.5; 0 for none. They also take from the retry budget.",
+///      "type": "number",
+///      "format": "double"
+///    }
+///  },
+///  "additionalProperties": false,
+///  "x-section": "hedging"
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct HedgingSettings {
+    ///What is hedged, separated by commas: `requests` (idempotent requests with buffered responses), `prefills` (disaggregated prefills).
+    pub kinds: ::std::string::String,
+    ///Shortest time in milliseconds after which a send counts as slow.
+    pub min_delay_ms: u64,
+    ///Quantile of the recent response times of the same route or service, from 0.5 to 0.999, after which a send counts as slow.
+    pub quantile: f64,
+    ///Most second sends, as a fraction of the sends that may be hedged in the last minute, 0 to 0.5; 0 for none. They also take from the retry budget.
+    pub share: f64,
+}
 ///One incarnation of an instance, from the start to the end of its process.
 ///
 /// <details><summary>JSON schema</summary>
--- a/crates/serve/src/caller/buffered.rs
+++ b/crates/serve/src/caller/buffered.rs
@@ -9,16 +9,21 @@
 use http::response::Parts;
 
 use super::exchange::{BufferedResponse, buffer_response, exchange};
+use super::hedge::hedged;
 use super::in_flight_request::InFlightRequest;
 use crate::hub::HubMessage;
 use crate::platform::{ErrorResponse, Operation, Platform};
 
 /// Sends the request until an upstream responds or no further attempt is allowed.
-pub(super) async fn serve<P>(request: InFlightRequest<P>, upstream: Arc<Upstream>) -> Response<Body>
+pub(super) async fn serve<P>(
+    request: InFlightRequest<P>,
+    upstream: Arc<Upstream>,
+    hedge_after_ms: Option<u64>,
+) -> Response<Body>
 where
     P: Platform,
 {
-    let sending = send_until_response(&request, upstream);
+    let sending = send_until_response(&request, upstream, hedge_after_ms);
     let result = request.within_deadline(sending).await;
     match result.unwrap_or_else(|expiry| Err(request.expiry_response(expiry))) {
         Ok((parts, body)) => caller_response(&request, parts, body),
@@ -31,39 +36,71 @@
 
 async fn send_until_response<P>(
     request: &InFlightRequest<P>,
-    mut upstream: Arc<Upstream>,
+    upstream: Arc<Upstream>,
+    hedge_after_ms: Option<u64>,
 ) -> Result<(Parts, Bytes), ErrorResponse>
 where
     P: Platform,
 {
+    // Boxed, since a second send and retries are rare.
+    let send_to = |upstream| Box::pin(attempt(request, upstream));
+    let mut result =
+        hedged(request, hedge_after_ms, send_to(upstream), send_to, FailedAttempt::merge).await;
     let mut failed_response = None;
     loop {
-        let failure = match send(request, &upstream).await {
-            Ok((parts, body, keep_alive)) => {
-                request.send(HubMessage::RequestStarted { id: request.assignment_id() }).await;
-                let is_failure = parts.status.is_server_error();
-                let outcome = if is_failure { SendOutcome::Failed } else { SendOutcome::Responded };
-                request.report_outcome(&upstream, outcome, keep_alive).await;
-                if !is_failure {
-                    request
-                        .send(HubMessage::RequestSucceeded { id: request.assignment_id() })
-                        .await;
-                }
-                if !is_failure || request.authorized.route.retry_safety != RetrySafety::Idempotent {
-                    return Ok((parts, body));
-                }
-                failed_response = Some((parts, body));
-                Failure::Spoilt
+        let failure = match result {
+            Ok(response) => return Ok(response),
+            Err(FailedAttempt { failure, response }) => {
+                failed_response = response.or(failed_response);
+                failure
             }
-            Err(failure) => failure,
         };
         match request.retry(failure).await {
-            Ok(next) => upstream = next,
+            Ok(next) => result = send_to(next).await,
             Err(reason) => return failed_response.ok_or_else(|| request.final_response(reason)),
         }
     }
 }
 
+/// A send after which the request may be retried.
+struct FailedAttempt {
+    failure: Failure,
+    /// The response, if it is an error of the upstream.
+    response: Option<(Parts, Bytes)>,
+}
+
+impl FailedAttempt {
+    fn merge(self, other: Self) -> Self {
+        let failure = self.failure.gravest(other.failure);
+        Self { failure, response: self.response.or(other.response) }
+    }
+}
+
+/// Sends the request once and reports how that ended.
+async fn attempt<P>(
+    request: &InFlightRequest<P>,
+    upstream: Arc<Upstream>,
+) -> Result<(Parts, Bytes), FailedAttempt>
+where
+    P: Platform,
+{
+    let (parts, body, keep_alive) = send(request, &upstream)
+        .await
+        .map_err(|failure| FailedAttempt { failure, response: None })?;
+    let id = request.assignment_id();
+    request.send(HubMessage::RequestStarted { id }).await;
+    let is_failure = parts.status.is_server_error();
+    let outcome = if is_failure { SendOutcome::Failed } else { SendOutcome::Responded };
+    request.report_outcome(&upstream, outcome, keep_alive).await;
+    if !is_failure {
+        request.send(HubMessage::RequestSucceeded { id }).await;
+    }
+    if is_failure && request.authorized.route.retry_safety == RetrySafety::Idempotent {
+        return Err(FailedAttempt { failure: Failure::Spoilt, response: Some((parts, body)) });
+    }
+    Ok((parts, body))
+}
+
 async fn send<P>(
     request: &InFlightRequest<P>,
     upstream: &Upstream,
@@ -71,7 +108,6 @@
 where
     P: Platform,
 {
-    let may_have_run_before = request.may_have_run();
     request.mark_may_have_run();
     let client = &request.shared.client;
     let operation = Operation::Serve { prefilled: None, after_event: None };
@@ -86,7 +122,7 @@
         Err(failure) => Err(failure),
     };
     if let Err(failure) = result {
-        request.on_failure(upstream, failure, may_have_run_before).await;
+        request.on_failure(upstream, failure).await;
     }
     result
 }
--- a/crates/serve/src/caller/in_flight_request.rs
+++ b/crates/serve/src/caller/in_flight_request.rs
@@ -24,7 +24,8 @@
     pub(super) started_ms: u64,
     pub(super) deadline_ms: u64,
     assignment: AssignmentGuard,
-    may_have_run: Cell<bool>,
+    /// Sends that run the request or may have run it.
+    possible_runs: Cell<u32>,
 }
 
 impl<P> InFlightRequest<P>
@@ -39,7 +40,6 @@
         deadline_ms: u64,
         assignment: AssignmentGuard,
     ) -> Self {
-        let may_have_run = Cell::new(false);
         Self {
             shared,
             caller_request,
@@ -47,7 +47,7 @@
             started_ms,
             deadline_ms,
             assignment,
-            may_have_run,
+            possible_runs: Cell::new(0),
         }
     }
 
@@ -84,26 +84,21 @@
         }
     }
 
-    /// Records that the request is about to be sent, so it may run from now on.
+    /// Records that the request is about to be sent, so this send may run it from now on.
     pub(super) fn mark_may_have_run(&self) {
-        self.may_have_run.set(true);
+        self.possible_runs.update(|runs| runs + 1);
     }
 
     /// Returns whether an upstream may have run the request.
     pub(super) fn may_have_run(&self) -> bool {
-        self.may_have_run.get()
+        self.possible_runs.get() > 0
     }
 
-    /// Reports a failed send of the request, and restores `may_have_run` if the failure shows that
-    /// the request did not run.
-    pub(super) async fn on_failure(
-        &self,
-        upstream: &Upstream,
-        failure: Failure,
-        may_have_run_before: bool,
-    ) {
+    /// Reports a failed send of the request, which no longer counts as a possible run if the failure
+    /// shows that it was none.
+    pub(super) async fn on_failure(&self, upstream: &Upstream, failure: Failure) {
         if failure.is_not_run() {
-            self.may_have_run.set(may_have_run_before);
+            self.possible_runs.update(|runs| runs.saturating_sub(1));
         }
         self.report_failure(upstream, failure).await;
     }
@@ -157,10 +152,13 @@
     }
 
     /// Asks the hub for the engine that serves the request after the prefill ended.
-    pub(super) async fn upstream_after_prefill(&self) -> Result<Arc<Upstream>, ErrorResponse> {
+    pub(super) async fn upstream_after_prefill(
+        &self,
+        has_succeeded: bool,
+    ) -> Result<Arc<Upstream>, ErrorResponse> {
         let id = self.assignment.id();
         let hub = &self.shared.hub;
-        hub.request(|reply| HubMessage::PrefillEnded { id, reply })
+        hub.request(|reply| HubMessage::PrefillEnded { id, has_succeeded, reply })
             .await
             .unwrap_or(Err(Rejection::NotReady))
             .map_err(ErrorResponse::from_rejection)
--- a/crates/serve/src/caller/mod.rs
+++ b/crates/serve/src/caller/mod.rs
@@ -4,6 +4,7 @@
 mod buffered;
 mod error_response;
 mod exchange;
+mod hedge;
 mod in_flight_request;
 mod memory;
 mod relay;
--- a/crates/serve/src/caller/relay.rs
+++ b/crates/serve/src/caller/relay.rs
@@ -108,7 +108,7 @@
             };
             log_failure(&self.request.caller_request, &self.upstream, failure, &why);
             self.events.discard_partial();
-            self.request.on_failure(&self.upstream, failure, true).await;
+            self.request.on_failure(&self.upstream, failure).await;
             match self.resume(failure).await {
                 Some(next) => body = next,
                 None => return StreamEnd::Interrupted(failure, why),
@@ -188,6 +188,7 @@
             let operation =
                 Operation::Serve { prefilled: None, after_event: self.events.last_id() };
             let upstream_request = self.request.upstream_request(&self.upstream, operation);
+            self.request.mark_may_have_run();
             let shared = &self.request.shared;
             match exchange(shared, &self.request.caller_request, &upstream_request).await {
                 Ok(response) if response.parts.status.is_success() => {
@@ -195,7 +196,7 @@
                 }
                 Ok(_) => return None,
                 Err(next_failure) => {
-                    self.request.on_failure(&self.upstream, next_failure, true).await;
+                    self.request.on_failure(&self.upstream, next_failure).await;
                     failure = next_failure;
                 }
             }
--- a/crates/serve/src/caller/server.rs
+++ b/crates/serve/src/caller/server.rs
@@ -22,7 +22,7 @@
 use super::{buffered, stream};
 use crate::config::Config;
 use crate::events::{Event, event};
-use crate::hub::{HubMessage, Rejection, RouteQuery, UnplacedRequest};
+use crate::hub::{Assignment, HubMessage, Rejection, RouteQuery, UnplacedRequest};
 use crate::metrics::Metrics;
 use crate::platform::{CallerRequest, ErrorResponse, Platform};
 use crate::tasks::HubHandle;
@@ -177,10 +177,11 @@
         );
         Ok(match retry_safety {
             RetrySafety::Stream { .. } => {
-                stream::serve(request, assignment.prefill_upstream, assignment.upstream).await
+                let Assignment { prefill_upstream, upstream, hedge_after_ms } = assignment;
+                stream::serve(request, prefill_upstream, upstream, hedge_after_ms).await
             }
             RetrySafety::Idempotent | RetrySafety::AtMostOnce => {
-                buffered::serve(request, assignment.upstream).await
+                buffered::serve(request, assignment.upstream, assignment.hedge_after_ms).await
             }
         })
     }
--- a/crates/serve/src/caller/stream.rs
+++ b/crates/serve/src/caller/stream.rs
@@ -9,6 +9,7 @@
 
 use super::buffered::caller_response;
 use super::exchange::{UpstreamResponse, buffer_response, exchange};
+use super::hedge::hedged;
 use super::in_flight_request::InFlightRequest;
 use super::relay::Relay;
 use crate::events::{Event, event};
@@ -24,11 +25,12 @@
     request: InFlightRequest<P>,
     prefill_upstream: Option<Arc<Upstream>>,
     upstream: Arc<Upstream>,
+    hedge_after_ms: Option<u64>,
 ) -> Response<Body>
 where
     P: Platform,
 {
-    let opening = open_stream(&request, prefill_upstream, upstream);
+    let opening = open_stream(&request, prefill_upstream, upstream, hedge_after_ms);
     let opened = request.within_deadline(opening).await;
     match opened.unwrap_or_else(|expiry| Err(request.expiry_response(expiry))) {
         Ok((upstream, response)) if response.parts.status.is_success() => {
@@ -70,6 +72,7 @@
     request: &InFlightRequest<P>,
     prefill_upstream: Option<Arc<Upstream>>,
     mut upstream: Arc<Upstream>,
+    hedge_after_ms: Option<u64>,
 ) -> Result<(Arc<Upstream>, UpstreamResponse), ErrorResponse>
 where
     P: Platform,
@@ -77,15 +80,16 @@
     let mut held_prefill = None;
     let mut refusals = 0;
     if let Some(prefill_upstream) = prefill_upstream {
-        let result = run_prefill(request, &prefill_upstream).await;
-        upstream = request.upstream_after_prefill().await?;
+        let send_to = |upstream| Box::pin(run_prefill(request, upstream));
+        let first = send_to(prefill_upstream);
+        let result = hedged(request, hedge_after_ms, first, send_to, Failure::gravest).await;
+        upstream = request.upstream_after_prefill(result.is_ok()).await?;
         match result {
             Ok(prefill) => held_prefill = Some(prefill),
             Err(failure) => request.acquire_prefill_fallback(failure).await?,
         }
     }
     loop {
-        let may_have_run_before = request.may_have_run();
         request.mark_may_have_run();
         let operation = Operation::Serve {
             prefilled: held_prefill.as_ref().map(|prefill| &prefill.prefilled),
@@ -106,7 +110,7 @@
             }
             Err(failure) => failure,
         };
-        request.on_failure(&upstream, failure, may_have_run_before).await;
+        request.on_failure(&upstream, failure).await;
         let is_usable = match failure {
             Failure::NotArrived => true,
             // An engine that is full or changes its role has not consumed the prefilled prompt.
@@ -163,22 +167,22 @@
 /// Has an engine prefill the prompt and keep the result for another engine.
 async fn run_prefill<P>(
     request: &InFlightRequest<P>,
-    prefill_upstream: &Upstream,
+    prefill_upstream: Arc<Upstream>,
 ) -> Result<HeldPrefill<P>, Failure>
 where
     P: Platform,
 {
     let (platform, client) = (&request.shared.platform, &request.shared.client);
-    let upstream_request = request.upstream_request(prefill_upstream, Operation::Prefill);
+    let upstream_request = request.upstream_request(&prefill_upstream, Operation::Prefill);
     let exchanging = async {
         let response =
             exchange(&request.shared, &request.caller_request, &upstream_request).await?;
-        buffer_response(&request.caller_request, prefill_upstream, client, response).await
+        buffer_response(&request.caller_request, &prefill_upstream, client, response).await
     };
     let started_ms = request.shared.clock.now_ms();
     let result = exchanging.await.and_then(|(parts, body, keep_alive)| {
         let prefilled =
-            parts.status.is_success().then(|| platform.decode_prefilled(prefill_upstream, &body));
+            parts.status.is_success().then(|| platform.decode_prefilled(&prefill_upstream, &body));
         let prefilled = prefilled.flatten().ok_or(Failure::Spoilt)?;
         Ok((prefilled, keep_alive))
     });
@@ -193,12 +197,12 @@
     );
     match result {
         Ok((prefilled, keep_alive)) => {
-            request.report_outcome(prefill_upstream, SendOutcome::Responded, keep_alive).await;
+            request.report_outcome(&prefill_upstream, SendOutcome::Responded, keep_alive).await;
             let (platform, client) = (platform.clone(), client.clone());
             Ok(HeldPrefill { prefilled, is_consumed: false, platform, client })
         }
         Err(failure) => {
-            request.report_failure(prefill_upstream, failure).await;
+            request.report_failure(&prefill_upstream, failure).await;
             Err(failure)
         }
     }
--- a/crates/serve/src/config.rs
+++ b/crates/serve/src/config.rs
@@ -11,8 +11,9 @@
 use cowslip_authority::LeaseTimes;
 use cowslip_codec::{FLEET_SETTING_SECTIONS, SettingError, load_settings};
 use cowslip_fleet::{Locality, RetryBudgetLimits};
+use cowslip_hedging::HedgingLimits;
 use cowslip_membership::FeedTimes;
-use cowslip_proto::{FleetEntrySettings, LimitSettings};
+use cowslip_proto::{FleetEntrySettings, HedgingSettings, LimitSettings};
 use cowslip_usage::WindowTimes;
 use num_traits::ToPrimitive;
 use snafu::ResultExt;
@@ -35,6 +36,10 @@
 const MIN_DESCRIPTORS: u64 = 1_024;
 const MIN_UNREAD_TIMEOUT_MS: u64 = 1_000;
 
+/// Largest share of second sends, and the range of the quantile.
+const MAX_HEDGING_SHARE: f64 = 0.5;
+const HEDGING_QUANTILES: std::ops::RangeInclusive<f64> = 0.5..=0.999;
+
 /// Settings of an instance, read once at its start.
 #[derive(Clone, Debug)]
 pub struct Config {
@@ -54,6 +59,8 @@
     pub duties_address: SocketAddr,
     /// Failure domain of this instance, and the regions of all failure domains.
     pub locality: Locality,
+    /// When and how often slow sends are hedged.
+    pub hedging_limits: HedgingLimits,
 }
 
 impl Config {
@@ -108,6 +115,7 @@
                 &settings.fleet.duties_address,
             )?,
             locality,
+            hedging_limits: parse_hedging(&settings.hedging)?,
             settings,
         })
     }
@@ -197,6 +205,31 @@
     (seconds * 1_000.0).round().to_u64().unwrap_or(u64::MAX)
 }
 
+fn parse_hedging(settings: &HedgingSettings) -> Result<HedgingLimits, Vec<SettingError>> {
+    let error = |key: &str, reason: &str| vec![setting_error(&format!("[hedging] {key}"), reason)];
+    if settings.share > MAX_HEDGING_SHARE {
+        return Err(error("share", &format!("must be at most {MAX_HEDGING_SHARE}")));
+    }
+    if !HEDGING_QUANTILES.contains(&settings.quantile) {
+        return Err(error("quantile", "must be from 0.5 to 0.999"));
+    }
+    let mut limits = HedgingLimits {
+        share: settings.share,
+        quantile: settings.quantile,
+        min_delay_ms: settings.min_delay_ms,
+        has_requests: false,
+        has_prefills: false,
+    };
+    for kind in settings.kinds.split(',').map(str::trim).filter(|kind| !kind.is_empty()) {
+        match kind {
+            "requests" => limits.has_requests = true,
+            "prefills" => limits.has_prefills = true,
+            _ => return Err(error("kinds", &format!("{kind:?} is not requests or prefills"))),
+        }
+    }
+    Ok(limits)
+}
+
 fn parse_regions(text: &str) -> Result<HashMap<Arc<str>, Arc<str>>, Vec<SettingError>> {
     text.split(',')
         .map(str::trim)
--- a/crates/serve/src/events.rs
+++ b/crates/serve/src/events.rs
@@ -42,6 +42,7 @@
     RequestReleased = 513, Info, "a request is no longer refused";
     RequestOverAllowance = 514, Info, "a request exceeds the allowance of its workspace";
     CallerClosed = 515, Warn, "a caller's connection, body or response was closed, others needed its room or it was not read";
+    RequestHedged = 520, Info, "a slow request was sent to a second upstream";
     PeerUnreachable = 600, Warn, "a peer is unreachable";
     PeerReachable = 601, Info, "a peer is reachable again";
     PeerMessageMalformed = 602, Warn, "a peer sent a malformed message";
--- a/crates/serve/src/hub/message.rs
+++ b/crates/serve/src/hub/message.rs
@@ -35,9 +35,16 @@
     Retry { id: u64, reason: RetryReason, reply: ReplySender<Result<Arc<Upstream>, Rejection>> },
     /// Acquires one retry from the shared retry budget; the reply is false if it is used up.
     AcquireRetry { id: u64, reply: ReplySender<bool> },
+    /// Asks for a second upstream for a request whose first one is slow; the reply is `None` if it is
+    /// not sent again.
+    Hedge { id: u64, reply: ReplySender<Option<Arc<Upstream>>> },
     /// Reports that the prefill of a request ended, successfully or not; the reply is the upstream
     /// that serves the request.
-    PrefillEnded { id: u64, reply: ReplySender<Result<Arc<Upstream>, Rejection>> },
+    PrefillEnded {
+        id: u64,
+        has_succeeded: bool,
+        reply: ReplySender<Result<Arc<Upstream>, Rejection>>,
+    },
     /// Reports that an upstream runs the request.
     RequestStarted { id: u64 },
     /// Reports that an upstream sent a complete, successful response.
@@ -180,6 +187,8 @@
     pub(crate) prefill_upstream: Option<Arc<Upstream>>,
     /// Serves the request.
     pub(crate) upstream: Arc<Upstream>,
+    /// Time in milliseconds after which the first send counts as slow; `None` if it is not hedged.
+    pub(crate) hedge_after_ms: Option<u64>,
 }
 
 /// Why a request needs another upstream.
--- a/crates/serve/src/hub/mod.rs
+++ b/crates/serve/src/hub/mod.rs
@@ -3,8 +3,10 @@
 mod allowances;
 mod feed;
 mod grants;
+mod hedging;
 mod instances;
 mod message;
+mod prefills;
 mod quarantine;
 mod records;
 mod requests;
@@ -17,9 +19,10 @@
 use cowslip_clock::{Clock, unix_ms};
 use cowslip_codec::{holder_to_proto, request_starts_key};
 use cowslip_fleet::{
-    DeclaredConfig, RetryBudget, StopSchedule, UpstreamChange, UpstreamHealth, UpstreamRegistry,
-    plan_capacity, plan_roles,
+    DeclaredConfig, RetryBudget, SendOutcome, StopSchedule, UpstreamChange, UpstreamHealth,
+    UpstreamRegistry, plan_capacity, plan_roles,
 };
+use cowslip_hedging::Hedging;
 use cowslip_membership::{FeedRole, FeedTopology};
 use cowslip_poison::{Quarantine, Refusal, SuspectKey};
 use cowslip_task::send_reply;
@@ -73,6 +76,7 @@
     /// Requests in flight, by the id of their assignment.
     in_flight: HashMap<u64, PlacedRequest>,
     retry_budget: RetryBudget,
+    hedging: Hedging,
     quarantine: Quarantine,
     /// Refusals of the quarantine as last logged.
     logged_refusals: BTreeSet<Refusal>,
@@ -134,6 +138,7 @@
             pooled_until_ms: HashMap::new(),
             in_flight: HashMap::new(),
             retry_budget: RetryBudget::new(config.retry_budget_limits()),
+            hedging: Hedging::new(config.hedging_limits),
             quarantine: Quarantine::new(quarantine::limits(poison_limit)),
             logged_refusals: BTreeSet::new(),
             stored_suspects: Some(BTreeSet::new()),
@@ -182,8 +187,9 @@
             HubMessage::Misdirected { upstream } => {
                 self.registry.on_role_mismatch(self.clock.now_ms(), &upstream);
             }
-            HubMessage::PrefillEnded { id, reply } => {
-                send_reply(&reply, self.on_prefill_ended(id));
+            HubMessage::Hedge { id, reply } => send_reply(&reply, self.hedge(id)),
+            HubMessage::PrefillEnded { id, has_succeeded, reply } => {
+                send_reply(&reply, self.on_prefill_ended(id, has_succeeded));
             }
             HubMessage::RequestStarted { id } => self.on_request_started(id),
             HubMessage::RequestSucceeded { id } => self.on_request_succeeded(id),
@@ -193,6 +199,11 @@
             }
             HubMessage::SendEnded { upstream, outcome, keep_alive } => {
                 self.health.on_outcome(self.clock.now_ms(), &upstream, outcome);
+                if outcome == SendOutcome::Refused
+                    && let Some(upstream) = self.registry.get(&upstream)
+                {
+                    self.hedging.on_refusal(self.clock.now_ms(), &upstream.service);
+                }
                 if let Some(keep_alive) = keep_alive {
                     self.on_connection_pooled(upstream, keep_alive);
                 }
--- a/crates/serve/src/hub/requests.rs
+++ b/crates/serve/src/hub/requests.rs
@@ -10,6 +10,7 @@
 use cowslip_name::Name;
 use cowslip_poison::{Accused, LostUpstream, RequestDigest, SegmentId};
 
+use super::hedging::HedgeLoad;
 use super::quarantine::format_segments;
 use super::{
     Assignment, AuthorizedRequest, Hub, Rejection, RetryReason, RouteQuery, UnplacedRequest,
@@ -27,30 +28,34 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct LocalLoad {
     /// Requests that were sent to the upstream and have not started there.
-    queued: u32,
+    pub(super) queued: u32,
     /// Prefills that the upstream runs for requests which another upstream serves.
-    active_prefills: u32,
+    pub(super) active_prefills: u32,
 }
 
 /// A placed request, until its assignment ends.
 #[derive(Debug)]
 pub(super) struct PlacedRequest {
-    attempt_id: Arc<str>,
-    authorized: Authorized,
-    service: Arc<str>,
+    pub(super) attempt_id: Arc<str>,
+    pub(super) authorized: Authorized,
+    pub(super) service: Arc<str>,
+    pub(super) prompt: Option<Prompt>,
+    pub(super) placed_at_ms: u64,
     pub(super) request_digest: RequestDigest,
     /// Ids of the prompt segments that other requests may share.
     pub(super) shared_segments: Arc<[SegmentId]>,
     /// Whether the request was sent although one of its segments is quarantined.
-    is_probe: bool,
+    pub(super) is_probe: bool,
     /// Upstream that runs the prefill, until the prefill ends.
-    prefill_upstream: Option<Arc<str>>,
+    pub(super) prefill_upstream: Option<Arc<str>>,
     /// Upstream that serves the request.
-    upstream: Arc<Upstream>,
+    pub(super) upstream: Arc<Upstream>,
     /// Upstreams that were chosen to serve the request.
-    tried: Vec<Arc<str>>,
+    pub(super) tried: Vec<Arc<str>>,
     /// Number of upstreams that may have run the request, the current one included.
-    attempts: u32,
+    pub(super) attempts: u32,
+    /// The second send, once the first one was slow.
+    pub(super) hedge: Option<HedgeLoad>,
     /// Whether the request counts as queued in the load of `upstream`.
     is_queued: bool,
     /// Whether the request was counted for its workspace's usage.
@@ -58,7 +63,7 @@
 }
 
 impl PlacedRequest {
-    fn accused(&self) -> Accused<'_> {
+    pub(super) fn accused(&self) -> Accused<'_> {
         Accused { request: self.request_digest, segments: &self.shared_segments }
     }
 }
@@ -130,6 +135,8 @@
             attempt_id: unplaced.attempt_id,
             authorized: unplaced.authorized,
             service,
+            prompt: unplaced.prompt,
+            placed_at_ms: now_ms,
             request_digest: unplaced.request_digest,
             shared_segments: unplaced.shared_segments,
             is_probe,
@@ -137,16 +144,18 @@
             tried: vec![upstream.id.clone()],
             upstream: upstream.clone(),
             attempts: 1,
+            hedge: None,
             is_queued: true,
             is_counted: false,
         };
+        let hedge_after_ms = self.hedge_delay_ms(&request);
         self.in_flight.insert(unplaced.id, request);
-        Ok(Assignment { prefill_upstream, upstream })
+        Ok(Assignment { prefill_upstream, upstream, hedge_after_ms })
     }
 
     /// Picks from a service's upstreams that accept work and were not tried, in the order of their
     /// [`Standing`].
-    fn pick_placement(
+    pub(super) fn pick_placement(
         &self,
         service: &str,
         digest: RequestDigest,
@@ -178,7 +187,7 @@
     }
 
     /// Returns why no upstream of the service can be picked.
-    fn no_upstream(&self, service: &str) -> Rejection {
+    pub(super) fn no_upstream(&self, service: &str) -> Rejection {
         let now_ms = self.clock.now_ms();
         let has_eligible = self.registry.eligible(now_ms, service).next().is_some();
         match self.registry.first_hold_end_ms(now_ms, service).filter(|_| !has_eligible) {
@@ -187,7 +196,7 @@
         }
     }
 
-    fn load(&self, now_ms: u64, upstream: &Upstream) -> Load {
+    pub(super) fn load(&self, now_ms: u64, upstream: &Upstream) -> Load {
         let local = self.loads.get(&upstream.id).copied().unwrap_or_default();
         Load {
             queued: local.queued,
@@ -296,52 +305,8 @@
         self.retry_budget.try_acquire(self.clock.now_ms(), &request.service, instances)
     }
 
-    /// Handles the end of a prefill, successful or not. A prefill may take longer than an engine
-    /// takes to drain and leave, so another engine is picked if the assigned one no longer accepts
-    /// work. A request that was quarantined meanwhile is rejected.
-    pub(super) fn on_prefill_ended(&mut self, id: u64) -> Result<Arc<Upstream>, Rejection> {
-        let now_ms = self.clock.now_ms();
-        let request = self.in_flight.get_mut(&id).ok_or(Rejection::NoUpstream)?;
-        let service = request.service.clone();
-        let assigned = request.upstream.clone();
-        let prefill_upstream = request.prefill_upstream.take();
-        if let Some(prefill_upstream) = &prefill_upstream {
-            self.release_prefill(prefill_upstream);
-        }
-        let Some(request) = self.in_flight.get(&id) else { return Err(Rejection::NoUpstream) };
-        if !request.is_probe && self.is_quarantined(&request.accused()) {
-            return Err(Rejection::Quarantined);
-        }
-        let is_assigned =
-            |up: &Arc<Upstream>| up.id == assigned.id && up.started_at_ms == assigned.started_at_ms;
-        if self.registry.eligible(now_ms, &service).any(is_assigned) {
-            return Ok(assigned);
-        }
-        let preferred_domain = prefill_upstream
-            .and_then(|id| self.registry.get(&id))
-            .map(|up| up.failure_domain.clone());
-        let digest = request.request_digest;
-        let placement =
-            self.pick_placement(&service, digest, None, preferred_domain.as_deref(), &[]);
-        let chosen = placement.ok_or_else(|| self.no_upstream(&service))?.upstream;
-        self.release_queued(&assigned.id);
-        self.loads.entry(chosen.id.clone()).or_default().queued += 1;
-        if let Some(request) = self.in_flight.get_mut(&id) {
-            event!(
-                Event::RequestReassigned,
-                request = request.attempt_id,
-                from = assigned.id,
-                upstream = chosen.id,
-                why = "the upstream stopped accepting work during the prefill",
-                runs = request.attempts
-            );
-            request.tried = vec![chosen.id.clone()];
-            request.upstream = chosen.clone();
-        }
-        Ok(chosen)
-    }
-
     pub(super) fn on_request_started(&mut self, id: u64) {
+        self.release_hedge(id);
         let window = self.window_times.window_of(self.cluster_ms());
         let Some(request) = self.in_flight.get_mut(&id) else { return };
         if !std::mem::replace(&mut request.is_counted, true)
@@ -356,6 +321,7 @@
     }
 
     pub(super) fn on_request_ended(&mut self, id: u64) {
+        self.release_hedge(id);
         let Some(request) = self.in_flight.remove(&id) else { return };
         if let Some(prefill_upstream) = &request.prefill_upstream {
             self.release_prefill(prefill_upstream);
@@ -367,6 +333,7 @@
 
     /// Clears the request and its segments of earlier losses.
     pub(super) fn on_request_succeeded(&mut self, id: u64) {
+        self.observe_time(id);
         let Some(request) = self.in_flight.get(&id) else { return };
         self.quarantine.on_success(self.clock.now_ms(), &request.accused());
         self.log_refusals();
@@ -393,13 +360,7 @@
         self.log_refusals();
     }
 
-    fn release_prefill(&mut self, id: &str) {
-        if let Some(load) = self.loads.get_mut(id) {
-            load.active_prefills = load.active_prefills.saturating_sub(1);
-        }
-    }
-
-    fn release_queued(&mut self, id: &str) {
+    pub(super) fn release_queued(&mut self, id: &str) {
         if let Some(load) = self.loads.get_mut(id) {
             load.queued = load.queued.saturating_sub(1);
             if load.queued == 0 && load.active_prefills == 0 {
--- a/crates/serve/src/metrics.rs
+++ b/crates/serve/src/metrics.rs
@@ -17,6 +17,8 @@
     "cowslip_requests_total",
     "cowslip_sends_total",
     "cowslip_moves_total",
+    "cowslip_hedges_total",
+    "cowslip_hedges_withheld_total",
     "cowslip_store_calls_total",
     "cowslip_duty_calls_total",
     "cowslip_answer_seconds",
@@ -48,6 +50,10 @@
     pub(crate) sends: IntCounterVec,
     /// Requests that were reassigned to another upstream.
     pub(crate) reassignments: IntCounter,
+    /// Second sends of slow requests: `sent`, and by their end `won`, `lost`, `failed`.
+    pub(crate) hedges: IntCounterVec,
+    /// Slow requests that were not hedged, by reason.
+    pub(crate) hedges_withheld: IntCounterVec,
     /// Calls to the store, by outcome.
     pub(crate) store_calls: IntCounterVec,
     /// Calls to the duties interface, by outcome.
@@ -126,6 +132,12 @@
             requests: counter_by("cowslip_requests_total", "Requests by how they ended", "end")?,
             sends: counter_by("cowslip_sends_total", "Sends to upstreams by outcome", "outcome")?,
             reassignments,
+            hedges: counter_by("cowslip_hedges_total", "Second sends of slow requests", "end")?,
+            hedges_withheld: counter_by(
+                "cowslip_hedges_withheld_total",
+                "Slow requests that were not hedged",
+                "reason",
+            )?,
             store_calls: counter_by("cowslip_store_calls_total", "Calls of the store", "outcome")?,
             duty_calls: counter_by("cowslip_duty_calls_total", "Calls of duties", "outcome")?,
             response_s: histogram("cowslip_answer_seconds", "Time to a whole answer")?,
--- a/crates/serve/tests/settings.rs
+++ b/crates/serve/tests/settings.rs
@@ -59,6 +59,18 @@
                 "[limits] unread_timeout_ms: must be at least 1000",
             ],
         },
+        Case {
+            change: ("[fleet]\n", "[hedging]\nshare = 0.6\n[fleet]\n"),
+            errors: &["[hedging] share: must be at most 0.5"],
+        },
+        Case {
+            change: ("[fleet]\n", "[hedging]\nquantile = 1\n[fleet]\n"),
+            errors: &["[hedging] quantile: must be from 0.5 to 0.999"],
+        },
+        Case {
+            change: ("[fleet]\n", "[hedging]\nkinds = prefills, bookings\n[fleet]\n"),
+            errors: &["[hedging] kinds: \"bookings\" is not requests or prefills"],
+        },
         Case {
             change: ("[fleet]\n", "[config]\nheartbeat_ms = 5\n[fleet]\n"),
             errors: &[
