--- a/crates/serve/src/hub/hedging.rs
+++ b/crates/serve/src/hub/hedging.rs
@@ -32,6 +32,15 @@
             RetrySafety::Stream { .. } | RetrySafety::AtMostOnce => None,
         }
     }
+
+    /// Returns the upstream that a part was sent to first.
+    fn first_upstream(&self, part: Part) -> &Arc<str> {
+        let prefill_upstream = match part {
+            Part::Request => None,
+            Part::Prefill { .. } => self.prefill_upstream.as_ref(),
+        };
+        prefill_upstream.unwrap_or(&self.upstream.id)
+    }
 }
 
 impl<P> Hub<P>
@@ -92,7 +101,7 @@
             Event::RequestHedged,
             request = request.attempt_id,
             part = format_args!("{part:?}"),
-            from = request.prefill_upstream.as_ref().unwrap_or(&request.upstream.id),
+            from = request.first_upstream(part),
             upstream = second.id,
             waited_ms = now_ms.saturating_sub(request.placed_at_ms),
             attempts = request.attempts,
@@ -123,7 +132,7 @@
         request: &PlacedRequest,
         part: Part,
     ) -> Option<Arc<Upstream>> {
-        let first = request.prefill_upstream.as_ref().unwrap_or(&request.upstream.id);
+        let first = request.first_upstream(part);
         let candidates: Vec<&Arc<Upstream>> = self
             .registry
             .eligible(now_ms, &request.service)
