Count a second prefill as an attempt

A hedge of a prefill was sent whatever number of attempts the route allows, and was not counted. Only the first prefill that an upstream accepts is no attempt; each further one is, so a route with one attempt got two.

Hedges of all parts are now checked against the attempts of the route, and counted. The case "a prefill is no attempt" asserted the fault; it is replaced by one that expects the hedge to be withheld, and one with an attempt left.

--- a/crates/hedging/src/hedging.rs
+++ b/crates/hedging/src/hedging.rs
@@ -229,14 +229,12 @@
     where
         F: FnOnce() -> bool,
     {
-        // A prefill generates nothing, so it is no run of the request.
-        let needs_attempt = send.part == Part::Request;
         let refused_ms = self.refused_ms.get(send.service);
         let withheld = if !send.is_repeatable || !self.limits.includes(send.part) {
             Some(Withheld::NotRepeatable)
         } else if send.is_suspected {
             Some(Withheld::Suspected)
-        } else if needs_attempt && send.attempts >= send.max_attempts {
+        } else if send.attempts >= send.max_attempts {
             Some(Withheld::NoAttempts)
         } else if refused_ms.is_some_and(|at_ms| now_ms < at_ms + REFUSAL_PAUSE_MS) {
             Some(Withheld::Refusing)
--- a/crates/hedging/tests/hedging.rs
+++ b/crates/hedging/tests/hedging.rs
@@ -80,8 +80,14 @@
             ..ALLOWED
         },
         Case {
-            name: "a prefill is no attempt",
+            name: "a second prefill is an attempt",
             send: SlowSend { max_attempts: 1, part: PREFILL, ..SLOW },
+            result: Err(Withheld::NoAttempts),
+            ..ALLOWED
+        },
+        Case {
+            name: "a prefill with an attempt left",
+            send: SlowSend { part: PREFILL, ..SLOW },
             ..ALLOWED
         },
         Case {
--- a/crates/serve/src/hub/hedging.rs
+++ b/crates/serve/src/hub/hedging.rs
@@ -110,10 +110,10 @@
         self.metrics.hedges.with_label_values(&["sent"]).inc();
         let request = self.in_flight.get_mut(&id)?;
         let load = self.loads.entry(second.id.clone()).or_default();
+        request.attempts += 1;
         request.hedge = Some(match part {
             Part::Request => {
                 request.tried.push(second.id.clone());
-                request.attempts += 1;
                 load.queued += 1;
                 HedgeLoad::Queued(second.id.clone())
             }
