Drop the oldest requests from the share's window in the first minute

The property hedges_never_exceed_the_share_in_any_window failed on a run: in the 61st second of the clock, requests of second 0 counted although they were outside of the window, since a first slot of 0 also stood for none.

The requests of a slot count while the slot lies wholly inside of the window; a table checks both edges in the first and in a later minute.

--- a/crates/hedging/src/share.rs
+++ b/crates/hedging/src/share.rs
@@ -37,12 +37,12 @@
 
     /// Returns whether one more hedge keeps to `share`.
     pub fn has_room(&mut self, now_ms: u64, share: f64) -> bool {
-        let first_slot = self.slot(now_ms).index.saturating_sub(WINDOW_MS / SLOT_MS);
+        let newest = self.slot(now_ms).index;
         // The requests of the oldest slot may be outside of the window, its hedges inside.
         let requests: u64 = self
             .slots
             .iter()
-            .filter(|slot| first_slot == 0 || slot.index > first_slot)
+            .filter(|slot| slot.index + WINDOW_MS / SLOT_MS > newest)
             .map(|slot| slot.requests)
             .sum();
         let hedges: u64 = self.slots.iter().map(|slot| slot.hedges).sum();
--- a/crates/hedging/tests/hedging.rs
+++ b/crates/hedging/tests/hedging.rs
@@ -203,6 +203,26 @@
     assert_eq!(hedging.on_sent(0, &service, &route, long), Some(1_200));
 }
 
+#[test]
+fn requests_leave_the_window_after_a_minute() {
+    struct Case {
+        requests_ms: u64,
+        now_ms: u64,
+        has_room: bool,
+    }
+    let cases = [
+        Case { requests_ms: 0, now_ms: 59_999, has_room: true },
+        Case { requests_ms: 0, now_ms: 60_500, has_room: false },
+        Case { requests_ms: 7_000, now_ms: 66_999, has_room: true },
+        Case { requests_ms: 7_000, now_ms: 67_500, has_room: false },
+    ];
+    for Case { requests_ms, now_ms, has_room } in cases {
+        let mut window = ShareWindow::default();
+        (0..20).for_each(|_| window.on_request(requests_ms));
+        assert_eq!(window.has_room(now_ms, 0.05), has_room, "{requests_ms} at {now_ms}");
+    }
+}
+
 proptest! {
     #[test]
     fn hedges_never_exceed_the_share_in_any_window(
