Return the attempt of a hedged send that has not run

A hedge was counted as an attempt when it was sent, also if its upstream refused it or was never reached. With two attempts on a route, the retry that an unhedged request would have got was then denied. The same held for a first send that was refused while its hedge ran.

The caller's task reports each failed send of a race, and the hub returns the attempt unless the send may have run; refused prefills stay counted, as upstreams do. A table covers the count for both parts and all kinds of failure; the race itself is not covered by a process test.

--- a/crates/hedging/src/hedging.rs
+++ b/crates/hedging/src/hedging.rs
@@ -43,6 +43,18 @@
         }
     }
 
+    /// Returns the number of attempts that count after one of two sends of this part has failed. A
+    /// refused prefill is an attempt, a refused request is none.
+    #[must_use]
+    pub fn attempts_after(self, attempts: u32, failure: FailedSend) -> u32 {
+        let is_attempt = match (self, failure) {
+            (_, FailedSend::NotArrived) | (Self::Request, FailedSend::NotRun) => false,
+            (Self::Prefill { .. }, FailedSend::NotRun) | (_, FailedSend::MayHaveRun) => true,
+        };
+        // The send after the failure, or the retry, is always an attempt.
+        if is_attempt { attempts } else { attempts.saturating_sub(1).max(1) }
+    }
+
     fn kind(self) -> Kind {
         match self {
             Self::Request => Kind::Request,
@@ -51,6 +63,17 @@
     }
 }
 
+/// What is known of a failed send.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum FailedSend {
+    /// It has not reached the upstream.
+    NotArrived,
+    /// The upstream has refused it.
+    NotRun,
+    /// The upstream may have run it.
+    MayHaveRun,
+}
+
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 enum Kind {
     Request,
--- a/crates/hedging/src/lib.rs
+++ b/crates/hedging/src/lib.rs
@@ -7,6 +7,6 @@
 mod share;
 mod times;
 
-pub use hedging::{Hedging, HedgingLimits, Part, SecondUpstream, SlowSend, Withheld};
+pub use hedging::{FailedSend, Hedging, HedgingLimits, Part, SecondUpstream, SlowSend, Withheld};
 pub use share::ShareWindow;
 pub use times::ResponseTimes;
--- a/crates/hedging/tests/hedging.rs
+++ b/crates/hedging/tests/hedging.rs
@@ -3,7 +3,8 @@
 use std::sync::Arc;
 
 use cowslip_hedging::{
-    Hedging, HedgingLimits, Part, ResponseTimes, SecondUpstream, ShareWindow, SlowSend, Withheld,
+    FailedSend, Hedging, HedgingLimits, Part, ResponseTimes, SecondUpstream, ShareWindow, SlowSend,
+    Withheld,
 };
 use proptest::prelude::*;
 
@@ -203,6 +204,36 @@
     assert_eq!(hedging.on_sent(0, &service, &route, long), Some(1_200));
 }
 
+#[test]
+fn only_sends_that_may_have_run_use_up_attempts() {
+    struct Case {
+        part: Part,
+        failures: &'static [FailedSend],
+        attempts: u32,
+    }
+    let cases = [
+        Case { part: Part::Request, failures: &[FailedSend::NotRun], attempts: 1 },
+        Case { part: Part::Request, failures: &[FailedSend::NotArrived], attempts: 1 },
+        Case { part: Part::Request, failures: &[FailedSend::MayHaveRun], attempts: 2 },
+        Case {
+            part: Part::Request,
+            failures: &[FailedSend::NotRun, FailedSend::MayHaveRun],
+            attempts: 1,
+        },
+        Case {
+            part: Part::Request,
+            failures: &[FailedSend::NotRun, FailedSend::NotArrived],
+            attempts: 1,
+        },
+        Case { part: PREFILL, failures: &[FailedSend::NotRun], attempts: 2 },
+        Case { part: PREFILL, failures: &[FailedSend::NotArrived], attempts: 1 },
+    ];
+    for Case { part, failures, attempts } in cases {
+        let left = failures.iter().fold(2, |left, failure| part.attempts_after(left, *failure));
+        assert_eq!(left, attempts, "{part:?}: {failures:?}");
+    }
+}
+
 #[test]
 fn requests_leave_the_window_after_a_minute() {
     struct Case {
--- a/crates/serve/src/caller/buffered.rs
+++ b/crates/serve/src/caller/buffered.rs
@@ -44,8 +44,16 @@
 {
     // Boxed, since a second send and retries are rare.
     let send_to = |upstream| Box::pin(attempt(request, upstream));
-    let mut result =
-        hedged(request, hedge_after_ms, send_to(upstream), send_to, FailedAttempt::merge).await;
+    let first = send_to(upstream);
+    let mut result = hedged(
+        request,
+        hedge_after_ms,
+        first,
+        send_to,
+        |failed| failed.failure,
+        FailedAttempt::merge,
+    )
+    .await;
     let mut failed_response = None;
     loop {
         let failure = match result {
--- a/crates/serve/src/caller/hedge.rs
+++ b/crates/serve/src/caller/hedge.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cowslip_fleet::Upstream;
+use cowslip_fleet::{Failure, Upstream};
 use futures_util::future::{Either, select};
 
 use super::in_flight_request::InFlightRequest;
@@ -14,11 +14,12 @@
 /// Waits for `first`, and from `after_ms` on also for `second` at another upstream, if the hub allows
 /// it. The first success is returned and the other send is dropped, which closes its connection; a
 /// failure waits for the other send.
-pub(super) async fn hedged<P, T, E, F, S, G, M>(
+pub(super) async fn hedged<P, T, E, F, S, G, C, M>(
     request: &InFlightRequest<P>,
     after_ms: Option<u64>,
     first: F,
     second: S,
+    failure_of: C,
     merge: M,
 ) -> Result<T, E>
 where
@@ -26,6 +27,7 @@
     F: Future<Output = Result<T, E>>,
     S: FnOnce(Arc<Upstream>) -> G,
     G: Future<Output = Result<T, E>>,
+    C: Fn(&E) -> Failure,
     M: FnOnce(E, E) -> E,
 {
     let Some(after_ms) = after_ms else { return first.await };
@@ -39,7 +41,14 @@
     let id = request.assignment_id();
     let upstream = hub.request(|reply| HubMessage::Hedge { id, reply }).await.flatten();
     let Some(upstream) = upstream else { return first.await };
-    let second = pin!(second(upstream));
+    let report = async |result: Result<T, E>| {
+        if let Err(error) = &result {
+            request.send(HubMessage::HedgedSendFailed { id, failure: failure_of(error) }).await;
+        }
+        result
+    };
+    let first = pin!(async { report(first.await).await });
+    let second = pin!(async { report(second(upstream).await).await });
     let (result, has_won) = match select(first, second).await {
         Either::Left((Ok(response), _)) => (Ok(response), false),
         Either::Right((Ok(response), _)) => (Ok(response), true),
--- a/crates/serve/src/caller/stream.rs
+++ b/crates/serve/src/caller/stream.rs
@@ -82,7 +82,9 @@
     if let Some(prefill_upstream) = prefill_upstream {
         let send_to = |upstream| Box::pin(run_prefill(request, upstream));
         let first = send_to(prefill_upstream);
-        let result = hedged(request, hedge_after_ms, first, send_to, Failure::gravest).await;
+        let result =
+            hedged(request, hedge_after_ms, first, send_to, |failure| *failure, Failure::gravest)
+                .await;
         upstream = request.upstream_after_prefill(result.is_ok()).await?;
         match result {
             Ok(prefill) => held_prefill = Some(prefill),
--- a/crates/serve/src/hub/hedging.rs
+++ b/crates/serve/src/hub/hedging.rs
@@ -2,8 +2,8 @@
 
 use std::sync::Arc;
 
-use cowslip_fleet::{Placement, PlacementRequest, RetrySafety, Standing, Upstream, place};
-use cowslip_hedging::{Part, SecondUpstream, SlowSend};
+use cowslip_fleet::{Failure, Placement, PlacementRequest, RetrySafety, Standing, Upstream, place};
+use cowslip_hedging::{FailedSend, Part, SecondUpstream, SlowSend};
 
 use super::Hub;
 use super::requests::PlacedRequest;
@@ -154,6 +154,18 @@
         }
     }
 
+    /// Returns the attempt of a send that was none.
+    pub(super) fn on_hedged_send_failed(&mut self, id: u64, failure: Failure) {
+        let Some(request) = self.in_flight.get_mut(&id) else { return };
+        let Some(part) = request.repeatable_part() else { return };
+        let failed = match failure {
+            Failure::NotArrived => FailedSend::NotArrived,
+            Failure::NotRun | Failure::Misdirected | Failure::Unmet => FailedSend::NotRun,
+            Failure::Broken | Failure::Malformed | Failure::Spoilt => FailedSend::MayHaveRun,
+        };
+        request.attempts = part.attempts_after(request.attempts, failed);
+    }
+
     /// Releases the load of a second send.
     pub(super) fn release_hedge(&mut self, id: u64) {
         let Some(request) = self.in_flight.get_mut(&id) else { return };
--- a/crates/serve/src/hub/message.rs
+++ b/crates/serve/src/hub/message.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use cowslip_fleet::{
-    Authorized, CapacityOrder, Prompt, RoleOrder, SendOutcome, StopSchedule, Upstream,
+    Authorized, CapacityOrder, Failure, Prompt, RoleOrder, SendOutcome, StopSchedule, Upstream,
 };
 use cowslip_membership::StoreRetry;
 use cowslip_name::Name;
@@ -38,6 +38,8 @@
     /// Asks for a second upstream for a request whose first one is slow; the reply is `None` if it is
     /// not sent again.
     Hedge { id: u64, reply: ReplySender<Option<Arc<Upstream>>> },
+    /// Reports that one of the two sends of a hedged request failed.
+    HedgedSendFailed { id: u64, failure: Failure },
     /// Reports that the prefill of a request ended, successfully or not; the reply is the upstream
     /// that serves the request.
     PrefillEnded {
--- a/crates/serve/src/hub/mod.rs
+++ b/crates/serve/src/hub/mod.rs
@@ -188,6 +188,7 @@
                 self.registry.on_role_mismatch(self.clock.now_ms(), &upstream);
             }
             HubMessage::Hedge { id, reply } => send_reply(&reply, self.hedge(id)),
+            HubMessage::HedgedSendFailed { id, failure } => self.on_hedged_send_failed(id, failure),
             HubMessage::PrefillEnded { id, has_succeeded, reply } => {
                 send_reply(&reply, self.on_prefill_ended(id, has_succeeded));
             }
