Release a prefilled prompt whose send is dropped after its response

The guard that releases an unused prefilled prompt was built after the outcome had been reported to the hub. A send that lost the race while it waited there was dropped without a guard, and its result stayed at the engine.

The guard is built as soon as the response is decoded. No test: the interval is that of one message to the hub.

--- a/crates/serve/src/caller/stream.rs
+++ b/crates/serve/src/caller/stream.rs
@@ -186,7 +186,8 @@
         let prefilled =
             parts.status.is_success().then(|| platform.decode_prefilled(&prefill_upstream, &body));
         let prefilled = prefilled.flatten().ok_or(Failure::Spoilt)?;
-        Ok((prefilled, keep_alive))
+        let (platform, client) = (platform.clone(), client.clone());
+        Ok((HeldPrefill { prefilled, is_consumed: false, platform, client }, keep_alive))
     });
     let took_ms = request.shared.clock.now_ms().saturating_sub(started_ms);
     event!(
@@ -198,10 +199,9 @@
         outcome = format_args!("{:?}", result.as_ref().err())
     );
     match result {
-        Ok((prefilled, keep_alive)) => {
+        Ok((prefill, keep_alive)) => {
             request.report_outcome(&prefill_upstream, SendOutcome::Responded, keep_alive).await;
-            let (platform, client) = (platform.clone(), client.clone());
-            Ok(HeldPrefill { prefilled, is_consumed: false, platform, client })
+            Ok(prefill)
         }
         Err(failure) => {
             request.report_failure(&prefill_upstream, failure).await;
