Release the load of each hedged send when that send ends

The start of a request released the loads of both sends, and is also reported for a response that is a server error, while the other send goes on. The load of a hedge that was refused stayed until the request ended, and a retry did not release it.

The start names its upstream and releases the load of that send only. A second send that fails is released at once, and a retry releases it as well. No test: the hub has no harness of its own, and a process shows its loads only in a log.

--- a/crates/serve/src/caller/hedge.rs
+++ b/crates/serve/src/caller/hedge.rs
@@ -41,14 +41,15 @@
     let id = request.assignment_id();
     let upstream = hub.request(|reply| HubMessage::Hedge { id, reply }).await.flatten();
     let Some(upstream) = upstream else { return first.await };
-    let report = async |result: Result<T, E>| {
+    let report = async |is_second, result: Result<T, E>| {
         if let Err(error) = &result {
-            request.send(HubMessage::HedgedSendFailed { id, failure: failure_of(error) }).await;
+            let failure = failure_of(error);
+            request.send(HubMessage::HedgedSendFailed { id, is_second, failure }).await;
         }
         result
     };
-    let first = pin!(async { report(first.await).await });
-    let second = pin!(async { report(second(upstream).await).await });
+    let first = pin!(async { report(false, first.await).await });
+    let second = pin!(async { report(true, second(upstream).await).await });
     let (result, has_won) = match select(first, second).await {
         Either::Left((Ok(response), _)) => (Ok(response), false),
         Either::Right((Ok(response), _)) => (Ok(response), true),
--- a/crates/serve/src/caller/relay.rs
+++ b/crates/serve/src/caller/relay.rs
@@ -169,7 +169,8 @@
             return;
         }
         let request = &self.request;
-        request.send(HubMessage::RequestStarted { id: request.assignment_id() }).await;
+        let (id, upstream) = (request.assignment_id(), self.upstream.id.clone());
+        request.send(HubMessage::RequestStarted { id, upstream }).await;
         let elapsed_ms = request.shared.clock.now_ms().saturating_sub(request.started_ms);
         request.shared.metrics.first_event_s.observe(elapsed_ms as f64 / 1_000.0);
         event!(
--- a/crates/serve/src/hub/hedging.rs
+++ b/crates/serve/src/hub/hedging.rs
@@ -154,8 +154,11 @@
         }
     }
 
-    /// Returns the attempt of a send that was none.
-    pub(super) fn on_hedged_send_failed(&mut self, id: u64, failure: Failure) {
+    /// Releases the load of a second send, and returns the attempt of a send that was none.
+    pub(super) fn on_hedged_send_failed(&mut self, id: u64, is_second: bool, failure: Failure) {
+        if is_second {
+            self.release_hedge(id);
+        }
         let Some(request) = self.in_flight.get_mut(&id) else { return };
         let Some(part) = request.repeatable_part() else { return };
         let failed = match failure {
--- a/crates/serve/src/hub/message.rs
+++ b/crates/serve/src/hub/message.rs
@@ -39,7 +39,7 @@
     /// not sent again.
     Hedge { id: u64, reply: ReplySender<Option<Arc<Upstream>>> },
     /// Reports that one of the two sends of a hedged request failed.
-    HedgedSendFailed { id: u64, failure: Failure },
+    HedgedSendFailed { id: u64, is_second: bool, failure: Failure },
     /// Reports that the prefill of a request ended, successfully or not; the reply is the upstream
     /// that serves the request.
     PrefillEnded {
@@ -47,8 +47,8 @@
         has_succeeded: bool,
         reply: ReplySender<Result<Arc<Upstream>, Rejection>>,
     },
-    /// Reports that an upstream runs the request.
-    RequestStarted { id: u64 },
+    /// Reports that this upstream runs the request.
+    RequestStarted { id: u64, upstream: Arc<str> },
     /// Reports that an upstream sent a complete, successful response.
     RequestSucceeded { id: u64 },
     /// Ends the assignment, whatever its result.
--- a/crates/serve/src/hub/mod.rs
+++ b/crates/serve/src/hub/mod.rs
@@ -188,11 +188,13 @@
                 self.registry.on_role_mismatch(self.clock.now_ms(), &upstream);
             }
             HubMessage::Hedge { id, reply } => send_reply(&reply, self.hedge(id)),
-            HubMessage::HedgedSendFailed { id, failure } => self.on_hedged_send_failed(id, failure),
+            HubMessage::HedgedSendFailed { id, is_second, failure } => {
+                self.on_hedged_send_failed(id, is_second, failure);
+            }
             HubMessage::PrefillEnded { id, has_succeeded, reply } => {
                 send_reply(&reply, self.on_prefill_ended(id, has_succeeded));
             }
-            HubMessage::RequestStarted { id } => self.on_request_started(id),
+            HubMessage::RequestStarted { id, upstream } => self.on_request_started(id, &upstream),
             HubMessage::RequestSucceeded { id } => self.on_request_succeeded(id),
             HubMessage::RequestEnded { id } => {
                 self.forget_reservation(id);
--- a/crates/serve/src/hub/requests.rs
+++ b/crates/serve/src/hub/requests.rs
@@ -290,6 +290,7 @@
         if was_queued {
             self.release_queued(&previous.id);
         }
+        self.release_hedge(id);
         self.loads.entry(upstream.id.clone()).or_default().queued += 1;
         Ok(upstream)
     }
@@ -305,8 +306,7 @@
         self.retry_budget.try_acquire(self.clock.now_ms(), &request.service, instances)
     }
 
-    pub(super) fn on_request_started(&mut self, id: u64) {
-        self.release_hedge(id);
+    pub(super) fn on_request_started(&mut self, id: u64, upstream: &Arc<str>) {
         let window = self.window_times.window_of(self.cluster_ms());
         let Some(request) = self.in_flight.get_mut(&id) else { return };
         if !std::mem::replace(&mut request.is_counted, true)
@@ -314,9 +314,11 @@
         {
             self.starts.count(&self.starts_key, window, workspace);
         }
-        if std::mem::replace(&mut request.is_queued, false) {
-            let upstream = request.upstream.id.clone();
-            self.release_queued(&upstream);
+        // The other send of a hedged request goes on if this one ends with an error.
+        if *upstream != request.upstream.id {
+            self.release_hedge(id);
+        } else if std::mem::replace(&mut request.is_queued, false) {
+            self.release_queued(upstream);
         }
     }
 
