Hedge requests only by default

A second prefill is placed at an engine that often lacks the shared prefix which the first one was chosen for, and a prefill in vain occupies an engine.

--- a/crates/proto/src/setting_table.rs
+++ b/crates/proto/src/setting_table.rs
@@ -193,7 +193,7 @@
         section: "hedging",
         key: "kinds",
         kind: SettingKind::Text,
-        default: Some("requests,prefills"),
+        default: Some("requests"),
         help: "What is hedged, separated by commas: `requests` (idempotent requests with buffered responses), `prefills` (disaggregated prefills).",
     },
     SettingSpec {
--- a/crates/serve/tests/settings.rs
+++ b/crates/serve/tests/settings.rs
@@ -12,6 +12,7 @@
     let config = Config::parse(VALID).expect("valid settings");
     assert_eq!(config.locality.distance("d0", "d1"), 2);
     assert_eq!(config.settings.fleet.repeat_ratio.to_string(), "0.2");
+    assert!(config.hedging_limits.has_requests && !config.hedging_limits.has_prefills);
 }
 
 #[test]
