Test that a negative or missing share is refused

Numbers below 0 and NaN are refused when the settings are loaded, before the check of the share's upper bound; no test showed it. Two cases do now, and pass without a change of the check.

The comments on refusals also named the case that no upstream accepts a request, which does not pause hedging; they now name refusals only.

--- a/crates/hedging/src/hedging.rs
+++ b/crates/hedging/src/hedging.rs
@@ -6,8 +6,8 @@
 use crate::share::ShareWindow;
 use crate::times::ResponseTimes;
 
-/// Time without hedges after an upstream of the service has refused a request or none was left, in
-/// milliseconds. It begins again with each refusal.
+/// Time without hedges after an upstream of the service has refused a request, in milliseconds. It
+/// begins again with each refusal.
 const REFUSAL_PAUSE_MS: u64 = 2_000;
 /// Most routes and services whose times are kept.
 const MAX_KEYS: usize = 1_024;
@@ -230,7 +230,7 @@
         }
     }
 
-    /// Records that an upstream of the service refused a request, or that none accepted it.
+    /// Records that an upstream of the service refused a request.
     pub fn on_refusal(&mut self, now_ms: u64, service: &Arc<str>) {
         if self.limits.share > 0.0 {
             self.refused_ms.retain(|_, at_ms| now_ms < *at_ms + REFUSAL_PAUSE_MS);
--- a/crates/serve/src/config.rs
+++ b/crates/serve/src/config.rs
@@ -207,6 +207,7 @@
 
 fn parse_hedging(settings: &HedgingSettings) -> Result<HedgingLimits, Vec<SettingError>> {
     let error = |key: &str, reason: &str| vec![setting_error(&format!("[hedging] {key}"), reason)];
+    // The settings hold only numbers from 0 on.
     if settings.share > MAX_HEDGING_SHARE {
         return Err(error("share", &format!("must be at most {MAX_HEDGING_SHARE}")));
     }
--- a/crates/serve/tests/settings.rs
+++ b/crates/serve/tests/settings.rs
@@ -64,6 +64,14 @@
             change: ("[fleet]\n", "[hedging]\nshare = 0.6\n[fleet]\n"),
             errors: &["[hedging] share: must be at most 0.5"],
         },
+        Case {
+            change: ("[fleet]\n", "[hedging]\nshare = -0.1\n[fleet]\n"),
+            errors: &["line 11: [hedging] share: \"-0.1\" is not a number from 0 on"],
+        },
+        Case {
+            change: ("[fleet]\n", "[hedging]\nshare = NaN\n[fleet]\n"),
+            errors: &["line 11: [hedging] share: \"NaN\" is not a number from 0 on"],
+        },
         Case {
             change: ("[fleet]\n", "[hedging]\nquantile = 1\n[fleet]\n"),
             errors: &["[hedging] quantile: must be from 0.5 to 0.999"],
