Keep the prompt of a placed request only if it may be hedged

Every placed request kept its prompt, with all prefix segments, until it ended, though only a second send reads it.

The prompt is dropped at the placement unless the part that is sent may be hedged, so deployments without hedging keep none. The table of the hedging crate checks which parts are included.

--- a/crates/hedging/src/hedging.rs
+++ b/crates/hedging/src/hedging.rs
@@ -194,6 +194,12 @@
         }
     }
 
+    /// Returns whether sends of this part may be hedged at all.
+    #[must_use]
+    pub fn includes(&self, part: Part) -> bool {
+        self.limits.includes(part)
+    }
+
     /// Counts a first send, and returns the time after which it counts as slow; `None` if it is never
     /// hedged, or if that time is not known yet. Times of the route are preferred to those of the
     /// service.
--- a/crates/hedging/tests/hedging.rs
+++ b/crates/hedging/tests/hedging.rs
@@ -132,6 +132,8 @@
         if let Some(before_ms) = case.refused_before_ms {
             hedging.on_refusal(10_000 - before_ms, &service);
         }
+        let is_included = case.limits.share > 0.0 && case.limits.has_requests;
+        assert_eq!(hedging.includes(case.send.part), is_included, "{}", case.name);
         let result = hedging.try_hedge(10_000, &case.send, || case.has_retry);
         assert_eq!(result, case.result, "{}", case.name);
     }
--- a/crates/serve/src/hub/hedging.rs
+++ b/crates/serve/src/hub/hedging.rs
@@ -47,6 +47,11 @@
 where
     P: Platform,
 {
+    /// Returns whether the request may be sent to a second upstream.
+    pub(super) fn may_hedge(&self, request: &PlacedRequest) -> bool {
+        request.repeatable_part().is_some_and(|part| self.hedging.includes(part))
+    }
+
     /// Returns the time after which the first send of a request counts as slow.
     pub(super) fn hedge_delay_ms(&mut self, request: &PlacedRequest) -> Option<u64> {
         let part = request.repeatable_part().filter(|_| !request.is_probe)?;
--- a/crates/serve/src/hub/requests.rs
+++ b/crates/serve/src/hub/requests.rs
@@ -39,6 +39,7 @@
     pub(super) attempt_id: Arc<str>,
     pub(super) authorized: Authorized,
     pub(super) service: Arc<str>,
+    /// The prompt of a request that may be hedged.
     pub(super) prompt: Option<Prompt>,
     pub(super) placed_at_ms: u64,
     pub(super) request_digest: RequestDigest,
@@ -131,7 +132,7 @@
             self.loads.entry(prefill.id.clone()).or_default().active_prefills += 1;
         }
         self.loads.entry(upstream.id.clone()).or_default().queued += 1;
-        let request = PlacedRequest {
+        let mut request = PlacedRequest {
             attempt_id: unplaced.attempt_id,
             authorized: unplaced.authorized,
             service,
@@ -149,6 +150,9 @@
             is_counted: false,
         };
         let hedge_after_ms = self.hedge_delay_ms(&request);
+        if !self.may_hedge(&request) {
+            request.prompt = None;
+        }
         self.in_flight.insert(unplaced.id, request);
         Ok(Assignment { prefill_upstream, upstream, hedge_after_ms })
     }
