Leave half of the retry allowance to retries

Hedges took from the retry budget until it was used up, so requests that had failed could get no retry. The share was counted over a minute, the budget over repeat_window_s, so the hedges of a minute could fall into one window.

A hedge takes from the budget only while half of the allowance stays free, and the share is counted over the window of the budget. A table checks what hedges leave to retries; the property of the share runs with the window of 10 s, and the requests of the table of slow sends were moved into that window.

--- a/crates/fleet/src/retry_budget.rs
+++ b/crates/fleet/src/retry_budget.rs
@@ -17,6 +17,8 @@
 /// Share of the allowance that an instance uses, 0 to 1, since peers' counts are not known exactly;
 /// the rest covers instances that are not known yet, such as added ones.
 const USABLE_SHARE: f64 = 0.7;
+/// Part of the usable allowance that hedges leave to retries.
+const RETRY_RESERVE: f64 = 0.5;
 
 /// This instance's share of the retry budget, by service, over a sliding window.
 #[derive(Clone, Debug)]
@@ -49,12 +51,28 @@
     /// Records one retry and returns `true` if this instance's share of the budget allows it;
     /// `instances` is the number of instances that share the budget.
     pub fn try_acquire(&mut self, now_ms: u64, service: &Arc<str>, instances: usize) -> bool {
+        self.try_acquire_part(now_ms, service, instances, 1.0)
+    }
+
+    /// As [`Self::try_acquire`] for a hedge, only while half of the allowance stays free: a hedge
+    /// saves time, a retry saves a request that has failed.
+    pub fn try_acquire_hedge(&mut self, now_ms: u64, service: &Arc<str>, instances: usize) -> bool {
+        self.try_acquire_part(now_ms, service, instances, 1.0 - RETRY_RESERVE)
+    }
+
+    fn try_acquire_part(
+        &mut self,
+        now_ms: u64,
+        service: &Arc<str>,
+        instances: usize,
+        part: f64,
+    ) -> bool {
         let limits = self.limits;
         let window = self.services.entry(service.clone()).or_default();
         window.evict_expired(now_ms, limits.window_ms);
         let own_slack = limits.slack / instances.max(1) as f64;
         let allowed =
-            USABLE_SHARE * (limits.ratio * window.request_times_ms.len() as f64 + own_slack);
+            part * USABLE_SHARE * (limits.ratio * window.request_times_ms.len() as f64 + own_slack);
         let is_allowed = (window.retry_times_ms.len() as f64) + 1.0 <= allowed;
         if is_allowed {
             window.retry_times_ms.push_back(now_ms);
--- a/crates/fleet/tests/retry_budget.rs
+++ b/crates/fleet/tests/retry_budget.rs
@@ -39,6 +39,31 @@
     }
 }
 
+#[test]
+fn hedges_leave_half_of_the_allowance_to_retries() {
+    struct Case {
+        name: &'static str,
+        retries_before: usize,
+        hedges: usize,
+        retries_after: usize,
+    }
+    // The allowance is 36 retries without a request.
+    let cases = [
+        Case { name: "no retries", retries_before: 0, hedges: 18, retries_after: 18 },
+        Case { name: "some retries", retries_before: 10, hedges: 8, retries_after: 18 },
+        Case { name: "half in use", retries_before: 18, hedges: 0, retries_after: 18 },
+        Case { name: "more in use", retries_before: 30, hedges: 0, retries_after: 6 },
+    ];
+    let service: Arc<str> = Arc::from("models");
+    for Case { name, retries_before, hedges, retries_after } in cases {
+        let mut budget = RetryBudget::new(LIMITS);
+        assert!((0..retries_before).all(|_| budget.try_acquire(5, &service, 1)), "{name}");
+        let sent = (0..100).filter(|_| budget.try_acquire_hedge(6, &service, 1)).count();
+        let retried = (0..100).filter(|_| budget.try_acquire(7, &service, 1)).count();
+        assert_eq!((sent, retried), (hedges, retries_after), "{name}");
+    }
+}
+
 #[test]
 fn service_cannot_use_the_budget_of_another_service() {
     let mut budget = RetryBudget::new(LIMITS);
--- a/crates/hedging/src/hedging.rs
+++ b/crates/hedging/src/hedging.rs
@@ -85,6 +85,8 @@
 pub struct HedgingLimits {
     /// Most hedges as a share of the sends that may be hedged; 0 for none.
     pub share: f64,
+    /// Length of the sliding window of the share, in milliseconds.
+    pub window_ms: u64,
     /// Quantile of the response times after which a send counts as slow, 0 to 1.
     pub quantile: f64,
     /// Shortest time after which a send counts as slow, in milliseconds.
@@ -189,7 +191,7 @@
         Self {
             limits,
             times: HashMap::new(),
-            share: ShareWindow::default(),
+            share: ShareWindow::new(limits.window_ms),
             refused_ms: HashMap::new(),
         }
     }
--- a/crates/hedging/src/share.rs
+++ b/crates/hedging/src/share.rs
@@ -2,8 +2,6 @@
 
 use std::collections::VecDeque;
 
-/// Window over which hedges and requests are compared, in milliseconds.
-const WINDOW_MS: u64 = 60_000;
 /// Time whose requests and hedges are counted together, in milliseconds.
 const SLOT_MS: u64 = 1_000;
 
@@ -14,16 +12,20 @@
     hedges: u64,
 }
 
-/// Requests and hedges of the last minute. Every instance keeps to the share of its own requests, so
+/// Requests and hedges of a sliding window. Every instance keeps to the share of its own requests, so
 /// all instances together keep to it as well, whichever of them are lost or late.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct ShareWindow {
     slots: VecDeque<Slot>,
+    window_slots: u64,
 }
 
 impl ShareWindow {
-    /// Length of the window in milliseconds.
-    pub const WINDOW_MS: u64 = WINDOW_MS;
+    /// Creates a window of this length, rounded up to whole seconds.
+    #[must_use]
+    pub fn new(window_ms: u64) -> Self {
+        Self { slots: VecDeque::new(), window_slots: window_ms.div_ceil(SLOT_MS).max(1) }
+    }
 
     /// Counts a request that may be hedged.
     pub fn on_request(&mut self, now_ms: u64) {
@@ -42,7 +44,7 @@
         let requests: u64 = self
             .slots
             .iter()
-            .filter(|slot| slot.index + WINDOW_MS / SLOT_MS > newest)
+            .filter(|slot| slot.index + self.window_slots > newest)
             .map(|slot| slot.requests)
             .sum();
         let hedges: u64 = self.slots.iter().map(|slot| slot.hedges).sum();
@@ -51,7 +53,8 @@
 
     fn slot(&mut self, now_ms: u64) -> &mut Slot {
         let index = now_ms / SLOT_MS;
-        while self.slots.front().is_some_and(|slot| slot.index + WINDOW_MS / SLOT_MS < index) {
+        let window_slots = self.window_slots;
+        while self.slots.front().is_some_and(|slot| slot.index + window_slots < index) {
             self.slots.pop_front();
         }
         if self.slots.back().is_none_or(|slot| slot.index < index) {
--- a/crates/hedging/tests/hedging.rs
+++ b/crates/hedging/tests/hedging.rs
@@ -8,8 +8,11 @@
 };
 use proptest::prelude::*;
 
+const WINDOW_MS: u64 = 10_000;
+
 const LIMITS: HedgingLimits = HedgingLimits {
     share: 0.05,
+    window_ms: WINDOW_MS,
     quantile: 0.95,
     min_delay_ms: 20,
     has_requests: true,
@@ -28,95 +31,98 @@
 
 const PREFILL: Part = Part::Prefill { tokens: 4_000 };
 
+/// A slow send and what is decided on it.
+struct SlowCase {
+    name: &'static str,
+    limits: HedgingLimits,
+    send: SlowSend<'static>,
+    requests: usize,
+    refused_before_ms: Option<u64>,
+    has_retry: bool,
+    result: Result<(), Withheld>,
+}
+
+const ALLOWED: SlowCase = SlowCase {
+    name: "allowed",
+    limits: LIMITS,
+    send: SLOW,
+    requests: 20,
+    refused_before_ms: None,
+    has_retry: true,
+    result: Ok(()),
+};
+
 #[test]
 fn slow_sends_are_hedged_only_where_all_allows_it() {
-    struct Case {
-        name: &'static str,
-        limits: HedgingLimits,
-        send: SlowSend<'static>,
-        requests: usize,
-        refused_before_ms: Option<u64>,
-        has_retry: bool,
-        result: Result<(), Withheld>,
-    }
-    const ALLOWED: Case = Case {
-        name: "allowed",
-        limits: LIMITS,
-        send: SLOW,
-        requests: 20,
-        refused_before_ms: None,
-        has_retry: true,
-        result: Ok(()),
-    };
     let cases = [
         ALLOWED,
-        Case {
+        SlowCase {
             name: "off",
             limits: HedgingLimits { share: 0.0, ..LIMITS },
             result: Err(Withheld::NotRepeatable),
             ..ALLOWED
         },
-        Case {
+        SlowCase {
             name: "requests are not hedged",
             limits: HedgingLimits { has_requests: false, ..LIMITS },
             result: Err(Withheld::NotRepeatable),
             ..ALLOWED
         },
-        Case {
+        SlowCase {
             name: "a booking",
             send: SlowSend { is_repeatable: false, ..SLOW },
             result: Err(Withheld::NotRepeatable),
             ..ALLOWED
         },
-        Case {
+        SlowCase {
             name: "a suspect",
             send: SlowSend { is_suspected: true, ..SLOW },
             result: Err(Withheld::Suspected),
             ..ALLOWED
         },
-        Case {
+        SlowCase {
             name: "one attempt only",
             send: SlowSend { max_attempts: 1, ..SLOW },
             result: Err(Withheld::NoAttempts),
             ..ALLOWED
         },
-        Case {
+        SlowCase {
             name: "a second prefill is an attempt",
             send: SlowSend { max_attempts: 1, part: PREFILL, ..SLOW },
             result: Err(Withheld::NoAttempts),
             ..ALLOWED
         },
-        Case {
+        SlowCase {
             name: "a prefill with an attempt left",
             send: SlowSend { part: PREFILL, ..SLOW },
             ..ALLOWED
         },
-        Case {
+        SlowCase {
             name: "a refusal just before",
             refused_before_ms: Some(1_999),
             result: Err(Withheld::Refusing),
             ..ALLOWED
         },
-        Case { name: "a refusal long before", refused_before_ms: Some(2_000), ..ALLOWED },
-        Case {
+        SlowCase { name: "a refusal long before", refused_before_ms: Some(2_000), ..ALLOWED },
+        SlowCase {
             name: "no other upstream",
             send: SlowSend { second: SecondUpstream::Missing, ..SLOW },
             result: Err(Withheld::NoUpstream),
             ..ALLOWED
         },
-        Case {
+        SlowCase {
             name: "full upstreams",
             send: SlowSend { second: SecondUpstream::Busy, ..SLOW },
             result: Err(Withheld::Busy),
             ..ALLOWED
         },
-        Case {
+        SlowCase {
             name: "too few requests",
             requests: 19,
             result: Err(Withheld::ShareUsed),
             ..ALLOWED
         },
-        Case {
+        SlowCase {
             name: "no retries left",
             has_retry: false,
             result: Err(Withheld::NoRetries),
@@ -127,7 +133,7 @@
         let service: Arc<str> = Arc::from(case.send.service);
         let mut hedging = Hedging::new(case.limits);
         for _ in 0..case.requests {
-            let _ = hedging.on_sent(100, &service, &service, case.send.part);
+            let _ = hedging.on_sent(1_000, &service, &service, case.send.part);
         }
         if let Some(before_ms) = case.refused_before_ms {
             hedging.on_refusal(10_000 - before_ms, &service);
@@ -237,20 +243,20 @@
 }
 
 #[test]
-fn requests_leave_the_window_after_a_minute() {
+fn requests_leave_the_window_when_it_ends() {
     struct Case {
         requests_ms: u64,
         now_ms: u64,
         has_room: bool,
     }
     let cases = [
-        Case { requests_ms: 0, now_ms: 59_999, has_room: true },
-        Case { requests_ms: 0, now_ms: 60_500, has_room: false },
-        Case { requests_ms: 7_000, now_ms: 66_999, has_room: true },
-        Case { requests_ms: 7_000, now_ms: 67_500, has_room: false },
+        Case { requests_ms: 0, now_ms: 9_999, has_room: true },
+        Case { requests_ms: 0, now_ms: 10_500, has_room: false },
+        Case { requests_ms: 7_000, now_ms: 16_999, has_room: true },
+        Case { requests_ms: 7_000, now_ms: 17_500, has_room: false },
     ];
     for Case { requests_ms, now_ms, has_room } in cases {
-        let mut window = ShareWindow::default();
+        let mut window = ShareWindow::new(WINDOW_MS);
         (0..20).for_each(|_| window.on_request(requests_ms));
         assert_eq!(window.has_room(now_ms, 0.05), has_room, "{requests_ms} at {now_ms}");
     }
@@ -262,7 +268,7 @@
         steps in prop::collection::vec((0_u64..3_000, 0_usize..40, any::<bool>()), 1..200),
         share in 0.0..0.3_f64,
     ) {
-        let mut window = ShareWindow::default();
+        let mut window = ShareWindow::new(WINDOW_MS);
         let (mut now_ms, mut requests, mut hedges) = (0, Vec::new(), Vec::new());
         for (pause_ms, request_count, is_slow) in steps {
             now_ms += pause_ms;
@@ -274,7 +280,7 @@
                 window.on_hedge(now_ms);
                 hedges.push(now_ms);
             }
-            let in_window = |at_ms: &&u64| **at_ms + ShareWindow::WINDOW_MS > now_ms;
+            let in_window = |at_ms: &&u64| **at_ms + WINDOW_MS > now_ms;
             if hedges.last() == Some(&now_ms) {
                 let hedge_count = hedges.iter().filter(in_window).count() as f64;
                 let request_count = requests.iter().filter(in_window).count() as f64;
--- a/crates/hedging/tests/slow_upstreams.rs
+++ b/crates/hedging/tests/slow_upstreams.rs
@@ -46,6 +46,7 @@
 fn play(policy: Policy, part: impl Fn(u64) -> (Part, u64)) -> Outcome {
     let mut hedging = Hedging::new(HedgingLimits {
         share: 0.05,
+        window_ms: 10_000,
         quantile: 0.95,
         min_delay_ms: 20,
         has_requests: true,
--- a/crates/proto/src/generated.rs
+++ b/crates/proto/src/generated.rs
@@ -1846,7 +1846,7 @@
 ///      "format": "double"
 ///    },
 ///    "share": {
-///      "description": "Most second sends, as a fraction of the sends that may be hedged in the last minute, 0 to 0.5; 0 for none. They also take from the retry budget.",
+///      "description": "Most second sends, as a fraction of the sends that may be hedged in the last `repeat_window_s`, 0 to 0.5; 0 for none. They also take from the retry budget, of which they leave half to retries.",
 ///      "type": "number",
 ///      "format": "double"
 ///    }
@@ -1865,7 +1865,7 @@
     pub min_delay_ms: u64,
     ///Quantile of the recent response times of the same route or service, from 0.5 to 0.999, after which a send counts as slow.
     pub quantile: f64,
-    ///Most second sends, as a fraction of the sends that may be hedged in the last minute, 0 to 0.5; 0 for none. They also take from the retry budget.
+    ///Most second sends, as a fraction of the sends that may be hedged in the last `repeat_window_s`, 0 to 0.5; 0 for none. They also take from the retry budget, of which they leave half to retries.
     pub share: f64,
 }
 ///One incarnation of an instance, from the start to the end of its process.
--- a/crates/proto/src/setting_table.rs
+++ b/crates/proto/src/setting_table.rs
@@ -215,7 +215,7 @@
         key: "share",
         kind: SettingKind::Number,
         default: Some("0"),
-        help: "Most second sends, as a fraction of the sends that may be hedged in the last minute, 0 to 0.5; 0 for none. They also take from the retry budget.",
+        help: "Most second sends, as a fraction of the sends that may be hedged in the last `repeat_window_s`, 0 to 0.5; 0 for none. They also take from the retry budget, of which they leave half to retries.",
     },
     SettingSpec {
         section: "instance",
--- a/crates/serve/src/config.rs
+++ b/crates/serve/src/config.rs
@@ -115,7 +115,10 @@
                 &settings.fleet.duties_address,
             )?,
             locality,
-            hedging_limits: parse_hedging(&settings.hedging)?,
+            hedging_limits: parse_hedging(
+                &settings.hedging,
+                millis(settings.fleet.repeat_window_s),
+            )?,
             settings,
         })
     }
@@ -205,7 +208,10 @@
     (seconds * 1_000.0).round().to_u64().unwrap_or(u64::MAX)
 }
 
-fn parse_hedging(settings: &HedgingSettings) -> Result<HedgingLimits, Vec<SettingError>> {
+fn parse_hedging(
+    settings: &HedgingSettings,
+    window_ms: u64,
+) -> Result<HedgingLimits, Vec<SettingError>> {
     let error = |key: &str, reason: &str| vec![setting_error(&format!("[hedging] {key}"), reason)];
     // The settings hold only numbers from 0 on.
     if settings.share > MAX_HEDGING_SHARE {
@@ -216,6 +222,7 @@
     }
     let mut limits = HedgingLimits {
         share: settings.share,
+        window_ms,
         quantile: settings.quantile,
         min_delay_ms: settings.min_delay_ms,
         has_requests: false,
--- a/crates/serve/src/hub/hedging.rs
+++ b/crates/serve/src/hub/hedging.rs
@@ -96,7 +96,8 @@
             }),
         };
         let instances = self.instances.count();
-        let acquire_retry = || self.retry_budget.try_acquire(now_ms, &request.service, instances);
+        let acquire_retry =
+            || self.retry_budget.try_acquire_hedge(now_ms, &request.service, instances);
         if let Err(withheld) = self.hedging.try_hedge(now_ms, &send, acquire_retry) {
             self.metrics.hedges_withheld.with_label_values(&[withheld.label()]).inc();
             return None;
