Bound the time that a request waits for a reservation

Cause: the deadline and a planned stop were checked only before the first broker was asked, a call could take 0.75 s, and with all brokers out of reach each request still waited for one of them. Change: both are checked again before each step and before placing; a request waits at most 0.4 s, a call takes at most 0.25 s with its connection attempts, and brokers that did not respond are skipped for 1 s. Result: unreachable_brokers_are_skipped passes; the waiting in the hub has no test of its own.

--- a/crates/allowance/src/admission.rs
+++ b/crates/allowance/src/admission.rs
@@ -11,7 +11,7 @@
 
 /// Most brokers that are asked for one request.
 const MAX_BROKERS: usize = 6;
-/// Time in milliseconds for which a broker that did not respond is asked last.
+/// Time in milliseconds for which a broker that did not respond is not asked.
 const UNREACHABLE_MS: u64 = 1_000;
 /// Longest time in milliseconds for which a shortage is remembered.
 const MAX_SHORTAGE_MS: u64 = 50;
@@ -84,10 +84,9 @@
         let is_reachable = |name: &&Name| {
             self.unreachable_until_ms.get(*name).is_none_or(|at_ms| now_ms >= *at_ms)
         };
-        let open: Vec<&Name> = brokers.iter().filter(is_open).collect();
-        let next = open.iter().find(|name| is_reachable(name)).or_else(|| open.first());
+        let next = brokers.iter().find(|name| is_open(name) && is_reachable(name));
         if let Some(name) = next.filter(|_| tried.len() < MAX_BROKERS) {
-            return Step::Reserve((*name).clone());
+            return Step::Reserve(name.clone());
         }
         self.refuse(now_ms, reservation, brokers)
     }
--- a/crates/allowance/tests/fleet/main.rs
+++ b/crates/allowance/tests/fleet/main.rs
@@ -1,5 +1,6 @@
 //! Allowances over a simulated fleet.
 
+mod admission;
 mod hardly_under;
 mod never_over;
 mod simulation;
--- a/crates/serve/src/hub/allowances.rs
+++ b/crates/serve/src/hub/allowances.rs
@@ -24,6 +24,13 @@
 /// until a feed from the next one arrives.
 const GRANT_MARGIN_MS: u64 = 2_000;
 
+/// Longest time in milliseconds that a request waits for reservations: enough to ask another broker
+/// after a call that timed out.
+const MAX_WAIT_MS: u64 = 400;
+
+/// Time in milliseconds after which the caller of such a request may return, before it is spread.
+const GIVEN_UP_RETRY_MS: u64 = 1_000;
+
 /// State of the allowances at this instance.
 #[derive(Debug)]
 pub(super) struct Allowances {
@@ -52,6 +59,8 @@
     unplaced: UnplacedRequest,
     is_probe: bool,
     reservation: Reservation,
+    /// Time after which it waits no longer.
+    until_ms: u64,
     /// Brokers that were asked.
     tried: Vec<Name>,
     reply: ReplySender<Result<Assignment, Rejection>>,
@@ -136,8 +145,9 @@
         let Some(reservation) = self.cost_of(&unplaced) else {
             return send_reply(&reply, self.place(unplaced, is_probe));
         };
+        let until_ms = unplaced.deadline_ms.min(self.clock.now_ms() + MAX_WAIT_MS);
         let tried = Vec::new();
-        self.advance(WaitingRequest { unplaced, is_probe, reservation, tried, reply });
+        self.advance(WaitingRequest { unplaced, is_probe, reservation, until_ms, tried, reply });
     }
 
     /// Returns the cost of a request whose workspace has an allowance.
@@ -153,6 +163,9 @@
     fn advance(&mut self, mut waiting: WaitingRequest) {
         let now_ms = self.clock.now_ms();
         let instances = self.instances.count();
+        if self.is_stopping_for(now_ms, &waiting.unplaced) {
+            return send_reply(&waiting.reply, Err(Rejection::Stopping));
+        }
         loop {
             let step = self.allowances.admission.next_step(
                 now_ms,
@@ -172,6 +185,9 @@
                         Err(shortage) => self.on_shortage(&mut waiting, broker, shortage),
                     }
                 }
+                Step::Reserve(_) if now_ms >= waiting.until_ms => {
+                    return self.give_up(&waiting);
+                }
                 Step::Reserve(broker) => {
                     let id = waiting.unplaced.id;
                     self.allowances.waiting.insert(id, waiting);
@@ -185,6 +201,23 @@
         }
     }
 
+    /// Refuses the requests that have waited too long.
+    pub(super) fn give_up_waiting(&mut self, now_ms: u64) {
+        let waiting = &mut self.allowances.waiting;
+        let overdue: Vec<WaitingRequest> = waiting
+            .extract_if(|_, waiting| now_ms >= waiting.until_ms)
+            .map(|(_, waiting)| waiting)
+            .collect();
+        for waiting in &overdue {
+            self.give_up(waiting);
+        }
+    }
+
+    /// Refuses a request whose brokers did not respond in time.
+    fn give_up(&self, waiting: &WaitingRequest) {
+        self.refuse(waiting, GIVEN_UP_RETRY_MS, 0);
+    }
+
     fn refuse(&self, waiting: &WaitingRequest, retry_after_ms: u64, left: u64) {
         self.count_check("refused");
         let retry_after_ms = Admission::spread_ms(retry_after_ms, fastrand::u64(..));
@@ -210,7 +243,14 @@
             let held = HeldReservation { broker, reservation, reserved_at_ms };
             self.allowances.held.insert(id, held);
         }
-        let result = self.place(waiting.unplaced, waiting.is_probe);
+        let now_ms = self.clock.now_ms();
+        let result = if self.is_stopping_for(now_ms, &waiting.unplaced) {
+            Err(Rejection::Stopping)
+        } else if now_ms >= waiting.unplaced.deadline_ms {
+            Err(Rejection::OverAllowance { retry_after_ms: GIVEN_UP_RETRY_MS })
+        } else {
+            self.place(waiting.unplaced, waiting.is_probe)
+        };
         if result.is_err() {
             self.put_back(id);
         }
--- a/crates/serve/src/hub/grants.rs
+++ b/crates/serve/src/hub/grants.rs
@@ -113,6 +113,7 @@
         if !self.allowances.is_enforced() {
             return;
         }
+        self.give_up_waiting(now_ms);
         if self.allowances.broker.expire(now_ms) {
             self.metrics.allowance_grants.with_label_values(&["expired"]).inc();
             event!(Event::GrantExpired, grant_ms = self.allowances.grant_ms);
--- a/crates/serve/src/hub/requests.rs
+++ b/crates/serve/src/hub/requests.rs
@@ -88,7 +88,7 @@
     /// quarantine.
     pub(super) fn check(&mut self, unplaced: &UnplacedRequest) -> Result<bool, Rejection> {
         let now_ms = self.clock.now_ms();
-        if self.stop.is_some_and(|schedule| !schedule.admits(now_ms, unplaced.deadline_ms)) {
+        if self.is_stopping_for(now_ms, unplaced) {
             return Err(Rejection::Stopping);
         }
         let accused =
@@ -100,6 +100,11 @@
         Ok(is_quarantined)
     }
 
+    /// Returns whether a planned stop would cut the request off.
+    pub(super) fn is_stopping_for(&self, now_ms: u64, unplaced: &UnplacedRequest) -> bool {
+        self.stop.is_some_and(|schedule| !schedule.admits(now_ms, unplaced.deadline_ms))
+    }
+
     /// Places a request that was checked and whose allowance was charged.
     pub(super) fn place(
         &mut self,
--- a/crates/serve/src/tasks/reservations.rs
+++ b/crates/serve/src/tasks/reservations.rs
@@ -15,7 +15,7 @@
 use super::peer_server::RESERVATION_PATH;
 use crate::hub::{HubMessage, Peer, ReservationCall};
 
-/// Timeout of a connection attempt and of a call; a reservation is void after twice the time.
+/// Timeout of a call with its connection attempts; a reservation is void after twice the time.
 const CALL_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// The task of a link; dropping it stops the link.
@@ -50,7 +50,8 @@
 impl Link {
     async fn run(mut self, requests: Receiver<proto::ReservationRequest>) {
         while let Ok(request) = requests.recv().await {
-            let reply = self.call(&request).await;
+            let call = compio::time::timeout(CALL_TIMEOUT, self.call(&request));
+            let reply = call.await.ok().flatten();
             let broker = self.broker.name.clone();
             self.hub.send(HubMessage::Reserved { broker, reply }).await;
         }
