Give most of the slack to the brokers

Cause: all the slack went to the buckets of the instances, so a broker of a workspace with a small burst held less than one large request costs, and refused it even when idle. Change: instances keep a quarter of the slack, the brokers' burst gets the rest; the sum of the budget is unchanged.

--- a/crates/allowance/src/allowance.rs
+++ b/crates/allowance/src/allowance.rs
@@ -9,6 +9,10 @@
 /// Part of what remains beside the accrued amount that instances may use without a reservation.
 const FLOOR_PART: f64 = 0.05;
 
+/// Part of the slack that instances may use at once without a reservation; brokers hold the rest,
+/// since only they can cover large requests.
+const FLOOR_SLACK_PART: f64 = 0.25;
+
 /// What an allowance counts.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum AllowanceUnit {
@@ -79,9 +83,9 @@
         let rest = usable - rate_per_s * accrual_s;
         Self {
             rate_per_s,
-            burst: rest * (1.0 - FLOOR_PART),
+            burst: rest * (1.0 - FLOOR_PART) + bounds.slack * (1.0 - FLOOR_SLACK_PART),
             floor_rate_per_s: rest * FLOOR_PART / bounds.window_s,
-            floor_burst: bounds.slack,
+            floor_burst: bounds.slack * FLOOR_SLACK_PART,
         }
     }
 }
--- a/crates/allowance/tests/fleet/hardly_under.rs
+++ b/crates/allowance/tests/fleet/hardly_under.rs
@@ -1,7 +1,8 @@
 //! What is asked for within the allowance is let through, compared with equal shares of all
 //! instances as the naive twin.
 
-use super::simulation::{Fleet, STEP_MS, allowance};
+use super::simulation::{BOUNDS, Fleet, STEP_MS, allowance};
+use cowslip_allowance::{Bounds, Budget};
 
 const INSTANCES: usize = 60;
 const BROKERS: usize = 6;
@@ -55,6 +56,10 @@
 fn almost_all_that_one_bucket_would_admit_is_let_through() {
     struct Case {
         name: &'static str,
+        rate_per_s: f64,
+        slack: f64,
+        /// Mean cost, and the cost by a random part.
+        costs: (f64, fn(f64) -> f64),
         /// Demand as a part of the rate.
         load: f64,
         /// First instance and number of instances that get the requests of a step.
@@ -63,36 +68,42 @@
         clump: usize,
         least: f64,
     }
+    let spread = Case {
+        name: "spread",
+        rate_per_s: 640_000.0,
+        slack: BOUNDS.slack,
+        // Costs from 1,000 to 65,000, most of them small.
+        costs: (13_000.0, |part| 1_000.0 + 64_000.0 * part.powf(4.333)),
+        load: 0.6,
+        instances: |_| (0, INSTANCES),
+        clump: 1,
+        least: 0.99,
+    };
     let cases = [
-        Case { name: "spread", load: 0.6, instances: |_| (0, INSTANCES), clump: 1, least: 0.99 },
-        Case {
-            name: "spread, near the limit",
-            load: 0.95,
-            instances: |_| (0, INSTANCES),
-            clump: 1,
-            least: 0.99,
-        },
-        Case { name: "one instance", load: 0.6, instances: |_| (7, 1), clump: 1, least: 0.99 },
+        Case { name: "spread, near the limit", load: 0.95, ..spread },
+        Case { name: "one instance", instances: |_| (7, 1), ..spread },
         Case {
             name: "moving from region to region",
             load: 0.8,
             instances: |step| (step / 200 * 20 % INSTANCES, 20),
-            clump: 1,
-            least: 0.99,
+            ..spread
         },
-        Case { name: "bursts", load: 0.6, instances: |_| (0, INSTANCES), clump: 20, least: 0.99 },
+        Case { name: "bursts", clump: 20, ..spread },
+        Case { name: "far over the limit", load: 7.5, ..spread },
         Case {
-            name: "far over the limit",
-            load: 7.5,
-            instances: |_| (0, INSTANCES),
-            clump: 1,
-            least: 0.99,
+            name: "small workspace, large requests",
+            rate_per_s: 47_000.0,
+            slack: 190_000.0,
+            costs: (17_029.0, |_| 17_029.0),
+            ..spread
         },
+        spread,
     ];
     let mut failed = Vec::new();
-    for Case { name, load, instances, clump, least } in cases {
-        let limit = allowance(640_000.0, 640_000.0);
+    for Case { name, rate_per_s, slack, costs, load, instances, clump, least } in cases {
+        let limit = allowance(rate_per_s, rate_per_s);
         let mut fleet = Fleet::new(&limit, BROKERS, INSTANCES);
+        fleet.set_budget(Budget::new(&limit, &Bounds { slack, ..BOUNDS }));
         let mut ideal = Bucket::new(limit.rate_per_s, limit.burst);
         let new_part =
             || Bucket::new(limit.rate_per_s / INSTANCES as f64, limit.burst / INSTANCES as f64);
@@ -106,13 +117,12 @@
             if step < WARM_UP_STEPS || step % clump != 0 {
                 continue;
             }
-            let mean_cost = 13_000.0;
+            let (mean_cost, cost_of) = costs;
             let per_step = load * limit.rate_per_s * STEP_MS as f64 / 1_000.0 * clump as f64;
             let mut count = per_step / mean_cost + random.part();
             while count >= 1.0 {
                 count -= 1.0;
-                // Costs from 1,000 to 65,000, most of them small.
-                let cost = 1_000.0 + 64_000.0 * random.part().powf(4.333);
+                let cost = cost_of(random.part());
                 let (first, number) = instances(step);
                 let instance = first + random.below(number);
                 let admits = fleet.request(instance % INSTANCES, cost, 0);
