Dampen only decreases of a share

Cause: a broker kept its share while the target differed by less than three quarters of it, upwards too, so what a lost broker had held was given to nobody. Change: only decreases are dampened; a share below its target grows by what is free.

--- a/crates/allowance/src/granter.rs
+++ b/crates/allowance/src/granter.rs
@@ -9,8 +9,8 @@
 
 /// Part of an allowance that is divided equally; the rest follows the demand.
 const EVEN_PART: f64 = 0.5;
-/// Smallest change of a share, as a fraction of it.
-const MIN_CHANGE: f64 = 0.75;
+/// Smallest decrease of a share, as a fraction of it.
+const MIN_DECREASE: f64 = 0.75;
 /// Smallest difference from the default share that is granted.
 const MIN_DIFFERENCE: f64 = 0.002;
 
@@ -169,8 +169,10 @@
             // A share that moves is nobody's until the former broker has acknowledged it.
             let held = self.brokers.get(broker).and_then(BrokerState::newest);
             let held = held.map(|shares| shares.of(workspace));
-            let kept = held.filter(|held| (target - held).abs() < MIN_CHANGE * held);
-            let share = kept.unwrap_or(target).min(free(&|shares| shares.of(workspace)));
+            let kept = held.filter(|held| held - target < MIN_DECREASE * held);
+            let share = kept
+                .map_or(target, |held| held.max(target))
+                .min(free(&|shares| shares.of(workspace)));
             let differs = (share - default).abs() >= MIN_DIFFERENCE;
             differs.then(|| (workspace.clone(), share))
         });
