Put back at most once when a call is repeated

Cause: after a failure of the kept connection the whole request was sent again, though the broker may have handled it, and its put-backs counted twice. Change: the repeated request has no put-backs. Result: builds and passes the linter; no test of its own, since links have no test without sockets.

--- a/crates/serve/src/tasks/reservations.rs
+++ b/crates/serve/src/tasks/reservations.rs
@@ -50,7 +50,7 @@
 impl Link {
     async fn run(mut self, requests: Receiver<proto::ReservationRequest>) {
         while let Ok(request) = requests.recv().await {
-            let call = compio::time::timeout(CALL_TIMEOUT, self.call(&request));
+            let call = compio::time::timeout(CALL_TIMEOUT, self.call(request));
             let reply = call.await.ok().flatten();
             let broker = self.broker.name.clone();
             self.hub.send(HubMessage::Reserved { broker, reply }).await;
@@ -59,24 +59,28 @@
 
     async fn call(
         &mut self,
-        request: &proto::ReservationRequest,
+        mut request: proto::ReservationRequest,
     ) -> Option<proto::ReservationReply> {
-        let body = Bytes::from(encode_peer_message(request).ok()?);
         // The broker closes idle connections, so a kept one may fail at once.
-        if let Some(connection) = self.connection.take()
-            && let Some(reply) = self.exchange(connection, body.clone()).await
-        {
-            return Some(reply);
+        if let Some(connection) = self.connection.take() {
+            let reply = self.exchange(connection, &request).await;
+            if reply.is_some() {
+                return reply;
+            }
+            // The broker may have handled the request. To reserve twice is safe; to put back twice
+            // is not.
+            request.put_back.clear();
         }
         let connection = PeerConnection::connect(self.broker.address, CALL_TIMEOUT).await.ok()?;
-        self.exchange(connection, body).await
+        self.exchange(connection, &request).await
     }
 
     async fn exchange(
         &mut self,
         connection: PeerConnection,
-        body: Bytes,
+        request: &proto::ReservationRequest,
     ) -> Option<proto::ReservationReply> {
+        let body = Bytes::from(encode_peer_message(request).ok()?);
         let reply = connection.call(RESERVATION_PATH, body, MAX_PEER_MESSAGE_BYTES).await.ok()?;
         self.connection = Some(connection);
         decode_peer_message(&reply).ok()
