Take back reservations only of the own incarnation

Cause: clocks start at 0 in each process, so a broker that had restarted took back what its predecessor reserved, and a time near the largest number overflowed. Change: a put-back names the broker's incarnation, and a reservation by another one, or later than now, is not taken back; times of offers are bounded by now. Result: only_valid_reservations_are_put_back passes, before it failed for a time after now; the check of the incarnation has no test of its own.

--- a/crates/allowance/src/broker.rs
+++ b/crates/allowance/src/broker.rs
@@ -131,7 +131,8 @@
     /// reservation is valid.
     pub fn put_back(&mut self, now_ms: u64, reservation: &Reservation, reserved_at_ms: u64) {
         self.expire(now_ms);
-        if now_ms >= reserved_at_ms + RESERVATION_MS {
+        let is_valid = reserved_at_ms <= now_ms && now_ms - reserved_at_ms < RESERVATION_MS;
+        if !is_valid {
             return;
         }
         if let Some(bucket) = self.buckets.get_mut(&reservation.workspace) {
--- a/crates/allowance/tests/fleet/main.rs
+++ b/crates/allowance/tests/fleet/main.rs
@@ -1,6 +1,7 @@
 //! Allowances over a simulated fleet.
 
 mod admission;
+mod broker;
 mod granter;
 mod hardly_under;
 mod never_over;
--- a/crates/bench/src/allowances.rs
+++ b/crates/bench/src/allowances.rs
@@ -89,7 +89,7 @@
 fn reply_bytes() -> usize {
     let result =
         proto::ReservationResult { is_reserved: true, has_grant: true, wait_ms: None, left: 0 };
-    let reply = proto::ReservationReply { at_ms: 100_000, results: vec![result] };
+    let reply = proto::ReservationReply { incarnation: 1, at_ms: 100_000, results: vec![result] };
     encode_peer_message(&reply).expect("a small message").len()
 }
 
--- a/crates/proto/src/generated.rs
+++ b/crates/proto/src/generated.rs
@@ -3572,6 +3572,7 @@
 ///  "type": "object",
 ///  "required": [
 ///    "cost",
+///    "incarnation",
 ///    "reserved_at_ms",
 ///    "workspace"
 ///  ],
@@ -3581,6 +3582,11 @@
 ///      "type": "integer",
 ///      "format": "uint64"
 ///    },
+///    "incarnation": {
+///      "description": "`incarnation` of the reply that reserved the cost.",
+///      "type": "integer",
+///      "format": "uint64"
+///    },
 ///    "reserved_at_ms": {
 ///      "description": "`at_ms` of the reply that reserved the cost.",
 ///      "type": "integer",
@@ -3600,6 +3606,8 @@
 pub struct PutBackRow {
     ///Cost in units of the allowance.
     pub cost: u64,
+    ///`incarnation` of the reply that reserved the cost.
+    pub incarnation: u64,
     ///`at_ms` of the reply that reserved the cost.
     pub reserved_at_ms: u64,
     ///Name of the workspace.
@@ -4139,6 +4147,7 @@
 ///  "type": "object",
 ///  "required": [
 ///    "at_ms",
+///    "incarnation",
 ///    "results"
 ///  ],
 ///  "properties": {
@@ -4147,6 +4156,11 @@
 ///      "type": "integer",
 ///      "format": "uint64"
 ///    },
+///    "incarnation": {
+///      "description": "Incarnation of the broker.",
+///      "type": "integer",
+///      "format": "uint64"
+///    },
 ///    "results": {
 ///      "description": "Result of each reservation.",
 ///      "type": "array",
@@ -4164,6 +4178,8 @@
 pub struct ReservationReply {
     ///Time of the reply by the broker's own clock, in milliseconds.
     pub at_ms: u64,
+    ///Incarnation of the broker.
+    pub incarnation: u64,
     ///Result of each reservation.
     pub results: ::std::vec::Vec<ReservationResult>,
 }
--- a/crates/serve/src/hub/allowances.rs
+++ b/crates/serve/src/hub/allowances.rs
@@ -80,8 +80,16 @@
 struct HeldReservation {
     broker: Name,
     reservation: Reservation,
-    /// Time of the reservation by the broker's clock.
-    reserved_at_ms: u64,
+    reserved: Reserved,
+}
+
+/// When a broker reserved a cost.
+#[derive(Clone, Copy, Debug)]
+struct Reserved {
+    /// Incarnation of the broker, whose clock starts anew with each.
+    incarnation: u64,
+    /// Time by the broker's clock.
+    at_ms: u64,
 }
 
 impl Allowances {
@@ -181,7 +189,11 @@
                 }
                 Step::Reserve(broker) if broker == self.identity.instance => {
                     match self.allowances.broker.reserve(now_ms, &waiting.reservation) {
-                        Ok(()) => return self.place_admitted(waiting, Some((broker, now_ms))),
+                        Ok(()) => {
+                            let incarnation = self.identity.incarnation;
+                            let reserved = Reserved { incarnation, at_ms: now_ms };
+                            return self.place_admitted(waiting, Some((broker, reserved)));
+                        }
                         Err(shortage) => self.on_shortage(&mut waiting, broker, shortage),
                     }
                 }
@@ -233,14 +245,14 @@
         send_reply(&waiting.reply, Err(Rejection::OverAllowance { retry_after_ms }));
     }
 
-    /// Places a request. `reserved` is the broker of its reservation with the time by the broker's
-    /// clock.
-    fn place_admitted(&mut self, waiting: WaitingRequest, reserved: Option<(Name, u64)>) {
+    /// Places a request. `reserved` is the broker of its reservation, if it has one, and when it was
+    /// made.
+    fn place_admitted(&mut self, waiting: WaitingRequest, reserved: Option<(Name, Reserved)>) {
         let id = waiting.unplaced.id;
-        if let Some((broker, reserved_at_ms)) = reserved {
+        if let Some((broker, reserved)) = reserved {
             self.count_check("reserved");
             let reservation = waiting.reservation;
-            let held = HeldReservation { broker, reservation, reserved_at_ms };
+            let held = HeldReservation { broker, reservation, reserved };
             self.allowances.held.insert(id, held);
         }
         let now_ms = self.clock.now_ms();
@@ -299,8 +311,9 @@
         if reply.is_none() {
             self.allowances.admission.on_unreachable(now_ms, broker);
         }
-        let at_ms = reply.as_ref().map_or(0, |reply| reply.at_ms);
-        let results = reply.map(|reply| reply.results).unwrap_or_default();
+        let nothing = proto::ReservationReply { incarnation: 0, at_ms: 0, results: Vec::new() };
+        let proto::ReservationReply { incarnation, at_ms, results } = reply.unwrap_or(nothing);
+        let reserved = Reserved { incarnation, at_ms };
         let mut results = results.into_iter();
         let is_valid = now_ms < called_at_ms + RESERVATION_MS;
         for id in ids {
@@ -309,7 +322,7 @@
             let Some(mut waiting) = self.allowances.waiting.remove(&id) else { continue };
             match result {
                 Some(result) if result.is_reserved && is_valid => {
-                    self.place_admitted(waiting, Some((broker.clone(), at_ms)));
+                    self.place_admitted(waiting, Some((broker.clone(), reserved)));
                     continue;
                 }
                 Some(result) if !result.is_reserved => {
@@ -332,7 +345,9 @@
     ) -> proto::ReservationReply {
         let now_ms = self.clock.now_ms();
         let broker = &mut self.allowances.broker;
-        for row in request.put_back {
+        let incarnation = self.identity.incarnation;
+        let put_back = request.put_back.into_iter();
+        for row in put_back.filter(|row| row.incarnation == incarnation) {
             let reservation =
                 Reservation { workspace: row.workspace.into(), cost: row.cost as f64 };
             broker.put_back(now_ms, &reservation, row.reserved_at_ms);
@@ -348,7 +363,7 @@
             };
             proto::ReservationResult { is_reserved, has_grant, wait_ms, left }
         });
-        proto::ReservationReply { at_ms: now_ms, results: results.collect() }
+        proto::ReservationReply { incarnation, at_ms: now_ms, results: results.collect() }
     }
 
     /// Puts back the reservation of a request that no upstream has run.
@@ -361,14 +376,15 @@
     fn put_back(&mut self, id: u64) {
         let Some(held) = self.allowances.held.remove(&id) else { return };
         self.count_check("put_back");
-        let HeldReservation { broker, reservation, reserved_at_ms } = held;
+        let HeldReservation { broker, reservation, reserved } = held;
         if broker == self.identity.instance {
             let now_ms = self.clock.now_ms();
-            self.allowances.broker.put_back(now_ms, &reservation, reserved_at_ms);
+            self.allowances.broker.put_back(now_ms, &reservation, reserved.at_ms);
             return;
         }
         let proto::ReservationRow { workspace, cost } = to_proto(&reservation);
-        let row = proto::PutBackRow { workspace, cost, reserved_at_ms };
+        let Reserved { incarnation, at_ms: reserved_at_ms } = reserved;
+        let row = proto::PutBackRow { workspace, cost, incarnation, reserved_at_ms };
         self.allowances.links.entry(broker.clone()).or_default().put_back.push(row);
         self.flush(&broker);
     }
--- a/crates/serve/src/hub/grants.rs
+++ b/crates/serve/src/hub/grants.rs
@@ -90,7 +90,8 @@
     /// Applies the grant that answers a report of this instance.
     pub(super) fn on_allowance_offer(&mut self, now_ms: u64, offer: Option<proto::AllowanceOffer>) {
         let Some(offer) = offer else { return };
-        let expires_at_ms = offer.report_at_ms + self.allowances.grant_ms;
+        // The reply repeats the time of the report, which cannot be later than now.
+        let expires_at_ms = offer.report_at_ms.min(now_ms) + self.allowances.grant_ms;
         self.apply_grant(now_ms, grant_from_proto(offer.grant), expires_at_ms);
     }
 
