Share the floors by the largest known number of instances

Cause: before a list was known an instance counted as the only one and took the floors of the whole fleet, and a list that had shrunk gave larger parts at once. Change: no floor is used until a list is known, and the largest number of the last three minutes divides it.

--- a/crates/allowance/src/admission.rs
+++ b/crates/allowance/src/admission.rs
@@ -13,6 +13,9 @@
 const MAX_BROKERS: usize = 6;
 /// Time in milliseconds for which a broker that did not respond is not asked.
 const UNREACHABLE_MS: u64 = 1_000;
+/// Time in milliseconds for which instances that are no longer known still share the floors, since
+/// they may only be out of sight.
+const COUNTED_MS: u64 = 180_000;
 /// Longest time in milliseconds for which a shortage is remembered.
 const MAX_SHORTAGE_MS: u64 = 50;
 /// Shortest and longest time in milliseconds after which a refused caller may return, before it is
@@ -51,6 +54,8 @@
     floors: HashMap<Arc<str>, Bucket>,
     shortages: HashMap<(Name, Arc<str>), KnownShortage>,
     unreachable_until_ms: HashMap<Name, u64>,
+    /// Numbers of instances, falling, each with the time until which it counts.
+    counts: Vec<(usize, u64)>,
 }
 
 impl Admission {
@@ -65,13 +70,14 @@
         self.budgets = budgets;
     }
 
-    /// Decides the next step for a request. `instances` share the floors; `brokers` are in the order
-    /// in which this instance asks them, and `tried` are those that were asked for this request.
+    /// Decides the next step for a request. `instances` share the floors, of which nothing is used
+    /// while their number is unknown; `brokers` are in the order in which this instance asks them,
+    /// and `tried` are those that were asked for this request.
     pub fn next_step(
         &mut self,
         now_ms: u64,
         reservation: &Reservation,
-        instances: usize,
+        instances: Option<usize>,
         brokers: &[Name],
         tried: &[Name],
     ) -> Step {
@@ -91,14 +97,29 @@
         self.refuse(now_ms, reservation, brokers)
     }
 
-    fn takes_floor(&mut self, now_ms: u64, reservation: &Reservation, instances: usize) -> bool {
+    /// Returns the largest number of instances of the last minutes.
+    fn most_instances(&mut self, now_ms: u64, instances: usize) -> usize {
+        let count = instances.max(1);
+        self.counts.retain(|(known, until_ms)| *known > count && now_ms < *until_ms);
+        self.counts.push((count, now_ms + COUNTED_MS));
+        self.counts.first().map_or(count, |(most, _)| *most)
+    }
+
+    fn takes_floor(
+        &mut self,
+        now_ms: u64,
+        reservation: &Reservation,
+        instances: Option<usize>,
+    ) -> bool {
+        let instances = instances.map(|instances| self.most_instances(now_ms, instances));
         let workspace = &reservation.workspace;
         let (Some(budget), Some(floor)) =
             (self.budgets.get(workspace), self.floors.get_mut(workspace))
         else {
             return true;
         };
-        let instances = instances.max(1) as f64;
+        let Some(instances) = instances else { return false };
+        let instances = instances as f64;
         floor.fill(now_ms, budget.floor_rate_per_s / instances, budget.floor_burst / instances);
         floor.try_take(reservation.cost)
     }
--- a/crates/allowance/tests/fleet/admission.rs
+++ b/crates/allowance/tests/fleet/admission.rs
@@ -33,9 +33,59 @@
         }
         let tried: Vec<Name> = tried.iter().map(|index| names[*index].clone()).collect();
         let reservation = Reservation { workspace: workspace(), cost: 4_000.0 };
-        let step = admission.next_step(now_ms, &reservation, 8, &names, &tried);
+        let step = admission.next_step(now_ms, &reservation, Some(8), &names, &tried);
         let expected = asked.map(|index| Step::Reserve(names[index].clone()));
         let expected = expected.unwrap_or(Step::Refuse { retry_after_ms: 1_000, left: 0 });
         assert_eq!(step, expected, "{name}");
     }
 }
+
+#[test]
+fn floors_are_shared_by_the_largest_known_number_of_instances() {
+    struct Case {
+        name: &'static str,
+        /// Numbers of instances with the times at which they are known.
+        counts: &'static [(u64, Option<usize>)],
+        /// Parts of the floors that are used at the last time: too large, and covered.
+        refused: f64,
+        covered: f64,
+    }
+    let cases = [
+        Case { name: "alone", counts: &[(60_000, Some(1))], refused: 1.01, covered: 0.99 },
+        Case { name: "unknown", counts: &[(60_000, None)], refused: 0.01, covered: 0.0 },
+        Case {
+            name: "fewer a minute later",
+            counts: &[(60_000, Some(10)), (120_000, Some(1))],
+            refused: 0.11,
+            covered: 0.09,
+        },
+        Case {
+            name: "fewer for long",
+            counts: &[(60_000, Some(10)), (120_000, Some(2)), (299_000, Some(1))],
+            refused: 0.51,
+            covered: 0.49,
+        },
+        Case {
+            name: "more",
+            counts: &[(60_000, Some(1)), (60_000, Some(10))],
+            refused: 0.11,
+            covered: 0.09,
+        },
+    ];
+    let budget = Budget::new(&allowance(5_000.0, 5_000.0), &BOUNDS);
+    for Case { name, counts, refused, covered } in cases {
+        let mut admission = Admission::default();
+        admission.set_budgets(0, HashMap::from([(workspace(), budget)]));
+        let mut is_covered = |(now_ms, instances): (u64, Option<usize>), part: f64| {
+            let cost = part * budget.floor_burst;
+            let reservation = Reservation { workspace: workspace(), cost };
+            admission.next_step(now_ms, &reservation, instances, &[], &[]) == Step::Covered
+        };
+        for count in counts {
+            assert!(!is_covered(*count, refused.max(1.01)), "{name}: more than all");
+        }
+        let last = counts[counts.len() - 1];
+        assert!(!is_covered(last, refused), "{name}: too large");
+        assert_eq!(is_covered(last, covered), covered > 0.0, "{name}: covered");
+    }
+}
--- a/crates/allowance/tests/fleet/simulation.rs
+++ b/crates/allowance/tests/fleet/simulation.rs
@@ -185,7 +185,7 @@
     /// Has an instance admit a request, which is sent `use_after_ms` later. Returns whether it is.
     pub fn request(&mut self, instance: usize, cost: f64, use_after_ms: u64) -> bool {
         let reservation = Reservation { workspace: workspace(), cost };
-        let instances = self.admissions.len();
+        let instances = Some(self.admissions.len());
         let brokers: Vec<Name> = (0..self.names.len())
             .map(|index| self.names[(instance + index) % self.names.len()].clone())
             .collect();
--- a/crates/bench/src/allowances.rs
+++ b/crates/bench/src/allowances.rs
@@ -54,7 +54,7 @@
     let shares = Shares { default: 1.0 / BROKERS as f64, listed: BTreeMap::new() };
     broker.on_grant(0, Grant { id, shares }, u64::MAX);
     let reservation = Reservation { workspace: names[size / 2].clone(), cost: 100.0 };
-    let admission_ns = time_ns(|| admission.next_step(1, &reservation, 1_100, &brokers, &[]));
+    let admission_ns = time_ns(|| admission.next_step(1, &reservation, Some(1_100), &brokers, &[]));
     let reservation_ns = time_ns(|| broker.reserve(1_000, &reservation));
 
     let busy = names.iter().step_by(BUSY_EVERY);
--- a/crates/serve/src/hub/allowances.rs
+++ b/crates/serve/src/hub/allowances.rs
@@ -170,7 +170,7 @@
     /// Takes the next steps for a request until it is placed, refused or waits for a broker.
     fn advance(&mut self, mut waiting: WaitingRequest) {
         let now_ms = self.clock.now_ms();
-        let instances = self.instances.count();
+        let instances = self.instances.known_count();
         if self.is_stopping_for(now_ms, &waiting.unplaced) {
             return send_reply(&waiting.reply, Err(Rejection::Stopping));
         }
--- a/crates/serve/src/hub/instances.rs
+++ b/crates/serve/src/hub/instances.rs
@@ -74,6 +74,11 @@
         self.fed_count.map_or(self.entries.len(), |count| count as usize).max(1)
     }
 
+    /// Returns the number of instances, if a list is known.
+    pub(super) fn known_count(&self) -> Option<usize> {
+        self.is_known.then(|| self.count())
+    }
+
     /// Returns the entry of an instance that this one may exchange messages with.
     pub(super) fn entry(&self, name: &Name) -> Option<&proto::InstanceEntry> {
         self.entries.get(name)
