Settle a new granter only by time

Cause: a new lease holder divided anew once all listed brokers had reported, though one that was frozen and no longer listed might still use a grant of the predecessor. Change: it waits until all grants of the predecessor have expired, also for a first lease, which the fencing token does not tell apart; until then brokers go on with what they hold.

--- a/crates/allowance/src/granter.rs
+++ b/crates/allowance/src/granter.rs
@@ -49,7 +49,7 @@
 /// The shares that brokers may hold never add up to more than 1: a share is given to a broker only
 /// after the others have acknowledged a grant without it, or theirs have expired. A new granter
 /// renews what brokers report to hold; it gives out more once all grants of its predecessor have
-/// expired, or all brokers have reported. A part of each allowance is reserved for the listed
+/// expired, since a broker that is no longer listed may hold one. A part of each allowance is reserved for the listed
 /// brokers, so that one that has restarted or finds no lease holder can go on without a grant.
 #[derive(Clone, Debug)]
 pub struct Granter {
@@ -59,8 +59,6 @@
     settled_at_ms: u64,
     next_number: u64,
     brokers: BTreeMap<Name, BrokerState>,
-    /// Brokers that have reported since the start of the lease.
-    reported: BTreeSet<Name>,
 }
 
 impl Granter {
@@ -74,7 +72,6 @@
             settled_at_ms: now_ms + grant_ms,
             next_number: 1,
             brokers: BTreeMap::new(),
-            reported: BTreeSet::new(),
         }
     }
 
@@ -105,10 +102,7 @@
                 state.outstanding.push((held.clone(), until_ms));
             }
         }
-        self.reported.insert(broker.clone());
-        let is_settled = now_ms >= self.settled_at_ms || listed.is_subset(&self.reported);
-        let shares = if is_settled {
-            self.settled_at_ms = self.settled_at_ms.min(now_ms);
+        let shares = if now_ms >= self.settled_at_ms {
             self.next_shares(broker, listed)
         } else {
             held?.shares.clone()
--- a/crates/allowance/tests/fleet/granter.rs
+++ b/crates/allowance/tests/fleet/granter.rs
@@ -52,3 +52,28 @@
         assert!((0.99..=1.000_001).contains(&sum), "{name}: {sum}");
     }
 }
+
+#[test]
+fn a_new_holder_gives_out_more_once_earlier_grants_have_expired() {
+    struct Case {
+        name: &'static str,
+        after_ms: u64,
+        share: f64,
+    }
+    let cases = [
+        Case { name: "at once", after_ms: 500, share: 0.5 },
+        Case { name: "before the last one expires", after_ms: GRANT_MS - 500, share: 0.5 },
+        Case { name: "after it", after_ms: GRANT_MS, share: 1.0 },
+    ];
+    let names = ["b0", "b1"].map(|name| Name::new(name).expect("a name"));
+    for Case { name, after_ms, share } in cases {
+        let mut held = BTreeMap::new();
+        let mut first = Granter::new(0, 1, GRANT_MS);
+        report(&mut first, &mut held, 0..20_000, &[(&names[0], 0.0), (&names[1], 0.0)]);
+        // The second broker is frozen with its grant, and no longer listed.
+        let mut second = Granter::new(20_000, 2, GRANT_MS);
+        report(&mut second, &mut held, 20_000..20_001 + after_ms, &[(&names[0], 0.0)]);
+        let given = held[&names[0]].shares.of(&workspace());
+        assert!((given - share).abs() < 1e-6, "{name}: {given}");
+    }
+}
--- a/crates/bench/src/allowances.rs
+++ b/crates/bench/src/allowances.rs
@@ -64,10 +64,10 @@
     let mut grant = None;
     for (index, broker) in brokers.iter().enumerate() {
         let own_demand = if index % 2 == 0 { demand.clone() } else { BTreeMap::new() };
-        grant = granter.on_report(1, broker, None, own_demand, &listed);
+        grant = granter.on_report(6_001, broker, None, own_demand, &listed);
     }
     let grant_ns = time_ns(|| {
-        grant = granter.on_report(2, &brokers[0], grant.as_ref(), demand.clone(), &listed);
+        grant = granter.on_report(6_002, &brokers[0], grant.as_ref(), demand.clone(), &listed);
     });
     let grant = grant.unwrap_or_default();
     vec![
