Ask brokers that stay unreachable ever more rarely

Cause: a dead broker was asked again every second, and each time the requests of that moment waited for it. Change: the pause doubles from 1 to 8 s until the broker responds, and while a call takes longer than 0.1 s further requests go to the next broker. Result: a_broker_that_stays_unreachable_is_asked_ever_more_rarely passes; the overdue call in the hub has no test of its own.

--- a/crates/allowance/src/admission.rs
+++ b/crates/allowance/src/admission.rs
@@ -11,8 +11,11 @@
 
 /// Most brokers that are asked for one request.
 const MAX_BROKERS: usize = 6;
-/// Time in milliseconds for which a broker that did not respond is not asked.
+/// Time in milliseconds for which a broker that did not respond is not asked; it doubles with each
+/// further call without a response.
 const UNREACHABLE_MS: u64 = 1_000;
+/// Most times that it doubles.
+const MAX_DOUBLINGS: u32 = 3;
 /// Time in milliseconds for which instances that are no longer known still share the floors, since
 /// they may only be out of sight.
 const COUNTED_MS: u64 = 180_000;
@@ -53,7 +56,9 @@
     budgets: HashMap<Arc<str>, Budget>,
     floors: HashMap<Arc<str>, Bucket>,
     shortages: HashMap<(Name, Arc<str>), KnownShortage>,
-    unreachable_until_ms: HashMap<Name, u64>,
+    /// Calls without a response since the last one with it, and the time until which a broker is not
+    /// asked.
+    unreachable: HashMap<Name, (u32, u64)>,
     /// Numbers of instances, falling, each with the time until which it counts.
     counts: Vec<(usize, u64)>,
 }
@@ -88,7 +93,7 @@
             !tried.contains(name) && self.shortage(now_ms, name, reservation).is_none()
         };
         let is_reachable = |name: &&Name| {
-            self.unreachable_until_ms.get(*name).is_none_or(|at_ms| now_ms >= *at_ms)
+            self.unreachable.get(*name).is_none_or(|(_, until_ms)| now_ms >= *until_ms)
         };
         let next = brokers.iter().find(|name| is_open(name) && is_reachable(name));
         if let Some(name) = next.filter(|_| tried.len() < MAX_BROKERS) {
@@ -173,7 +178,13 @@
 
     /// Records that a broker did not respond.
     pub fn on_unreachable(&mut self, now_ms: u64, broker: &Name) {
-        self.unreachable_until_ms.retain(|_, until_ms| now_ms < *until_ms);
-        self.unreachable_until_ms.insert(broker.clone(), now_ms + UNREACHABLE_MS);
+        let (failures, until_ms) = self.unreachable.entry(broker.clone()).or_default();
+        *until_ms = now_ms + (UNREACHABLE_MS << *failures);
+        *failures = (*failures + 1).min(MAX_DOUBLINGS);
+    }
+
+    /// Records that a broker responded.
+    pub fn on_reachable(&mut self, broker: &Name) {
+        self.unreachable.remove(broker);
     }
 }
--- a/crates/allowance/tests/fleet/admission.rs
+++ b/crates/allowance/tests/fleet/admission.rs
@@ -89,3 +89,26 @@
         assert_eq!(is_covered(last, covered), covered > 0.0, "{name}: covered");
     }
 }
+
+#[test]
+fn a_broker_that_stays_unreachable_is_asked_ever_more_rarely() {
+    let names = [Name::new("b0").expect("a name")];
+    let budget = Budget::new(&allowance(5_000.0, 5_000.0), &BOUNDS);
+    let mut admission = Admission::default();
+    admission.set_budgets(0, HashMap::from([(workspace(), budget)]));
+    let reservation = Reservation { workspace: workspace(), cost: 4_000.0 };
+    let is_asked = |admission: &mut Admission, now_ms: u64| {
+        let step = admission.next_step(now_ms, &reservation, None, &names, &[]);
+        step == Step::Reserve(names[0].clone())
+    };
+    let mut now_ms = 0;
+    for pause_ms in [1_000, 2_000, 4_000, 8_000, 8_000] {
+        admission.on_unreachable(now_ms, &names[0]);
+        assert!(!is_asked(&mut admission, now_ms + pause_ms - 1), "{pause_ms}");
+        now_ms += pause_ms;
+        assert!(is_asked(&mut admission, now_ms), "{pause_ms}");
+    }
+    admission.on_reachable(&names[0]);
+    admission.on_unreachable(now_ms, &names[0]);
+    assert!(is_asked(&mut admission, now_ms + 1_000), "after a response");
+}
--- a/crates/serve/src/hub/allowances.rs
+++ b/crates/serve/src/hub/allowances.rs
@@ -31,6 +31,9 @@
 /// Time in milliseconds after which the caller of such a request may return, before it is spread.
 const GIVEN_UP_RETRY_MS: u64 = 1_000;
 
+/// Time in milliseconds after which no more requests wait for a call.
+const OVERDUE_MS: u64 = 100;
+
 /// State of the allowances at this instance.
 #[derive(Debug)]
 pub(super) struct Allowances {
@@ -114,6 +117,12 @@
     pub(super) fn is_enforced(&self) -> bool {
         self.bounds.window_s > 0.0
     }
+
+    /// Returns whether the call to a broker takes longer than calls to other regions.
+    fn is_overdue(&self, now_ms: u64, broker: &Name) -> bool {
+        let in_call = self.links.get(broker).and_then(|link| link.in_call.as_ref());
+        in_call.is_some_and(|(_, called_at_ms)| now_ms >= called_at_ms + OVERDUE_MS)
+    }
 }
 
 impl<P> Hub<P>
@@ -200,6 +209,9 @@
                 Step::Reserve(_) if now_ms >= waiting.until_ms => {
                     return self.give_up(&waiting);
                 }
+                Step::Reserve(broker) if self.allowances.is_overdue(now_ms, &broker) => {
+                    waiting.tried.push(broker);
+                }
                 Step::Reserve(broker) => {
                     let id = waiting.unplaced.id;
                     self.allowances.waiting.insert(id, waiting);
@@ -308,8 +320,9 @@
         let now_ms = self.clock.now_ms();
         let link = self.allowances.links.get_mut(broker);
         let Some((ids, called_at_ms)) = link.and_then(|link| link.in_call.take()) else { return };
-        if reply.is_none() {
-            self.allowances.admission.on_unreachable(now_ms, broker);
+        match reply {
+            Some(_) => self.allowances.admission.on_reachable(broker),
+            None => self.allowances.admission.on_unreachable(now_ms, broker),
         }
         let nothing = proto::ReservationReply { incarnation: 0, at_ms: 0, results: Vec::new() };
         let proto::ReservationReply { incarnation, at_ms, results } = reply.unwrap_or(nothing);
