Put back what a request without a run has reserved

Cause: a reservation was put back although a prefill had run, and lost when the caller left or gave up during the call; what a floor had covered was lost when the request could not be placed. Change: a request with a prefill keeps its charge, a reservation that arrives for nobody is put back, and so is a floor's cost. Result: a_covered_cost_is_put_back passes; the paths through the hub have no test of their own.

--- a/crates/allowance/src/admission.rs
+++ b/crates/allowance/src/admission.rs
@@ -129,6 +129,13 @@
         floor.try_take(reservation.cost)
     }
 
+    /// Puts back what was [`Step::Covered`] for a request that was not placed, at the same time.
+    pub fn put_back(&mut self, reservation: &Reservation) {
+        if let Some(floor) = self.floors.get_mut(&reservation.workspace) {
+            floor.put_back(reservation.cost);
+        }
+    }
+
     fn shortage(
         &self,
         now_ms: u64,
--- a/crates/allowance/tests/fleet/admission.rs
+++ b/crates/allowance/tests/fleet/admission.rs
@@ -112,3 +112,19 @@
     admission.on_unreachable(now_ms, &names[0]);
     assert!(is_asked(&mut admission, now_ms + 1_000), "after a response");
 }
+
+#[test]
+fn a_covered_cost_is_put_back() {
+    let budget = Budget::new(&allowance(5_000.0, 5_000.0), &BOUNDS);
+    let mut admission = Admission::default();
+    admission.set_budgets(0, HashMap::from([(workspace(), budget)]));
+    let reservation = Reservation { workspace: workspace(), cost: budget.floor_burst };
+    let is_covered = |admission: &mut Admission| {
+        admission.next_step(60_000, &reservation, Some(1), &[], &[]) == Step::Covered
+    };
+    assert!(is_covered(&mut admission));
+    assert!(!is_covered(&mut admission), "the floor is used");
+    admission.put_back(&reservation);
+    assert!(is_covered(&mut admission), "the floor was put back");
+    assert!(!is_covered(&mut admission), "the floor is used again");
+}
--- a/crates/serve/src/hub/allowances.rs
+++ b/crates/serve/src/hub/allowances.rs
@@ -75,7 +75,7 @@
     queued: Vec<u64>,
     put_back: Vec<proto::PutBackRow>,
     /// Requests of the call in flight, and its time.
-    in_call: Option<(Vec<u64>, u64)>,
+    in_call: Option<(Vec<(u64, Reservation)>, u64)>,
 }
 
 /// A reservation that may be put back if its request has not run.
@@ -261,9 +261,10 @@
     /// made.
     fn place_admitted(&mut self, waiting: WaitingRequest, reserved: Option<(Name, Reserved)>) {
         let id = waiting.unplaced.id;
+        let reservation = waiting.reservation;
+        let floor_cost = reserved.is_none().then(|| reservation.clone());
         if let Some((broker, reserved)) = reserved {
             self.count_check("reserved");
-            let reservation = waiting.reservation;
             let held = HeldReservation { broker, reservation, reserved };
             self.allowances.held.insert(id, held);
         }
@@ -277,6 +278,9 @@
         };
         if result.is_err() {
             self.put_back(id);
+            if let Some(reservation) = floor_cost {
+                self.allowances.admission.put_back(&reservation);
+            }
         }
         send_reply(&waiting.reply, result);
     }
@@ -298,11 +302,12 @@
             return;
         }
         let waiting = &allowances.waiting;
-        let ids: Vec<u64> = link.queued.drain(..).filter(|id| waiting.contains_key(id)).collect();
-        let rows = ids.iter().filter_map(|id| waiting.get(id));
-        let reserve = rows.map(|waiting| to_proto(&waiting.reservation)).collect();
+        let queued = link.queued.drain(..);
+        let called: Vec<(u64, Reservation)> =
+            queued.filter_map(|id| Some((id, waiting.get(&id)?.reservation.clone()))).collect();
+        let reserve = called.iter().map(|(_, reservation)| to_proto(reservation)).collect();
         let put_back = std::mem::take(&mut link.put_back);
-        link.in_call = Some((ids, now_ms));
+        link.in_call = Some((called, now_ms));
         let entry = self.instances.entry(broker);
         let address = entry.and_then(|entry| entry.peer_address.parse().ok());
         let call = address.map(|address| ReservationCall {
@@ -319,7 +324,9 @@
     pub(super) fn on_reserved(&mut self, broker: &Name, reply: Option<proto::ReservationReply>) {
         let now_ms = self.clock.now_ms();
         let link = self.allowances.links.get_mut(broker);
-        let Some((ids, called_at_ms)) = link.and_then(|link| link.in_call.take()) else { return };
+        let Some((called, called_at_ms)) = link.and_then(|link| link.in_call.take()) else {
+            return;
+        };
         match reply {
             Some(_) => self.allowances.admission.on_reachable(broker),
             None => self.allowances.admission.on_unreachable(now_ms, broker),
@@ -329,10 +336,18 @@
         let reserved = Reserved { incarnation, at_ms };
         let mut results = results.into_iter();
         let is_valid = now_ms < called_at_ms + RESERVATION_MS;
-        for id in ids {
+        for (id, reservation) in called {
             let result = results.next();
-            // Its caller may have left.
-            let Some(mut waiting) = self.allowances.waiting.remove(&id) else { continue };
+            let Some(mut waiting) = self.allowances.waiting.remove(&id) else {
+                // Its caller has left, or it waited too long.
+                if result.is_some_and(|result| result.is_reserved) {
+                    let broker = broker.clone();
+                    let held = HeldReservation { broker, reservation, reserved };
+                    self.allowances.held.insert(id, held);
+                    self.put_back(id);
+                }
+                continue;
+            };
             match result {
                 Some(result) if result.is_reserved && is_valid => {
                     self.place_admitted(waiting, Some((broker.clone(), reserved)));
@@ -381,7 +396,7 @@
 
     /// Puts back the reservation of a request that no upstream has run.
     pub(super) fn put_back_unless_run(&mut self, id: u64) {
-        if !self.may_have_run_before(id) {
+        if !self.may_have_run_before(id) && !self.has_prefill(id) {
             self.put_back(id);
         }
     }
--- a/crates/serve/src/hub/requests.rs
+++ b/crates/serve/src/hub/requests.rs
@@ -49,6 +49,8 @@
     pub(super) is_probe: bool,
     /// Upstream that runs the prefill, until the prefill ends.
     pub(super) prefill_upstream: Option<Arc<str>>,
+    /// Number of upstreams that may have run a prefill.
+    prefills: u32,
     /// Upstream that serves the request.
     pub(super) upstream: Arc<Upstream>,
     /// Upstreams that were chosen to serve the request.
@@ -147,6 +149,7 @@
             shared_segments: unplaced.shared_segments,
             is_probe,
             prefill_upstream: prefill_upstream.as_ref().map(|up| up.id.clone()),
+            prefills: u32::from(prefill_upstream.is_some()),
             tried: vec![upstream.id.clone()],
             upstream: upstream.clone(),
             attempts: 1,
@@ -309,6 +312,11 @@
         self.in_flight.get(&id).is_some_and(|request| request.attempts > 1)
     }
 
+    /// Returns whether an upstream may have run a prefill for the request.
+    pub(super) fn has_prefill(&self, id: u64) -> bool {
+        self.in_flight.get(&id).is_some_and(|request| request.prefills > 0)
+    }
+
     pub(super) fn acquire_retry(&mut self, id: u64) -> bool {
         let Some(request) = self.in_flight.get(&id) else { return false };
         let instances = self.instances.count();
