Do not blame an upstream for our own lack of memory

Cause: a response for which this instance had no memory counted as malformed in cowslip-serve and as a lost connection in cowslip-entry. The upstream got no requests for a while, an entry request could be quarantined, and the retry needed the same memory again.

Change: NoMemory is a failure of its own. It has no outcome for the upstream's health and is no evidence against the request; the request is not retried, and its caller gets outcome_unknown.

Result: a row in the table of failures of cowslip-fleet; its tests pass. The mapping in cowslip-serve and cowslip-entry has no test of its own.

--- a/crates/entry/src/caller/model.rs
+++ b/crates/entry/src/caller/model.rs
@@ -1,7 +1,7 @@
 //! Model requests, buffered and streamed.
 
 use bytes::Bytes;
-use cowslip_net::{Body, ChunkSender, body_channel, full_body, read_response_body};
+use cowslip_net::{Body, ChunkSender, Error, body_channel, full_body, read_response_body};
 use futures_util::FutureExt;
 use http::{Response, StatusCode};
 use http_body_util::BodyExt;
@@ -125,6 +125,11 @@
                 held_permit.release(UpstreamOutcome::Finished, usage).await;
                 return Ok(buffered_response(status, body));
             }
+            // Another engine's response would need the same memory.
+            Err(Error::NoMemory) => {
+                held_permit.release(UpstreamOutcome::Finished, RequestUsage::default()).await;
+                return Err(CallerError::OUTCOME_UNKNOWN);
+            }
             Err(_) => {
                 permit = held_permit
                     .reassign(UpstreamOutcome::Lost)
--- a/crates/entry/src/caller/service.rs
+++ b/crates/entry/src/caller/service.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use cowslip_idempotency::{CallerReply, SendResult, StoredResponse};
-use cowslip_net::{Account, Body, full_body, read_response_body};
+use cowslip_net::{Account, Body, Error, full_body, read_response_body};
 use http::{Response, StatusCode};
 use hyper::body::Incoming;
 
@@ -79,11 +79,16 @@
     loop {
         let outcome = match send_once(context, &permit, request, path, None).await {
             Ok(response) => match read_response(response, &request.account).await {
-                Some(stored) => {
+                Ok(stored) => {
                     permit.release(UpstreamOutcome::Finished, SERVICE_USAGE).await;
                     return Ok(caller_response(&stored));
                 }
-                None => UpstreamOutcome::Lost,
+                // Another upstream's response would need the same memory.
+                Err(Error::NoMemory) => {
+                    permit.release(UpstreamOutcome::Finished, RequestUsage::default()).await;
+                    return Err(CallerError::OUTCOME_UNKNOWN);
+                }
+                Err(_) => UpstreamOutcome::Lost,
             },
             Err(failure) => failure.outcome(),
         };
@@ -133,15 +138,12 @@
     let action = match action {
         Some(CallAction::Send) => {
             let (result, outcome) = attempt(context, request, path, &permit).await;
+            let has_response = matches!(result, SendResult::Responded(_));
             let action = context
                 .hub
                 .request(|reply| HubMessage::CallAttempted { grant, result, reply })
                 .await;
-            let usage = if outcome == UpstreamOutcome::Finished {
-                SERVICE_USAGE
-            } else {
-                RequestUsage::default()
-            };
+            let usage = if has_response { SERVICE_USAGE } else { RequestUsage::default() };
             permit.release(outcome, usage).await;
             action
         }
@@ -171,15 +173,20 @@
 ) -> (SendResult, UpstreamOutcome) {
     match send_once(context, permit, request, path, None).await {
         Ok(response) => match read_response(response, &request.account).await {
-            Some(stored) => (SendResult::Responded(stored), UpstreamOutcome::Finished),
-            None => (SendResult::Interrupted, UpstreamOutcome::Lost),
+            Ok(stored) => (SendResult::Responded(stored), UpstreamOutcome::Finished),
+            // It says nothing about the upstream.
+            Err(Error::NoMemory) => (SendResult::Interrupted, UpstreamOutcome::Finished),
+            Err(_) => (SendResult::Interrupted, UpstreamOutcome::Lost),
         },
         Err(SendFailure::NotSent) => (SendResult::NotSent, UpstreamOutcome::Unreachable),
         Err(failure) => (SendResult::Interrupted, failure.outcome()),
     }
 }
 
-async fn read_response(response: Response<Incoming>, account: &Account) -> Option<StoredResponse> {
+async fn read_response(
+    response: Response<Incoming>,
+    account: &Account,
+) -> Result<StoredResponse, Error> {
     let status = response.status().as_u16();
     let content_type = response
         .headers()
@@ -187,8 +194,8 @@
         .and_then(|value| value.to_str().ok())
         .map_or_else(|| Arc::from("application/json"), Arc::from);
     let reading = read_response_body(response.into_body(), MAX_RESPONSE_BYTES, account);
-    let body = reading.await.ok()?;
-    Some(StoredResponse { status, content_type, body: Arc::from(String::from_utf8_lossy(&body)) })
+    let body = reading.await?;
+    Ok(StoredResponse { status, content_type, body: Arc::from(String::from_utf8_lossy(&body)) })
 }
 
 fn caller_response(stored: &StoredResponse) -> Response<Body> {
--- a/crates/fleet/src/response_end.rs
+++ b/crates/fleet/src/response_end.rs
@@ -49,6 +49,8 @@
     Misdirected,
     /// The upstream does not meet a condition that the caller has set.
     Unmet,
+    /// This instance has no memory for the response.
+    NoMemory,
 }
 
 /// Why an exchange yielded no usable response.
@@ -69,6 +71,8 @@
     Malformed,
     /// The response does not belong to this request, or is an error: the request may have run.
     Spoilt,
+    /// This instance has no memory for the response: the request may have run.
+    NoMemory,
 }
 
 impl Failure {
@@ -84,6 +88,7 @@
             Interruption::Refused => Self::NotRun,
             Interruption::Misdirected => Self::Misdirected,
             Interruption::Unmet => Self::Unmet,
+            Interruption::NoMemory => Self::NoMemory,
         }
     }
 
@@ -106,15 +111,18 @@
         self == Self::Broken
     }
 
-    /// Returns the outcome that counts for the upstream's health.
+    /// Returns the outcome that counts for the upstream's health; `None` if the cause is here.
     #[must_use]
-    pub fn outcome(self) -> SendOutcome {
+    pub fn outcome(self) -> Option<SendOutcome> {
         match self {
-            Self::NotArrived | Self::Broken | Self::Malformed => SendOutcome::ConnectionFailed,
-            Self::NotRun | Self::Misdirected => SendOutcome::Refused,
-            Self::Spoilt => SendOutcome::Failed,
+            Self::NotArrived | Self::Broken | Self::Malformed => {
+                Some(SendOutcome::ConnectionFailed)
+            }
+            Self::NotRun | Self::Misdirected => Some(SendOutcome::Refused),
+            Self::Spoilt => Some(SendOutcome::Failed),
             // It says nothing about the upstream.
-            Self::Unmet => SendOutcome::Responded,
+            Self::Unmet => Some(SendOutcome::Responded),
+            Self::NoMemory => None,
         }
     }
 }
--- a/crates/fleet/tests/response_end.rs
+++ b/crates/fleet/tests/response_end.rs
@@ -51,7 +51,7 @@
         failure: Failure,
         is_not_run: bool,
         is_loss: bool,
-        outcome: SendOutcome,
+        outcome: Option<SendOutcome>,
     }
     let row = |is_sent, interruption, failure, is_not_run, is_loss, outcome| Case {
         is_sent,
@@ -61,16 +61,18 @@
         is_loss,
         outcome,
     };
-    let (refused, broken) = (SendOutcome::Refused, SendOutcome::ConnectionFailed);
+    let (refused, broken) = (Some(SendOutcome::Refused), Some(SendOutcome::ConnectionFailed));
+    let (failed, responded) = (Some(SendOutcome::Failed), Some(SendOutcome::Responded));
     let cases = [
         row(false, Interruption::Disconnected, Failure::NotArrived, true, false, broken),
         row(false, Interruption::Malformed, Failure::NotArrived, true, false, broken),
         row(true, Interruption::Disconnected, Failure::Broken, false, true, broken),
         row(true, Interruption::Malformed, Failure::Malformed, false, false, broken),
-        row(true, Interruption::Foreign, Failure::Spoilt, false, false, SendOutcome::Failed),
+        row(true, Interruption::Foreign, Failure::Spoilt, false, false, failed),
         row(true, Interruption::Refused, Failure::NotRun, true, false, refused),
         row(true, Interruption::Misdirected, Failure::Misdirected, true, false, refused),
-        row(true, Interruption::Unmet, Failure::Unmet, true, false, SendOutcome::Responded),
+        row(true, Interruption::Unmet, Failure::Unmet, true, false, responded),
+        row(true, Interruption::NoMemory, Failure::NoMemory, false, false, None),
     ];
     for Case { is_sent, interruption, failure, is_not_run, is_loss, outcome } in cases {
         let actual = Failure::of_interruption(is_sent, interruption);
--- a/crates/serve/src/caller/exchange.rs
+++ b/crates/serve/src/caller/exchange.rs
@@ -225,7 +225,11 @@
 
 /// Returns why an exchange with this error was interrupted.
 pub(super) fn interruption(error: &Error) -> Interruption {
-    if error.is_disconnect() { Interruption::Disconnected } else { Interruption::Malformed }
+    match error {
+        Error::NoMemory => Interruption::NoMemory,
+        error if error.is_disconnect() => Interruption::Disconnected,
+        _ => Interruption::Malformed,
+    }
 }
 
 /// Returns how the end of a body is marked.
--- a/crates/serve/src/caller/in_flight_request.rs
+++ b/crates/serve/src/caller/in_flight_request.rs
@@ -114,7 +114,9 @@
         } else if failure == Failure::Misdirected {
             self.send(HubMessage::Misdirected { upstream: id }).await;
         }
-        self.report_outcome(upstream, failure.outcome(), None).await;
+        if let Some(outcome) = failure.outcome() {
+            self.report_outcome(upstream, outcome, None).await;
+        }
     }
 
     /// Counts the outcome of a send and reports it to the hub, with the keep-alive time of its
@@ -143,6 +145,8 @@
             Failure::NotRun | Failure::Misdirected => RetryReason::NotRun,
             Failure::Unmet => RetryReason::Unmet,
             Failure::Broken | Failure::Malformed | Failure::Spoilt => RetryReason::MayHaveRun,
+            // Another upstream's response would need the same memory.
+            Failure::NoMemory => return Err(Rejection::NoRetries),
         };
         let id = self.assignment.id();
         let hub = &self.shared.hub;
--- a/crates/serve/src/caller/stream.rs
+++ b/crates/serve/src/caller/stream.rs
@@ -121,7 +121,7 @@
                 refusals += 1;
                 refusals < 2
             }
-            Failure::Broken | Failure::Malformed | Failure::Spoilt => false,
+            Failure::Broken | Failure::Malformed | Failure::Spoilt | Failure::NoMemory => false,
         };
         if !is_usable {
             held_prefill = None;
