Wait for no bytes of a body that completed after its eviction

Cause: a body whose end arrived before the order to close kept its request, but its bytes still counted as about to return, so reservations waited for them until the request ended. The end of a response may likewise be queued behind a reservation that evicts it; its connection was closed although it might carry the next request.

Change: complete requests do not count as closing, and a completion decides on the reservations that wait. The memory task tells only those holders to close that still exist.

The check for a response that was sent has no test.

--- a/crates/budget/src/budget.rs
+++ b/crates/budget/src/budget.rs
@@ -76,6 +76,12 @@
         };
         is_freeable && !self.is_evicted && self.bytes > 0
     }
+
+    /// Whether the holder's bytes are about to return. The end of a body may arrive before the order
+    /// to close, and its request then runs.
+    fn is_closing(&self) -> bool {
+        self.is_evicted && self.phase != Phase::Kept
+    }
 }
 
 /// Numbers of addresses and workspaces that hold bytes; those of the same kind have equal shares.
@@ -172,8 +178,8 @@
     }
 
     /// Marks a request as complete, or a response as ready for its caller.
-    pub fn complete(&mut self, id: u64, now_ms: u64) {
-        let Some(holder) = self.holders.get_mut(&id) else { return };
+    pub fn complete(&mut self, id: u64, now_ms: u64) -> Vec<Action> {
+        let Some(holder) = self.holders.get_mut(&id) else { return Vec::new() };
         match holder.purpose {
             Purpose::Request => holder.phase = Phase::Kept,
             Purpose::Response => {
@@ -182,6 +188,7 @@
                 holder.due_ms = now_ms + STEP_GRACE_MS + reading_ms;
             }
         }
+        self.decide(now_ms)
     }
 
     /// Removes a holder and returns its bytes.
@@ -207,7 +214,7 @@
         let mut returning_bytes: u64 = self
             .holders
             .values()
-            .filter(|holder| holder.is_evicted)
+            .filter(|holder| holder.is_closing())
             .map(|holder| holder.bytes)
             .sum();
         for id in std::mem::take(&mut self.waiting) {
--- a/crates/budget/tests/budget.rs
+++ b/crates/budget/tests/budget.rs
@@ -17,7 +17,7 @@
 enum Step {
     Open(u8, &'static str, Purpose),
     Reserve(u64, u64, &'static [Action]),
-    Complete(u64),
+    Complete(u64, &'static [Action]),
     Close(u64, &'static [Action]),
     Decide(&'static [Action]),
     Wait(u64),
@@ -95,7 +95,7 @@
         steps: &[
             Open(1, "a", Request),
             Reserve(0, 750, &[Grant(0)]),
-            Complete(0),
+            Complete(0, &[]),
             Open(1, "a", Request),
             Reserve(1, 1, &[Refuse(1)]),
             Open(1, "b", Request),
@@ -116,18 +116,30 @@
         steps: &[
             Open(1, "a", Request),
             Reserve(0, 700, &[Grant(0)]),
-            Complete(0),
+            Complete(0, &[]),
             Wait(60_000),
             Open(2, "b", Request),
             Reserve(1, 400, &[Refuse(1)]),
         ],
     },
+    Case {
+        name: "a body that completes before it closes is kept, and nobody waits for its bytes",
+        steps: &[
+            Open(1, "a", Request),
+            Reserve(0, 700, &[Grant(0)]),
+            Open(2, "b", Request),
+            Wait(1_000),
+            Reserve(1, 400, &[Evict(0)]),
+            Complete(0, &[Refuse(1)]),
+            Reserve(1, 400, &[Refuse(1)]),
+        ],
+    },
     Case {
         name: "a response waits for one that is read, which gives way when that takes too long",
         steps: &[
             Open(1, "a", Response),
             Reserve(0, 1_000, &[Grant(0)]),
-            Complete(0),
+            Complete(0, &[]),
             Open(2, "b", Response),
             Reserve(1, 500, &[]),
             Wait(500),
@@ -164,10 +176,7 @@
                     now_ms += time_ms;
                     continue;
                 }
-                Complete(id) => {
-                    budget.complete(*id, now_ms);
-                    continue;
-                }
+                Complete(id, expected) => (budget.complete(*id, now_ms), expected),
                 Reserve(id, bytes, expected) => (budget.reserve(*id, *bytes, now_ms), expected),
                 Close(id, expected) => (budget.close(*id, now_ms), expected),
                 Decide(expected) => (budget.decide(now_ms), expected),
@@ -231,10 +240,7 @@
                     naive.holders.entry(id).and_modify(|holder| holder.1 = Some(bytes));
                     budget.reserve(id, bytes, now_ms)
                 }
-                (Some(_), 2) => {
-                    budget.complete(id, now_ms);
-                    Vec::new()
-                }
+                (Some(_), 2) => budget.complete(id, now_ms),
                 (Some(_), 3) => {
                     naive.holders.remove(&id);
                     budget.close(id, now_ms)
--- a/crates/net/src/memory.rs
+++ b/crates/net/src/memory.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::collections::HashMap;
 use std::rc::Rc;
+use std::sync::{Arc, Weak};
 use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
@@ -70,7 +71,7 @@
 
 #[derive(Debug)]
 enum Message {
-    Open { id: u64, party: Party, purpose: Purpose, evicted: Sender<()> },
+    Open { id: u64, party: Party, purpose: Purpose, evicted: Sender<()>, held: Weak<()> },
     Reserve { id: u64, bytes: usize, reply: Sender<bool> },
     Complete { id: u64 },
     Close { id: u64 },
@@ -113,7 +114,15 @@
         let id = self.holders.get() + 1;
         self.holders.set(id);
         let inbox = self.inbox.clone();
-        Holder { id, inbox, party, purpose, reserved_bytes: 0, is_open: false }
+        Holder {
+            id,
+            inbox,
+            party,
+            purpose,
+            reserved_bytes: 0,
+            is_open: false,
+            held: Arc::default(),
+        }
     }
 }
 
@@ -160,6 +169,8 @@
     purpose: Purpose,
     reserved_bytes: usize,
     is_open: bool,
+    /// Tells the task that the holder exists, before its end arrives in the inbox.
+    held: Arc<()>,
 }
 
 impl Holder {
@@ -170,7 +181,8 @@
         }
         if !std::mem::replace(&mut self.is_open, true) {
             let (id, party, evicted) = (self.id, self.party.clone(), evicted.clone());
-            let opening = Message::Open { id, party, purpose: self.purpose, evicted };
+            let held = Arc::downgrade(&self.held);
+            let opening = Message::Open { id, party, purpose: self.purpose, evicted, held };
             let _ = self.inbox.try_send(opening);
         }
         let target_bytes = total_bytes.next_multiple_of(STEP_BYTES);
@@ -210,7 +222,7 @@
     budget: Budget,
     clock: Clock,
     replies: HashMap<u64, Sender<bool>>,
-    evictions: HashMap<u64, Sender<()>>,
+    evictions: HashMap<u64, (Sender<()>, Weak<()>)>,
     observe: F,
 }
 
@@ -240,19 +252,16 @@
         let now_ms = self.clock.now_ms();
         let held_bytes = self.budget.held_bytes();
         let actions = match message {
-            Message::Open { id, party, purpose, evicted } => {
+            Message::Open { id, party, purpose, evicted, held } => {
                 self.budget.open(id, party, purpose, now_ms);
-                self.evictions.insert(id, evicted);
+                self.evictions.insert(id, (evicted, held));
                 Vec::new()
             }
             Message::Reserve { id, bytes, reply } => {
                 self.replies.insert(id, reply);
                 self.budget.reserve(id, bytes as u64, now_ms)
             }
-            Message::Complete { id } => {
-                self.budget.complete(id, now_ms);
-                Vec::new()
-            }
+            Message::Complete { id } => self.budget.complete(id, now_ms),
             Message::Close { id } => {
                 self.replies.remove(&id);
                 self.evictions.remove(&id);
@@ -279,18 +288,24 @@
                     }
                     self.reply(id, false);
                 }
-                Action::Evict(id) => {
-                    if let Some((party, bytes)) = self.budget.holder(id) {
-                        (self.observe)(MemoryEvent::Evicted { party: party.clone(), bytes });
-                    }
-                    if let Some(evicted) = self.evictions.get(&id) {
-                        let _ = evicted.try_send(());
-                    }
-                }
+                Action::Evict(id) => self.evict(id),
             }
         }
     }
 
+    /// Tells a holder to close. One whose end is in the inbox closes nothing: the connection of a
+    /// response may carry the next request by now.
+    fn evict(&self, id: u64) {
+        let Some((evicted, held)) = self.evictions.get(&id) else { return };
+        if held.strong_count() == 0 {
+            return;
+        }
+        if let Some((party, bytes)) = self.budget.holder(id) {
+            (self.observe)(MemoryEvent::Evicted { party: party.clone(), bytes });
+        }
+        let _ = evicted.try_send(());
+    }
+
     fn reply(&mut self, id: u64, is_granted: bool) {
         if let Some(reply) = self.replies.remove(&id) {
             let _ = reply.try_send(is_granted);
