Keep a quarter of the memory for callers to responses

Cause: complete requests are kept until they end, and two workspaces could fill the whole budget with them. No response got memory then, so requests that had run ended without their answers.

Change: requests take at most three quarters of the budget, and one workspace, or one address on open routes, three quarters of that. Shares are counted in the part of requests, and a response does not give way to a request that is beyond it. The limit of the test cases grows by a third, so that requests have as much room in them as before.

Result: two new cases, and the property test also bounds the sum of requests; the tests of cowslip-budget pass.

--- a/crates/budget/src/budget.rs
+++ b/crates/budget/src/budget.rs
@@ -17,9 +17,15 @@
 }
 
 impl BudgetLimits {
+    /// Returns the most bytes that requests may take. Complete requests are kept until they end, so
+    /// the rest is for the responses that end them.
+    fn request_bytes(self) -> u64 {
+        self.held_bytes / 4 * 3
+    }
+
     /// Returns the most bytes that the bodies of one group may take; the rest is for others.
     fn group_bytes(self) -> u64 {
-        self.held_bytes / 4 * 3
+        self.request_bytes() / 4 * 3
     }
 }
 
@@ -117,6 +123,8 @@
     holders: BTreeMap<u64, Holder>,
     group_bytes: HashMap<Group, u64>,
     held_bytes: u64,
+    /// Bytes among them that requests hold.
+    request_bytes: u64,
     waiting: VecDeque<u64>,
 }
 
@@ -129,6 +137,7 @@
             holders: BTreeMap::new(),
             group_bytes: HashMap::new(),
             held_bytes: 0,
+            request_bytes: 0,
             waiting: VecDeque::new(),
         }
     }
@@ -195,6 +204,9 @@
     pub fn close(&mut self, id: u64, now_ms: u64) -> Vec<Action> {
         let Some(holder) = self.holders.remove(&id) else { return Vec::new() };
         self.held_bytes -= holder.bytes;
+        if holder.purpose == Purpose::Request {
+            self.request_bytes -= holder.bytes;
+        }
         for group in holder.party.groups() {
             if let Some(bytes) = self.group_bytes.get_mut(&group) {
                 *bytes -= holder.bytes;
@@ -269,13 +281,26 @@
         holder.bytes += bytes;
         holder.due_ms = now_ms + STEP_GRACE_MS;
         self.held_bytes += bytes;
+        if holder.purpose == Purpose::Request {
+            self.request_bytes += bytes;
+        }
         for group in holder.party.groups() {
             *self.group_bytes.entry(group).or_default() += bytes;
         }
     }
 
     fn fits(&self, id: u64, bytes: u64) -> bool {
-        self.held_bytes + bytes <= self.limits.held_bytes && !self.exceeds_group(id, bytes)
+        self.held_bytes + bytes <= self.limits.held_bytes
+            && !self.exceeds_requests(id, bytes)
+            && !self.exceeds_group(id, bytes)
+    }
+
+    /// Whether requests would take more than all of them may.
+    fn exceeds_requests(&self, id: u64, bytes: u64) -> bool {
+        self.holders.get(&id).is_some_and(|holder| {
+            holder.purpose == Purpose::Request
+                && self.request_bytes + bytes > self.limits.request_bytes()
+        })
     }
 
     /// Whether the caller's group would take more than one group may.
@@ -294,7 +319,7 @@
     fn is_over_share(&self, party: &Party, further_bytes: u64, groups: GroupCounts) -> bool {
         party.groups().any(|group| {
             let bytes = self.bytes_of(&group);
-            let share_bytes = self.limits.held_bytes / groups.like(&group).max(1);
+            let share_bytes = self.limits.request_bytes() / groups.like(&group).max(1);
             bytes + further_bytes > share_bytes
         })
     }
@@ -307,10 +332,12 @@
             party.groups().filter(|group| !self.group_bytes.contains_key(group)).collect();
         let groups = GroupCounts::of(self.group_bytes.keys().chain(&joining));
         let own_group = self.exceeds_group(id, bytes).then(|| party.capped_group());
+        let only_requests = self.exceeds_requests(id, bytes);
         let is_entitled = own_group.is_none() && !self.is_over_share(party, bytes, groups);
         self.holders
             .iter()
             .filter(|(other, holder)| **other != id && holder.can_give_way())
+            .filter(|(_, holder)| !only_requests || holder.purpose == Purpose::Request)
             .filter(|(_, holder)| {
                 own_group
                     .as_ref()
--- a/crates/budget/tests/budget.rs
+++ b/crates/budget/tests/budget.rs
@@ -6,7 +6,9 @@
 use cowslip_budget::{Action, Budget, BudgetLimits, Party, Purpose};
 use proptest::prelude::*;
 
-const LIMIT_BYTES: u64 = 1_000;
+const LIMIT_BYTES: u64 = 1_336;
+/// Three quarters of the limit.
+const REQUEST_LIMIT_BYTES: u64 = 1_002;
 
 fn party(address: u8, workspace: &str) -> Party {
     let workspace = (!workspace.is_empty()).then(|| Arc::from(workspace));
@@ -134,6 +136,34 @@
             Reserve(1, 400, &[Refuse(1)]),
         ],
     },
+    Case {
+        name: "complete requests leave a quarter to responses",
+        steps: &[
+            Open(1, "a", Request),
+            Reserve(0, 700, &[Grant(0)]),
+            Complete(0, &[]),
+            Open(2, "b", Request),
+            Reserve(1, 303, &[Refuse(1)]),
+            Reserve(1, 302, &[Grant(1)]),
+            Complete(1, &[]),
+            Open(1, "a", Response),
+            Reserve(2, 334, &[Grant(2)]),
+        ],
+    },
+    Case {
+        name: "a response does not give way to a request beyond the part of requests",
+        steps: &[
+            Open(1, "a", Response),
+            Reserve(0, 200, &[Grant(0)]),
+            Complete(0, &[]),
+            Open(2, "b", Request),
+            Reserve(1, 700, &[Grant(1)]),
+            Complete(1, &[]),
+            Wait(60_000),
+            Open(3, "c", Request),
+            Reserve(2, 400, &[Refuse(2)]),
+        ],
+    },
     Case {
         name: "a response waits for one that is read, which gives way when that takes too long",
         steps: &[
@@ -153,7 +183,7 @@
         name: "a response is refused where nothing will be returned",
         steps: &[
             Open(1, "a", Response),
-            Reserve(0, 600, &[Grant(0)]),
+            Reserve(0, 900, &[Grant(0)]),
             Open(2, "b", Response),
             Reserve(1, 500, &[Refuse(1)]),
         ],
@@ -214,6 +244,9 @@
         }
         let held: u64 = self.holders.values().map(|holder| holder.0).sum();
         assert!(held <= LIMIT_BYTES, "{held} bytes");
+        let requests = self.holders.iter().filter(|(id, _)| *id % 3 != 0);
+        let held: u64 = requests.map(|(_, holder)| holder.0).sum();
+        assert!(held <= REQUEST_LIMIT_BYTES, "{held} bytes of requests");
     }
 }
 
