Bound connections by memory only where the settings state it

Cause: without memory_mb the default of 1024 applied, and 4,096 connections became 3,778. The deployment's template wrote an empty value where the platform states no memory or descriptors.

Change: memory_mb is 0 by default, which bounds no connections; bodies get as much as before.

The template was not rendered by the platform.

--- a/crates/entry/src/caller/memory.rs
+++ b/crates/entry/src/caller/memory.rs
@@ -16,8 +16,9 @@
 
 /// Divides the memory and the descriptors that the settings name.
 pub(super) fn memory_plan(limits: &LimitSettings) -> MemoryPlan {
+    let memory_mb = (limits.memory_mb > 0).then_some(u64::from(limits.memory_mb));
     MemoryPlan::new(
-        u64::from(limits.memory_mb) * BYTES_PER_MB,
+        memory_mb.map(|memory_mb| memory_mb * BYTES_PER_MB),
         u64::from(limits.max_descriptors),
         u64::from(limits.max_connections),
     )
--- a/crates/entry/src/config.rs
+++ b/crates/entry/src/config.rs
@@ -73,7 +73,11 @@
             "[config] member_timeout_ms",
             "must be at most stale_limit_ms",
         ),
-        (settings.limits.memory_mb >= 48, "[limits] memory_mb", "must be at least 48"),
+        (
+            settings.limits.memory_mb == 0 || settings.limits.memory_mb >= 48,
+            "[limits] memory_mb",
+            "must be at least 48",
+        ),
         (
             settings.limits.max_descriptors >= 1_024,
             "[limits] max_descriptors",
--- a/crates/proto/src/generated.rs
+++ b/crates/proto/src/generated.rs
@@ -2484,7 +2484,7 @@
 ///      "format": "uint64"
 ///    },
 ///    "memory_mb": {
-///      "description": "Memory of the machine for this process, in megabytes (1000000 bytes), 48 or more. What exceeds the need of the process is divided between connections and the bodies that are held for callers.",
+///      "description": "Memory of the machine for this process, in megabytes (1000000 bytes), 48 or more. What exceeds the need of the process is divided between connections and the bodies that are held for callers. 0 states no memory: it bounds no connections, and bodies get as much as with 1024.",
 ///      "type": "integer",
 ///      "format": "uint32"
 ///    },
@@ -2537,7 +2537,7 @@
     pub max_header_bytes: u32,
     ///Number of prompt tokens at an engine, from this instance's requests without an output token yet, at which the instance sends it no further request. At least 1. Used by cowslip-entry only.
     pub max_waiting_tokens: u64,
-    ///Memory of the machine for this process, in megabytes (1000000 bytes), 48 or more. What exceeds the need of the process is divided between connections and the bodies that are held for callers.
+    ///Memory of the machine for this process, in megabytes (1000000 bytes), 48 or more. What exceeds the need of the process is divided between connections and the bodies that are held for callers. 0 states no memory: it bounds no connections, and bodies get as much as with 1024.
     pub memory_mb: u32,
     ///Number of upstreams lost while they ran the same request, or requests with the same prompt segment, at which such requests are refused. At least 1.
     pub poison_limit: u32,
--- a/crates/proto/src/setting_table.rs
+++ b/crates/proto/src/setting_table.rs
@@ -298,8 +298,8 @@
         section: "limits",
         key: "memory_mb",
         kind: SettingKind::Integer,
-        default: Some("1024"),
-        help: "Memory of the machine for this process, in megabytes (1000000 bytes), 48 or more. What exceeds the need of the process is divided between connections and the bodies that are held for callers.",
+        default: Some("0"),
+        help: "Memory of the machine for this process, in megabytes (1000000 bytes), 48 or more. What exceeds the need of the process is divided between connections and the bodies that are held for callers. 0 states no memory: it bounds no connections, and bodies get as much as with 1024.",
     },
     SettingSpec {
         section: "limits",
--- a/crates/serve/src/config.rs
+++ b/crates/serve/src/config.rs
@@ -186,8 +186,10 @@
 }
 
 fn check_limits(limits: &LimitSettings) -> Result<(), Vec<SettingError>> {
+    // No memory is stated by 0.
+    let memory_mb = if limits.memory_mb == 0 { MIN_MEMORY_MB } else { limits.memory_mb.into() };
     let rows = [
-        ("[limits] memory_mb", u64::from(limits.memory_mb), MIN_MEMORY_MB),
+        ("[limits] memory_mb", memory_mb, MIN_MEMORY_MB),
         ("[limits] max_descriptors", u64::from(limits.max_descriptors), MIN_DESCRIPTORS),
         ("[limits] unread_timeout_ms", limits.unread_timeout_ms, MIN_UNREAD_TIMEOUT_MS),
     ];
