Count the pause of a body from its newest bytes

Cause: a connection's phase began with the head of its request, so a body that arrived for longer than a second counted as paused and its connection could be closed for a new one. Handlers of serve_http never report the end of a body, so their requests without one counted as paused, too.

Change: bytes that arrive while a body is awaited renew the phase, and a request without a body is busy from its head on.

A body that a handler of serve_http has read still counts as awaited until the response is ready.

--- a/crates/net/src/connection.rs
+++ b/crates/net/src/connection.rs
@@ -40,6 +40,13 @@
         self.phase.set((phase, Instant::now()));
     }
 
+    /// Records that bytes have arrived: a body among them has not paused.
+    pub(crate) fn on_read(&self) {
+        if self.phase.get().0 == ConnectionPhase::Receiving {
+            self.set_phase(ConnectionPhase::Receiving);
+        }
+    }
+
     /// Records whether bytes for the caller wait to be written.
     pub(crate) fn set_unread(&self, is_unread: bool) {
         let since = self.unread_since.get().or_else(|| Some(Instant::now()));
--- a/crates/net/src/fair_stream.rs
+++ b/crates/net/src/fair_stream.rs
@@ -19,7 +19,7 @@
 pub(crate) struct FairStream<S> {
     inner: S,
     ready_reads: u32,
-    /// Gets to know whether the other side reads what is written.
+    /// Gets to know when bytes arrive, and whether the other side reads what is written.
     connection: Option<Rc<ServedConnection>>,
 }
 
@@ -52,6 +52,9 @@
         }
         let polled = Pin::new(&mut self.inner).poll_read(context, buffer);
         self.ready_reads = if polled.is_ready() { self.ready_reads + 1 } else { 0 };
+        if let (Poll::Ready(Ok(())), Some(connection)) = (&polled, &self.connection) {
+            connection.on_read();
+        }
         Poll::Ready(ready!(polled))
     }
 }
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -14,7 +14,7 @@
 use cyper_core::{CompioTimer, HyperStream};
 use futures_util::FutureExt;
 use futures_util::future::{Either, select};
-use hyper::body::{Frame, Incoming, SizeHint};
+use hyper::body::{Body as _, Frame, Incoming, SizeHint};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
@@ -159,8 +159,13 @@
 {
     let _ = tcp.set_nodelay(true);
     let stream = FairStream::new(HyperStream::new_plain(tcp), Some(connection.clone()));
-    let service = service_fn(move |request| {
-        connection.set_phase(ConnectionPhase::Receiving);
+    let service = service_fn(move |request: Request<Incoming>| {
+        let has_arrived = request.body().is_end_stream();
+        connection.set_phase(if has_arrived {
+            ConnectionPhase::Busy
+        } else {
+            ConnectionPhase::Receiving
+        });
         let served = connection.clone();
         handler(request, connection.clone()).map(move |response| {
             served.set_phase(ConnectionPhase::Busy);
