--- a/crates/net/src/whole_body.rs
+++ b/crates/net/src/whole_body.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
 
-/// Most bytes that `hyper` takes at a time: it copies them into its write buffer.
+/// Most bytes that are handed to `hyper` at a time: it may hold several parts until they are written.
 const PART_BYTES: usize = 32_768;
 
 /// A body in memory, sent in parts.
