Count a hedged send whose response found no memory as one that may have run

Hedging and the bound on memory were built side by side; the new kind of failure had no row in the attempts of hedged sends. The response had begun, so an upstream may have run the request.

--- a/crates/serve/src/hub/hedging.rs
+++ b/crates/serve/src/hub/hedging.rs
@@ -170,7 +170,9 @@
         let failed = match failure {
             Failure::NotArrived => FailedSend::NotArrived,
             Failure::NotRun | Failure::Misdirected | Failure::Unmet => FailedSend::NotRun,
-            Failure::Broken | Failure::Malformed | Failure::Spoilt => FailedSend::MayHaveRun,
+            Failure::Broken | Failure::Malformed | Failure::Spoilt | Failure::NoMemory => {
+                FailedSend::MayHaveRun
+            }
         };
         request.attempts = part.attempts_after(request.attempts, failed);
     }
