--- a/crates/net/tests/connections.rs
+++ b/crates/net/tests/connections.rs
@@ -67,8 +67,8 @@
             let limits = ServerLimits {
                 max_connections: 1,
                 max_header_bytes: 8_192,
-                idle_timeout: Duration::from_secs(60),
-                unread_timeout: Duration::from_secs(60),
+                idle_timeout: Duration::from_mins(1),
+                unread_timeout: Duration::from_mins(1),
             };
             serve_http(listener, limits, stopped, handle).await;
         });
