--- a/crates/cli/src/check.rs
+++ b/crates/cli/src/check.rs
@@ -15,7 +15,7 @@
         Some("ini") => {
             let text = fs::read_to_string(path).context(ReadFileSnafu { path })?;
             let loaded =
-                load_settings::<cowslip_proto::EntrySettings>(&text, ENTRY_SETTING_SECTIONS);
+                load_settings::<cowslip_proto::EntrySettings>(&text, &[], ENTRY_SETTING_SECTIONS);
             let errors = loaded.err().unwrap_or_default();
             Ok(errors.iter().map(ToString::to_string).collect())
         }
--- a/crates/codec/src/lib.rs
+++ b/crates/codec/src/lib.rs
@@ -33,7 +33,9 @@
     request_starts_key, start_counts_from_proto, start_window_to_proto, start_windows_from_proto,
     start_windows_to_proto,
 };
-pub use settings::{ENTRY_SETTING_SECTIONS, FLEET_SETTING_SECTIONS, SettingError, load_settings};
+pub use settings::{
+    ENTRY_SETTING_SECTIONS, FLEET_SETTING_SECTIONS, SettingError, SettingOverride, load_settings,
+};
 pub use snapshot::{MAX_SNAPSHOT_CHUNK_BYTES, encode_snapshot, restore_snapshot};
 pub use suspect::{
     suspect_from_proto, suspect_key_from_proto, suspect_key_to_proto, suspect_to_proto,
--- a/crates/codec/src/settings.rs
+++ b/crates/codec/src/settings.rs
@@ -1,6 +1,7 @@
 //! Loads and checks settings from an INI file.
 
 use std::fmt;
+use std::str::FromStr;
 
 use cowslip_proto::{SETTING_TABLE, SettingKind, SettingSpec};
 use ini::Ini;
@@ -31,6 +32,29 @@
     }
 }
 
+/// A setting from the command line, which takes precedence over the file. An empty value keeps that
+/// of the file, or the default.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct SettingOverride {
+    section: String,
+    key: String,
+    value: String,
+}
+
+impl FromStr for SettingOverride {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let parts = text.split_once('=').and_then(|(name, value)| {
+            let (section, key) = name.split_once('.')?;
+            Some((section, key, value))
+        });
+        let (section, key, value) =
+            parts.ok_or_else(|| format!("{text:?} is not SECTION.KEY=VALUE"))?;
+        Ok(Self { section: section.to_owned(), key: key.to_owned(), value: value.to_owned() })
+    }
+}
+
 /// Sections that `cowslip-entry` reads.
 pub const ENTRY_SETTING_SECTIONS: &[&str] =
     &["instance", "platform", "authority", "config", "usage", "limits", "metrics"];
@@ -38,15 +62,20 @@
 pub const FLEET_SETTING_SECTIONS: &[&str] =
     &["instance", "platform", "authority", "limits", "fleet", "allowances", "hedging"];
 
-/// Loads the settings in `sections` from the text of an INI file, with defaults for absent keys.
+/// Loads the settings in `sections` from the text of an INI file and from `overrides`, with defaults
+/// for absent keys.
 ///
 /// # Errors
-/// Returns all errors of the file at once: unknown, repeated and missing keys, and invalid values.
-pub fn load_settings<T>(text: &str, sections: &[&str]) -> Result<T, Vec<SettingError>>
+/// Returns all errors at once: unknown, repeated and missing keys, and invalid values.
+pub fn load_settings<T>(
+    text: &str,
+    overrides: &[SettingOverride],
+    sections: &[&str],
+) -> Result<T, Vec<SettingError>>
 where
     T: DeserializeOwned,
 {
-    let ini = Ini::load_from_str(text).map_err(|error| {
+    let mut ini = Ini::load_from_str(text).map_err(|error| {
         let reason = error.msg.to_string();
         vec![SettingError { line: error.line, location: "file".to_owned(), reason }]
     })?;
@@ -54,6 +83,7 @@
         SETTING_TABLE.iter().filter(|row| sections.contains(&row.section)).collect();
     let mut errors = unknown_keys(text, &ini, &rows);
     errors.extend(duplicate_keys(text, &ini, &rows));
+    errors.extend(apply_overrides(&mut ini, overrides, &rows));
     let mut values = Map::new();
     for row in rows {
         match setting_value(text, &ini, row) {
@@ -75,6 +105,24 @@
     })
 }
 
+/// Sets the values of `overrides` and returns an error for each unknown key.
+fn apply_overrides(
+    ini: &mut Ini,
+    overrides: &[SettingOverride],
+    rows: &[&SettingSpec],
+) -> Vec<SettingError> {
+    let mut errors = Vec::new();
+    for SettingOverride { section, key, value } in overrides {
+        if !rows.iter().any(|row| row.section == section && row.key == key) {
+            let reason = suggestion(section, key, rows);
+            errors.push(SettingError { line: 0, location: format!("[{section}] {key}"), reason });
+        } else if !value.is_empty() {
+            ini.set_to(Some(section.as_str()), key.clone(), value.clone());
+        }
+    }
+    errors
+}
+
 /// Returns the value of one setting, or its default, as JSON of the setting's kind.
 fn setting_value(text: &str, ini: &Ini, row: &SettingSpec) -> Result<Value, SettingError> {
     let configured = ini.get_from(Some(row.section), row.key);
--- a/crates/codec/tests/decoding.rs
+++ b/crates/codec/tests/decoding.rs
@@ -49,8 +49,8 @@
         let _ = parse_ticket(&bytes);
         let text = String::from_utf8_lossy(&bytes);
         let _ = decode_log_entry(&text);
-        let _ = load_settings::<proto::EntrySettings>(&text, ENTRY_SETTING_SECTIONS);
-        let _ = load_settings::<proto::FleetEntrySettings>(&text, FLEET_SETTING_SECTIONS);
+        let _ = load_settings::<proto::EntrySettings>(&text, &[], ENTRY_SETTING_SECTIONS);
+        let _ = load_settings::<proto::FleetEntrySettings>(&text, &[], FLEET_SETTING_SECTIONS);
     }
 
     #[test]
--- a/crates/entry/src/config.rs
+++ b/crates/entry/src/config.rs
@@ -36,7 +36,7 @@
     }
 
     fn parse(text: &str) -> Result<Self, Vec<SettingError>> {
-        let settings: EntrySettings = load_settings(text, ENTRY_SETTING_SECTIONS)?;
+        let settings: EntrySettings = load_settings(text, &[], ENTRY_SETTING_SECTIONS)?;
         check_rules(&settings)?;
         let address = |text: &str| {
             text.parse().map_err(|_| {
--- a/crates/serve/src/config.rs
+++ b/crates/serve/src/config.rs
@@ -3,13 +3,13 @@
 use std::collections::HashMap;
 use std::fs;
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
 
 use cowslip_allowance::Bounds;
 use cowslip_authority::LeaseTimes;
-use cowslip_codec::{FLEET_SETTING_SECTIONS, SettingError, load_settings};
+use cowslip_codec::{FLEET_SETTING_SECTIONS, SettingError, SettingOverride, load_settings};
 use cowslip_fleet::{Locality, RetryBudgetLimits};
 use cowslip_hedging::HedgingLimits;
 use cowslip_membership::FeedTimes;
@@ -40,6 +40,15 @@
 const MAX_HEDGING_SHARE: f64 = 0.5;
 const HEDGING_QUANTILES: std::ops::RangeInclusive<f64> = 0.5..=0.999;
 
+/// Where the settings come from.
+#[derive(Clone, Debug)]
+pub struct SettingsSource {
+    /// INI file with the settings.
+    pub path: PathBuf,
+    /// Settings that take precedence over the file.
+    pub overrides: Vec<SettingOverride>,
+}
+
 /// Settings of an instance, read once at its start.
 #[derive(Clone, Debug)]
 pub struct Config {
@@ -64,21 +73,22 @@
 }
 
 impl Config {
-    /// Reads and checks a settings file.
+    /// Reads and checks the settings.
     ///
     /// # Errors
     /// Returns an error when the file cannot be read or a setting is invalid.
-    pub fn load(path: &Path) -> Result<Self, Error> {
+    pub fn load(source: &SettingsSource) -> Result<Self, Error> {
+        let SettingsSource { path, overrides } = source;
         let text = fs::read_to_string(path).context(ReadSettingsSnafu { path })?;
-        Self::parse(&text).map_err(|errors| BadSettingsSnafu { path, errors }.build())
+        Self::parse(&text, overrides).map_err(|errors| BadSettingsSnafu { path, errors }.build())
     }
 
-    /// Checks the text of a settings file.
+    /// Checks the text of a settings file together with the settings of the command line.
     ///
     /// # Errors
     /// Returns all invalid settings, or else the first error in the lease times or the regions.
-    pub fn parse(text: &str) -> Result<Self, Vec<SettingError>> {
-        let settings: FleetEntrySettings = load_settings(text, FLEET_SETTING_SECTIONS)?;
+    pub fn parse(text: &str, overrides: &[SettingOverride]) -> Result<Self, Vec<SettingError>> {
+        let settings: FleetEntrySettings = load_settings(text, overrides, FLEET_SETTING_SECTIONS)?;
         if 2 * settings.authority.renew_every_ms > settings.authority.lease_ms {
             return Err(vec![setting_error(
                 "[authority] renew_every_ms",
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -14,7 +14,7 @@
 mod run;
 mod tasks;
 
-pub use config::Config;
+pub use config::{Config, SettingsSource};
 pub use error::Error;
 pub use events::{CATALOGUE, EventRow};
 pub use logging::init_logging;
--- a/crates/serve/src/run.rs
+++ b/crates/serve/src/run.rs
@@ -1,6 +1,5 @@
 //! Starts the tasks, and stops them in order.
 
-use std::path::Path;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -18,7 +17,7 @@
 use snafu::ResultExt;
 
 use crate::caller::{CallerServer, run_caller_server};
-use crate::config::Config;
+use crate::config::{Config, SettingsSource};
 use crate::error::{Error, ListenSnafu, RuntimeSnafu, SignalsSnafu};
 use crate::events::{Event, event};
 use crate::hub::{Hub, HubMessage};
@@ -66,12 +65,12 @@
 ///
 /// # Errors
 /// Returns an error when the instance cannot start.
-pub fn run<P>(platform: P, config: Config, settings_path: &Path) -> Result<(), Error>
+pub fn run<P>(platform: P, config: Config, source: &SettingsSource) -> Result<(), Error>
 where
     P: Platform,
 {
     let runtime = compio::runtime::Runtime::new().context(RuntimeSnafu)?;
-    runtime.block_on(run_tasks(platform, config, settings_path))
+    runtime.block_on(run_tasks(platform, config, source))
 }
 
 struct Listeners {
@@ -90,7 +89,7 @@
     })
 }
 
-async fn run_tasks<P>(platform: P, config: Config, settings_path: &Path) -> Result<(), Error>
+async fn run_tasks<P>(platform: P, config: Config, source: &SettingsSource) -> Result<(), Error>
 where
     P: Platform,
 {
@@ -128,7 +127,7 @@
         domain = config.locality.failure_domain,
         incarnation = identity.incarnation
     );
-    wait_for_stop(&signals, settings_path).await;
+    wait_for_stop(&signals, source).await;
     let stop_after_ms = u64::try_from(config.stop_after().as_millis()).unwrap_or(u64::MAX);
     event!(Event::Stopping, grace_ms = stop_after_ms);
     let schedule = StopSchedule::new(clock.now_ms(), stop_after_ms);
@@ -307,11 +306,11 @@
         .expect("constants form a response")
 }
 
-/// Waits for the signal to stop. Checks the settings file on each SIGHUP, which the platform sends
+/// Waits for the signal to stop. Checks the settings on each SIGHUP, which the platform sends
 /// when the file has changed; changes take effect at the next start.
-async fn wait_for_stop(signals: &Receiver<Signal>, settings_path: &Path) {
+async fn wait_for_stop(signals: &Receiver<Signal>, source: &SettingsSource) {
     while let Ok(Signal::Reload) = signals.recv().await {
-        match Config::load(settings_path) {
+        match Config::load(source) {
             Ok(_) => event!(Event::Reloaded, holds = "from the next start"),
             Err(error) => event!(Event::Reloaded, why = error),
         }
--- a/crates/serve/tests/settings.rs
+++ b/crates/serve/tests/settings.rs
@@ -1,5 +1,6 @@
 //! Parsing of settings files: every error is reported at once, and no invalid setting is accepted.
 
+use cowslip_codec::SettingOverride;
 use cowslip_serve::Config;
 
 const VALID: &str = "[instance]\nname = entry-0\nfailure_domain = d0\nregion = r0\n\
@@ -9,7 +10,7 @@
 
 #[test]
 fn valid_settings_are_accepted() {
-    let config = Config::parse(VALID).expect("valid settings");
+    let config = Config::parse(VALID, &[]).expect("valid settings");
     assert_eq!(config.locality.distance("d0", "d1"), 2);
     assert_eq!(config.settings.fleet.repeat_ratio.to_string(), "0.2");
     assert!(config.hedging_limits.has_requests && !config.hedging_limits.has_prefills);
@@ -88,8 +89,58 @@
         },
     ];
     for Case { change: (from, to), errors } in cases {
-        let reported = Config::parse(&VALID.replace(from, to)).expect_err(to);
+        let reported = Config::parse(&VALID.replace(from, to), &[]).expect_err(to);
         let reported: Vec<String> = reported.iter().map(ToString::to_string).collect();
         assert_eq!(reported, errors, "{to}");
     }
 }
+
+#[test]
+fn settings_of_the_command_line_take_precedence_over_the_file() {
+    struct Case {
+        name: &'static str,
+        overrides: &'static [&'static str],
+        /// Lease in milliseconds and memory in megabytes, or the start of the error.
+        expected: Result<(u64, u32), &'static str>,
+    }
+    let cases = [
+        Case { name: "none", overrides: &[], expected: Ok((6_000, 0)) },
+        Case {
+            name: "a key of the file and one that it omits",
+            overrides: &["authority.lease_ms=4000", "limits.memory_mb=260"],
+            expected: Ok((4_000, 260)),
+        },
+        Case {
+            name: "empty values",
+            overrides: &["authority.lease_ms=", "limits.memory_mb="],
+            expected: Ok((6_000, 0)),
+        },
+        Case {
+            name: "an unknown key",
+            overrides: &["limits.memory=260"],
+            expected: Err("[limits] memory: unknown key; did you mean [limits] memory_mb?"),
+        },
+        Case {
+            name: "a value that is no number",
+            overrides: &["limits.memory_mb=much"],
+            expected: Err("[limits] memory_mb: \"much\" is not a whole number"),
+        },
+    ];
+    for Case { name, overrides, expected } in cases {
+        let overrides: Vec<SettingOverride> =
+            overrides.iter().map(|text| text.parse().expect("an override")).collect();
+        let result = Config::parse(VALID, &overrides)
+            .map(|config| (config.settings.authority.lease_ms, config.settings.limits.memory_mb))
+            .map_err(|errors| errors[0].to_string());
+        match expected {
+            Ok(values) => assert_eq!(result, Ok(values), "{name}"),
+            Err(start) => {
+                let error = result.expect_err(name);
+                assert!(error.contains(start), "{name}: {error}");
+            }
+        }
+    }
+    for text in ["memory_mb=260", "limits.memory_mb", "260"] {
+        assert!(text.parse::<SettingOverride>().is_err(), "{text}");
+    }
+}
