Give reservations at brokers a file of their own

What is sent to brokers, what they answer and what is put back moves to hub/reservations.rs; nothing else changes.

--- a/crates/serve/src/hub/mod.rs
+++ b/crates/serve/src/hub/mod.rs
@@ -10,6 +10,7 @@
 mod quarantine;
 mod records;
 mod requests;
+mod reservations;
 
 use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
