--- a/review/standins-2/fleet.rs
+++ b/review/standins-2/fleet.rs
@@ -11,7 +11,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use crate::http::{self, Request};
-use crate::socket::end_with_parent;
+use crate::socket::{self, end_with_parent};
 use crate::store::Store;
 
 pub const HOST: &str = "shop.example";
@@ -144,6 +144,11 @@
 /// Returns a configuration with a route for each kind of request, as the deployment
 /// `lankakorpi-shop` declares them.
 pub fn config(version: u64) -> String {
+    config_with_keys(version, &[("alpha", KEY), ("beta", "key-of-beta")])
+}
+
+/// Returns such a configuration with these tenants and their keys.
+pub fn config_with_keys(version: u64, tenants: &[(&str, &str)]) -> String {
     let route = |name: &str,
                  kind: &str,
                  service: &str,
@@ -156,6 +161,10 @@
              \"attempts\":{attempts},\"public\":false{more}}}"
         )
     };
+    let tenants: Vec<String> = tenants
+        .iter()
+        .map(|(name, key)| format!("{{\"name\":\"{name}\",\"api_keys\":[\"{key}\"]}}"))
+        .collect();
     let stream = ",\"sticky\":true,\"resumable\":false,\"itl_slo_ms\":250";
     let routes = [
         route("stream", "streaming", "models", 6_000, 1, stream),
@@ -166,9 +175,9 @@
         "{{\"version\":{version},\"routes\":[{}],\"services\":[{{\"name\":\"models\",\"health_path\":\"/healthz\",\
          \"max_conns\":610,\"engine\":{{\"slots\":128}}}},{{\"name\":\"app\",\"health_path\":\"/healthz\",\
          \"max_conns\":96}}],\"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\
-         \"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}},\"tenants\":[{{\"name\":\"alpha\",\
-         \"api_keys\":[\"{KEY}\"]}},{{\"name\":\"beta\",\"api_keys\":[\"key-of-beta\"]}}]}}",
-        routes.join(",")
+         \"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}},\"tenants\":[{}]}}",
+        routes.join(","),
+        tenants.join(",")
     )
 }
 
@@ -199,15 +208,26 @@
 }
 
 impl Instance {
-    /// Starts the daemon with the command of the deploy file and waits until it is ready.
+    /// Starts the daemon in the zone `uusimaa-a` and waits until it is ready.
     pub fn start(name: &str, store: &Store, settings: &Settings) -> Option<Self> {
+        let instance = Self::launch(name, "uusimaa-a", store.address, settings)?;
+        instance.wait_until_ready().then_some(instance)
+    }
+
+    /// Starts the daemon with the command of the deploy file.
+    pub fn launch(
+        name: &str,
+        zone: &str,
+        platform: SocketAddr,
+        settings: &Settings,
+    ) -> Option<Self> {
         let directory =
             std::env::temp_dir().join(format!("review-2-{}-{name}", std::process::id()));
         fs::create_dir_all(&directory).ok()?;
         let [caller, ready, peer, operator] = [(); 4].map(|()| free_address());
-        let platform = store.address;
+        let region = zone.trim_end_matches("-a");
         let text = format!(
-            "[instance]\nname = {name}\nfailure_domain = uusimaa-a\nregion = uusimaa\n\
+            "[instance]\nname = {name}\nfailure_domain = {zone}\nregion = {region}\n\
              caller_address = {caller}\npeer_address = {peer}\noperator_address = {operator}\n\
              [platform]\naddress = {platform}\n\
              [authority]\nlease_ms = 3000\nrenew_every_ms = 1000\nsilence_ms = 0\n\
@@ -231,15 +251,24 @@
             .stdout(log)
             .stderr(Stdio::null());
         let process = end_with_parent(&mut command).spawn().ok()?;
-        let instance = Self { process, caller, ready, directory };
+        Some(Self { process, caller, ready, directory })
+    }
+
+    /// Waits until the instance is ready, some seconds at most.
+    pub fn wait_until_ready(&self) -> bool {
         let deadline = Instant::now() + Duration::from_secs(15);
-        while !instance.is_ready() {
+        while !self.is_ready() {
             if Instant::now() > deadline {
-                return None;
+                return false;
             }
             thread::sleep(Duration::from_millis(50));
         }
-        Some(instance)
+        true
+    }
+
+    /// Stops the process where it is, as a loss of power does for its peers.
+    pub fn freeze(&self) {
+        socket::freeze(self.process.id());
     }
 
     pub fn has_ended(&mut self) -> bool {
--- a/review/standins-2/socket.rs
+++ b/review/standins-2/socket.rs
@@ -17,6 +17,7 @@
 unsafe extern "C" {
     fn socket(domain: i32, kind: i32, protocol: i32) -> i32;
     fn bind(fd: i32, address: *const SockAddrIn, length: u32) -> i32;
+    fn kill(process_id: i32, signal: i32) -> i32;
     fn prctl(option: i32, value: u64) -> i32;
     fn connect(fd: i32, address: *const SockAddrIn, length: u32) -> i32;
 }
@@ -26,6 +27,15 @@
 const ADDRESS_BYTES: u32 = 16;
 const PR_SET_PDEATHSIG: i32 = 1;
 const SIGKILL: u64 = 9;
+const SIGSTOP: i32 = 19;
+
+/// Stops a process of this case.
+pub fn freeze(process_id: u32) {
+    if let Ok(process_id) = i32::try_from(process_id) {
+        // SAFETY: the call only takes numbers.
+        unsafe { kill(process_id, SIGSTOP) };
+    }
+}
 
 /// Has a process end when the thread that starts it ends.
 pub fn end_with_parent(command: &mut Command) -> &mut Command {
