--- a/review/standins-2/fleet.rs
+++ b/review/standins-2/fleet.rs
@@ -287,6 +287,13 @@
         };
         asking().unwrap_or(false)
     }
+
+    /// Returns the resident size of the process, in bytes.
+    pub fn resident_bytes(&self) -> Option<u64> {
+        let text = fs::read_to_string(format!("/proc/{}/status", self.process.id())).ok()?;
+        let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"))?;
+        Some(line.trim().strip_suffix("kB")?.trim().parse::<u64>().ok()? * 1_024)
+    }
 }
 
 impl Drop for Instance {
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -6,6 +6,7 @@
 mod deadly;
 mod fleet;
 mod http;
+mod memory;
 mod silent;
 mod socket;
 mod store;
@@ -34,6 +35,7 @@
     let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let record = Record::create(record_path);
     let outcome = match case.as_str() {
+        "memory" => memory::play(&record, has_trouble),
         "silent" => silent::play(&record, has_trouble),
         "channels" => channels::play(&record, has_trouble),
         "deadly-unframed" => deadly::play(&record, Variant::Unframed, has_trouble),
