--- a/crates/bench/src/overhead.rs
+++ b/crates/bench/src/overhead.rs
@@ -136,6 +136,7 @@
     Client::new(ClientOptions {
         connect_timeout: CONNECTION_TIMEOUT,
         user_timeout: CONNECTION_TIMEOUT,
+        max_idle: CONNECTION_TIMEOUT,
     })
 }
 
--- a/crates/entry/src/caller/context.rs
+++ b/crates/entry/src/caller/context.rs
@@ -19,6 +19,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Longest time that the kernel resends unacknowledged data to an upstream.
 const USER_TIMEOUT: Duration = Duration::from_secs(10);
+/// Longest idle time of a connection that is reused; upstreams keep theirs open for longer.
+const MAX_IDLE: Duration = Duration::from_secs(5);
 
 /// Channels, clients and limits that every request handler uses.
 #[derive(Clone, Debug)]
@@ -41,8 +43,11 @@
         hub: HubHandle,
         service_end: ServiceEnd,
     ) -> Self {
-        let options =
-            ClientOptions { connect_timeout: CONNECT_TIMEOUT, user_timeout: USER_TIMEOUT };
+        let options = ClientOptions {
+            connect_timeout: CONNECT_TIMEOUT,
+            user_timeout: USER_TIMEOUT,
+            max_idle: MAX_IDLE,
+        };
         Self {
             hub,
             client: Client::new(options),
--- a/crates/entry/src/tasks/fenced_writer.rs
+++ b/crates/entry/src/tasks/fenced_writer.rs
@@ -26,7 +26,11 @@
     hub: HubHandle,
     requests: Receiver<FencedWrite>,
 ) {
-    let options = ClientOptions { connect_timeout: STEP_TIMEOUT, user_timeout: STEP_TIMEOUT };
+    let options = ClientOptions {
+        connect_timeout: STEP_TIMEOUT,
+        user_timeout: STEP_TIMEOUT,
+        max_idle: STEP_TIMEOUT,
+    };
     let client = Client::new(options);
     while let Ok(write) = requests.recv().await {
         let is_done = match run_write(&instance_name, &client, &hub, &write).await {
--- a/crates/entry/src/tasks/platform.rs
+++ b/crates/entry/src/tasks/platform.rs
@@ -14,6 +14,8 @@
 const MAX_RESPONSE_BYTES: usize = 16_777_216;
 /// Most log entries in one page.
 const MAX_PAGE_ENTRIES: u32 = 512;
+/// Longest idle time of a connection that is reused; the log is read more often.
+const MAX_IDLE: Duration = Duration::from_secs(2);
 /// Longest time that the platform holds a read of the log until there is an entry (long polling).
 const LONG_POLL_MS: u64 = 1_000;
 
@@ -40,7 +42,8 @@
 
 impl PlatformClient {
     pub(crate) fn new(address: SocketAddr, timeout: Duration) -> Self {
-        let options = ClientOptions { connect_timeout: timeout, user_timeout: timeout };
+        let options =
+            ClientOptions { connect_timeout: timeout, user_timeout: timeout, max_idle: MAX_IDLE };
         Self { client: Client::new(options), address, timeout }
     }
 
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -33,6 +33,9 @@
     pub connect_timeout: Duration,
     /// Longest time for which the kernel resends unacknowledged data (`TCP_USER_TIMEOUT`).
     pub user_timeout: Duration,
+    /// Longest idle time of a connection that [`Client::send`] reuses. An idle connection can go
+    /// silent without a sign, so the limit bounds how long ago that may have happened.
+    pub max_idle: Duration,
 }
 
 /// Failure of a request, by whether any byte of it may have been sent.
@@ -56,12 +59,12 @@
 struct IdleConnection {
     sender: SendRequest<Body>,
     usable_from: Instant,
-    usable_until: Option<Instant>,
+    usable_until: Instant,
 }
 
 impl IdleConnection {
     fn is_open(&self, now: Instant) -> bool {
-        !self.sender.is_closed() && self.usable_until.is_none_or(|until| now < until)
+        !self.sender.is_closed() && now < self.usable_until
     }
 }
 
@@ -117,7 +120,7 @@
         request: Request<Body>,
     ) -> Result<Response<Incoming>, SendError> {
         let (response, connection) = self.send_on_connection(address, request).await?;
-        self.put_idle(address, connection, Duration::ZERO, None);
+        self.put_idle(address, connection, Duration::ZERO, self.options.max_idle);
         Ok(response)
     }
 
@@ -150,7 +153,7 @@
     /// Puts a connection whose response was read to its end back into the pool, which may reuse it
     /// for at most `reuse_for`.
     pub fn return_to_pool(&self, address: SocketAddr, connection: Connection, reuse_for: Duration) {
-        self.put_idle(address, connection, REUSE_DELAY, Some(reuse_for));
+        self.put_idle(address, connection, REUSE_DELAY, reuse_for);
     }
 
     /// Closes the idle connections to `address`, so that the next request opens a new one.
@@ -174,7 +177,7 @@
         address: SocketAddr,
         connection: Connection,
         reuse_delay: Duration,
-        reuse_for: Option<Duration>,
+        reuse_for: Duration,
     ) {
         let now = Instant::now();
         let mut idle = self.idle.borrow_mut();
@@ -192,7 +195,7 @@
             connections.push(IdleConnection {
                 sender: connection.sender,
                 usable_from: now + reuse_delay,
-                usable_until: reuse_for.map(|time| now + time),
+                usable_until: now + reuse_for,
             });
         }
     }
--- a/crates/serve/src/caller/server.rs
+++ b/crates/serve/src/caller/server.rs
@@ -33,6 +33,9 @@
 /// Time that sent bytes may stay unacknowledged before a connection counts as broken
 /// (`TCP_USER_TIMEOUT`).
 const TCP_USER_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Longest idle time of a connection that released an unused prompt, as for the connections of
+/// upstreams that state no keep-alive time.
+const MAX_RELEASE_IDLE: Duration = Duration::from_millis(1_200);
 /// Idle time after which a caller's connection is closed: several times the idle time that is
 /// configured at callers, so that no caller sends a request while the server closes.
 const IDLE_TIMEOUT: Duration = Duration::from_mins(2);
@@ -60,8 +63,11 @@
         hub: HubHandle,
         service_end: ServiceEnd,
     ) -> Self {
-        let options =
-            ClientOptions { connect_timeout: CONNECT_TIMEOUT, user_timeout: TCP_USER_TIMEOUT };
+        let options = ClientOptions {
+            connect_timeout: CONNECT_TIMEOUT,
+            user_timeout: TCP_USER_TIMEOUT,
+            max_idle: MAX_RELEASE_IDLE,
+        };
         let limits = &config.settings.limits;
         let plan = memory_plan(limits);
         let limits = ServerLimits {
