Repeat a list on a new connection if it gets no response

Cause: other reads are repeated on a new connection after half a second, lists were not, since a long list must not be read twice at once.

Change: the product reads a list page by page and repeats each page by itself; the adapter translates one page. The lists of the lease and of request starts stay single, as no change waits for them.

--- a/crates/serve/src/platform.rs
+++ b/crates/serve/src/platform.rs
@@ -65,8 +65,13 @@
         wait_ms: u64,
     ) -> impl Future<Output = Result<Page, StoreError>>;
 
-    /// Reads the newest record of each key of a topic.
-    fn read_latest(&self, topic: Topic) -> impl Future<Output = Result<Page, StoreError>>;
+    /// Reads the newest record of each key of a topic, one page at a time: the keys after `after`,
+    /// or the first ones.
+    fn read_latest(
+        &self,
+        topic: Topic,
+        after: Option<&str>,
+    ) -> impl Future<Output = Result<LatestPage, StoreError>>;
 
     /// Appends all of the records or none. With `expected_offset`, appends only if the topic ends
     /// there.
@@ -181,6 +186,15 @@
     pub skipped_records: usize,
 }
 
+/// A page of the newest records of a topic's keys.
+#[derive(Clone, Debug, Default)]
+pub struct LatestPage {
+    /// Records in the order of their keys; the offset is the end of the topic at this read.
+    pub page: Page,
+    /// Key after which the next page starts; `None` after the last page.
+    pub continue_after: Option<Arc<str>>,
+}
+
 /// Offsets of appended records.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Appended {
--- a/crates/serve/src/tasks/duties.rs
+++ b/crates/serve/src/tasks/duties.rs
@@ -15,6 +15,7 @@
 use super::HubHandle;
 use super::lease::LeaseMessage;
 use super::store_availability::StoreAvailability;
+use super::store_reads::{ReadMethod, read_list};
 use crate::events::{Event, event};
 use crate::hub::{HubMessage, PlannedOrders};
 use crate::metrics::Metrics;
@@ -253,7 +254,7 @@
         &mut self,
         cluster_ms: u64,
     ) -> Option<BTreeMap<Arc<str>, BTreeMap<u64, StartCounts>>> {
-        let result = self.platform.read_latest(Topic::Starts).await;
+        let result = read_list(&self.platform, Topic::Starts, ReadMethod::Single).await;
         self.store.record(&result);
         // After a failed read, the windows are still due at the next attempt.
         let page = result.ok()?;
--- a/crates/serve/src/tasks/lease.rs
+++ b/crates/serve/src/tasks/lease.rs
@@ -19,6 +19,7 @@
 
 use super::HubHandle;
 use super::store_availability::StoreAvailability;
+use super::store_reads::{ReadMethod, read_list};
 use crate::events::{Event, event};
 use crate::hub::{HeldLease, HubMessage, ReadMode};
 use crate::platform::{Page, Platform, StoreError, Topic};
@@ -134,7 +135,7 @@
 
     async fn read(&mut self, sent_at_ms: u64) {
         let result = match &self.view {
-            None => self.platform.read_latest(Topic::Lease).await,
+            None => read_list(&self.platform, Topic::Lease, ReadMethod::Single).await,
             Some(view) => self.platform.read(Topic::Lease, view.end, 0).await,
         };
         self.store.record(&result);
--- a/crates/serve/src/tasks/mod.rs
+++ b/crates/serve/src/tasks/mod.rs
@@ -10,6 +10,7 @@
 mod reservations;
 mod starts;
 mod store_availability;
+mod store_reads;
 mod topic_reader;
 
 use std::time::Duration;
--- a/crates/serve/src/tasks/topic_reader.rs
+++ b/crates/serve/src/tasks/topic_reader.rs
@@ -1,20 +1,16 @@
 //! Reads a topic of the store and passes its records to the hub.
 
-use std::pin::pin;
 use std::time::{Duration, Instant};
 
 use cowslip_membership::StoreRetry;
-use futures_util::future::{Either, select};
 
 use super::HubHandle;
 use super::store_availability::StoreAvailability;
-use crate::events::{Event, event};
+use super::store_reads::{ReadMethod, read_from, read_list};
 use crate::hub::{HubMessage, ReadMode};
 use crate::metrics::Metrics;
 use crate::platform::{Page, Platform, StoreError, Topic};
 
-/// Time without a response after which a read is sent once more on a new connection.
-const HEDGE_AFTER: Duration = Duration::from_millis(500); // a response of the store takes some milliseconds
 /// Interval between checks whether this instance has to read now.
 const SKIP_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -53,7 +49,7 @@
     let mut next = None;
     let mut delay = schedule.min_delay;
     let mut failures = 0;
-    let mut is_hedged = true;
+    let mut method = ReadMethod::Hedged;
     let mut store = StoreAvailability::new(topic, "reading");
     compio::time::sleep(schedule.first_delay).await;
     loop {
@@ -61,7 +57,7 @@
             Some(ReadMode::Skip) => {
                 next = None;
                 failures = 0;
-                is_hedged = true;
+                method = ReadMethod::Hedged;
                 delay = schedule.min_delay;
                 compio::time::sleep(SKIP_INTERVAL).await;
                 continue;
@@ -74,12 +70,9 @@
             Some(ReadMode::Continue) | None => {}
         }
         let wait_ms = if failures == 0 { schedule.wait_ms } else { 0 };
-        // A list of all keys takes longer than other reads, and a second one would make it slower
-        // still.
-        let result = if is_hedged && next.is_some() {
-            read_hedged(&platform, topic, next, wait_ms).await
-        } else {
-            read(&platform, topic, next, wait_ms).await
+        let result = match next {
+            None => read_list(&platform, topic, method).await,
+            Some(from) => read_from(&platform, topic, from, wait_ms, method).await,
         };
         let outcome = if result.is_ok() { "ok" } else { "failed" };
         metrics.store_calls.with_label_values(&[outcome]).inc();
@@ -91,7 +84,7 @@
         match result {
             Ok(page) => {
                 failures = 0;
-                is_hedged = true;
+                method = ReadMethod::Hedged;
                 let is_list = next.is_none();
                 next = Some(page.next_offset);
                 forward(&hub, topic, page, is_list).await;
@@ -103,7 +96,7 @@
             Err(_) => {
                 failures += 1;
                 let Some(retry) = wait_to_retry(&hub, failures).await else { return };
-                is_hedged = retry.is_hedged;
+                method = if retry.is_hedged { ReadMethod::Hedged } else { ReadMethod::Single };
             }
         }
     }
@@ -126,49 +119,6 @@
     }
 }
 
-/// Reads, and reads once more on a new connection if no response arrives in time. An open connection
-/// may go silent while the store serves others, which is no outage of the store.
-async fn read_hedged<P>(
-    platform: &P,
-    topic: Topic,
-    next: Option<u64>,
-    wait_ms: u64,
-) -> Result<Page, StoreError>
-where
-    P: Platform,
-{
-    let first = pin!(read(platform, topic, next, wait_ms));
-    let wait = next.map_or(Duration::ZERO, |_| Duration::from_millis(wait_ms));
-    let second = pin!(async {
-        compio::time::sleep(wait + HEDGE_AFTER).await;
-        platform.close_idle_connections();
-        read(platform, topic, next, 0).await
-    });
-    match select(first, second).await {
-        Either::Left((result, _)) => result,
-        Either::Right((Err(_), first)) => first.await,
-        Either::Right((Ok(page), _)) => {
-            event!(Event::StoreConnectionSilent, topic = format_args!("{topic:?}"));
-            Ok(page)
-        }
-    }
-}
-
-async fn read<P>(
-    platform: &P,
-    topic: Topic,
-    next: Option<u64>,
-    wait_ms: u64,
-) -> Result<Page, StoreError>
-where
-    P: Platform,
-{
-    match next {
-        None => platform.read_latest(topic).await,
-        Some(from) => platform.read(topic, from, wait_ms).await,
-    }
-}
-
 async fn forward(hub: &HubHandle, topic: Topic, page: Page, is_list: bool) {
     // A read of the roster is reported even without records, since peers rely on this instance's
     // reads of it.
