Tell an outage of the store from failures of this instance alone

Cause: after an outage removals are delayed for 2 s, and any failed read followed by a successful one was an outage, however much later: a flag, which an instance kept while it was fed again. No entry expires in a cut of one's own.

Evidence: the log of the instance has events 200, later 603 and 201, and the removal 2 s after those of the others, whose reads never failed.

Change: an outage ends with the first read after a failure if nobody, own or peer, is known to have read for 1.5 s. Feeds state the age of their read, so this needs no new message. Event 205 tells where an outage ends.

--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -100,9 +100,9 @@
 }
 
 impl UpstreamRegistry {
-    /// Starts the grace period when the store responds after an outage.
-    pub fn on_store_recovered(&mut self, now_ms: u64) {
-        self.grace_until_ms = now_ms + STORE_RECOVERY_GRACE_MS;
+    /// Starts the grace period of an outage of the store that ended at `at_ms`.
+    pub fn on_store_recovered(&mut self, at_ms: u64) {
+        self.grace_until_ms = self.grace_until_ms.max(at_ms + STORE_RECOVERY_GRACE_MS);
     }
 
     /// Applies an upstream's entry. An incarnation that was draining never takes work again.
--- a/crates/serve/src/hub/feed.rs
+++ b/crates/serve/src/hub/feed.rs
@@ -192,6 +192,9 @@
     pub(super) fn apply_feed(&mut self, from: &Name, feed: proto::FeedReply) {
         let now_ms = self.clock.now_ms();
         self.cluster_clock.on_estimate(now_ms, feed.true_ms);
+        if let Some(age_ms) = feed.read_age_ms {
+            self.on_store_read(now_ms.saturating_sub(age_ms));
+        }
         self.on_suspects(&feed.suspects);
         self.update_transfer(now_ms, from, &feed);
         if let Some(record) = feed.declaration {
--- a/crates/serve/src/hub/mod.rs
+++ b/crates/serve/src/hub/mod.rs
@@ -24,7 +24,7 @@
     UpstreamRegistry, plan_capacity, plan_roles,
 };
 use cowslip_hedging::Hedging;
-use cowslip_membership::{FeedRole, FeedTopology};
+use cowslip_membership::{FeedRole, FeedTopology, StoreEvidence};
 use cowslip_poison::{Quarantine, Refusal, SuspectKey};
 use cowslip_task::send_reply;
 use cowslip_usage::{ClusterClock, StartCounters, StartWindows, WindowTimes};
@@ -69,6 +69,7 @@
     /// Whether the store or a peer has provided any list of upstreams.
     is_roster_known: bool,
     roster_reads: RosterReads,
+    store_evidence: StoreEvidence,
     roster_transfer: Option<RosterTransfer>,
     health: UpstreamHealth,
     loads: HashMap<Arc<str>, LocalLoad>,
@@ -133,6 +134,7 @@
             roster_records: RosterRecords::default(),
             is_roster_known: false,
             roster_reads: RosterReads::default(),
+            store_evidence: StoreEvidence::default(),
             roster_transfer: None,
             health: UpstreamHealth::default(),
             loads: HashMap::new(),
--- a/crates/serve/src/hub/records.rs
+++ b/crates/serve/src/hub/records.rs
@@ -156,6 +156,7 @@
     fn on_roster(&mut self, page: Page, is_list: bool) {
         let now_ms = self.clock.now_ms();
         self.roster_reads.succeeded_at_ms = Some(now_ms);
+        self.on_store_read(now_ms);
         if is_list {
             let missing: Vec<Arc<str>> = self.roster_records.missing(&page.records).collect();
             for key in missing {
@@ -234,10 +235,18 @@
         if topic != Topic::Roster {
             return;
         }
-        if is_up && self.roster_reads.has_failed {
-            self.registry.on_store_recovered(self.clock.now_ms());
-        }
         self.roster_reads.has_failed = !is_up;
+        if !is_up {
+            self.store_evidence.on_failed(self.clock.now_ms());
+        }
+    }
+
+    /// Records that the store was read at `at_ms`, by this instance or a peer.
+    pub(super) fn on_store_read(&mut self, at_ms: u64) {
+        if self.store_evidence.on_read(at_ms) {
+            event!(Event::StoreOutageEnded);
+            self.registry.on_store_recovered(at_ms);
+        }
     }
 
     fn on_instances(&mut self, records: Vec<StoredRecord>, is_list: bool) {
--- a/crates/serve/src/tasks/topic_reader.rs
+++ b/crates/serve/src/tasks/topic_reader.rs
@@ -76,9 +76,8 @@
         };
         let outcome = if result.is_ok() { "ok" } else { "failed" };
         metrics.store_calls.with_label_values(&[outcome]).inc();
-        if store.record(&result) {
-            let is_up =
-                result.is_ok() || result.as_ref().is_err_and(|error| *error == StoreError::Expired);
+        let is_up = matches!(result, Ok(_) | Err(StoreError::Expired));
+        if store.record(&result) || !is_up {
             hub.send(HubMessage::StoreState { topic, is_up }).await;
         }
         match result {
