Retry the store sooner where no source of an instance responds

A fed instance that cannot read the store waits up to 6.4 s, since its feeders tell it when the store is back, also if none of them responds. Configurations would then be late.

Change: without a source whose last exchange succeeded, it waits like a feeder, 1.6 s at most.

Result: the new row of reads_after_a_failure_follow_the_present_role failed before (6,400 ms for 1,600 ms) and holds.

--- a/crates/membership/src/feed_topology.rs
+++ b/crates/membership/src/feed_topology.rs
@@ -214,7 +214,9 @@
         let role = self.role();
         let delay_role = match role {
             // No peer tells it when the store is back.
-            FeedRole::Fed if !self.has_list || !self.has_been_fed => FeedRole::Feeder,
+            FeedRole::Fed if !self.has_list || !self.has_been_fed || !self.has_live_source() => {
+                FeedRole::Feeder
+            }
             FeedRole::Reader | FeedRole::Feeder | FeedRole::Fed => role,
         };
         StoreRetry {
@@ -295,6 +297,11 @@
         sources.into_iter()
     }
 
+    /// Returns whether the last exchange with any source succeeded.
+    fn has_live_source(&self) -> bool {
+        self.has_answering_source() || self.fed_read_at_ms().is_some()
+    }
+
     fn has_answering_source(&self) -> bool {
         self.sources().any(|name| self.answering.contains(name))
     }
--- a/crates/membership/tests/feed_start.rs
+++ b/crates/membership/tests/feed_start.rs
@@ -142,6 +142,9 @@
     assert!(topology.may_hold_back_instances());
     assert_eq!(topology.store_retry(3, 1_000).delay_ms, 1_600, "never fed");
     topology.on_feed_received(0, &name("a0"), Some(0));
+    topology.on_feed_failed(&name("a0"));
+    assert_eq!(topology.store_retry(3, 1_000).delay_ms, 1_600, "no source responds");
+    topology.on_feed_received(0, &name("a0"), None);
     for case in cases {
         topology.set_live_instances(case.listed.iter().map(|text| (name(text), location(text))));
         let retry = topology.store_retry(case.failures, 1_000);
