Close old idle connections when a request got no response on one of them

Cause: a request that is given up closes its own connection; the next takes another that went silent with it.

Change: if a request on a reused connection is given up after a second or more without a response, connections idle since before it was sent are closed. No limit of idle time, since new connections cost upstreams slots.

--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -25,6 +25,8 @@
 /// Delay before a returned connection is reused. Surplus bytes after a response arrive within this
 /// time, and `hyper` then closes the connection before it can carry another request.
 const REUSE_DELAY: Duration = Duration::from_millis(10);
+/// Time without a response after which a request that is given up casts doubt on its connection.
+const SILENT_AFTER: Duration = Duration::from_secs(1);
 
 /// Timeouts of a [`Client`].
 #[derive(Clone, Copy, Debug)]
@@ -58,6 +60,7 @@
 #[derive(Debug)]
 struct IdleConnection {
     sender: SendRequest<Body>,
+    idle_since: Instant,
     usable_from: Instant,
     usable_until: Instant,
 }
@@ -68,6 +71,33 @@
     }
 }
 
+/// Watches a request on a reused connection. If the request is given up without a response, the
+/// connections that have been idle since before it was sent may be silent as well, and are closed.
+struct SilenceGuard<'a> {
+    client: &'a Client,
+    address: SocketAddr,
+    sent_at: Instant,
+    is_armed: bool,
+}
+
+impl<'a> SilenceGuard<'a> {
+    fn new(client: &'a Client, address: SocketAddr) -> Self {
+        Self { client, address, sent_at: Instant::now(), is_armed: true }
+    }
+
+    fn disarm(mut self) {
+        self.is_armed = false;
+    }
+}
+
+impl Drop for SilenceGuard<'_> {
+    fn drop(&mut self) {
+        if self.is_armed && self.sent_at.elapsed() >= SILENT_AFTER {
+            self.client.close_idle_since_before(self.address, self.sent_at);
+        }
+    }
+}
+
 /// A connection that carries one request at a time and is not shared.
 #[derive(Debug)]
 pub struct Connection {
@@ -135,7 +165,10 @@
         mut request: Request<Body>,
     ) -> Result<(Response<Incoming>, Connection), SendError> {
         while let Some(mut connection) = self.take_idle(address) {
-            match connection.try_send(request).await {
+            let silence = SilenceGuard::new(self, address);
+            let result = connection.try_send(request).await;
+            silence.disarm();
+            match result {
                 Ok(response) => return Ok((response, connection)),
                 // The server had closed the idle connection: nothing was sent.
                 Err((Some(unsent), _)) => request = unsent,
@@ -161,6 +194,13 @@
         self.idle.borrow_mut().remove(&address);
     }
 
+    /// Closes the connections to `address` that have been idle since before `time`.
+    fn close_idle_since_before(&self, address: SocketAddr, time: Instant) {
+        if let Some(connections) = self.idle.borrow_mut().get_mut(&address) {
+            connections.retain(|idle| idle.idle_since >= time);
+        }
+    }
+
     fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
         let now = Instant::now();
         let mut idle = self.idle.borrow_mut();
@@ -194,6 +234,7 @@
         if connections.len() < MAX_IDLE_PER_ADDRESS {
             connections.push(IdleConnection {
                 sender: connection.sender,
+                idle_since: now,
                 usable_from: now + reuse_delay,
                 usable_until: now + reuse_for,
             });
