Report the end of a connection during an upload as a broken response

Callers got a part of a response as a complete one: an upstream answered a long upload at once with a 200 without a length, sent part of its body, and ended the connection while the upload was still being sent.

Cause: such a response is complete when its connection ends, and hyper takes a read that returns the end for that. The end of the upstream's side is read before the reset that the rest of the upload provokes, and after a failed write has taken the error of the socket, reads return an end too. That the request was written shows nothing either: the kernel's send buffer takes all of 3.5 MB here, of which 3.3 MB were not acknowledged.

Change: the read half of a client's connection reports an end as an error unless the whole request was written, all of it is acknowledged, and the socket has no error. Both daemons read all their HTTP/1.1 responses through this client. The end of the upstream's side acknowledges all that arrived before it, so a response that ends after its whole request was read stays a success.

--- a/crates/harness/src/lib.rs
+++ b/crates/harness/src/lib.rs
@@ -2,6 +2,7 @@
 //! and the demo.
 
 mod crowd;
+mod early_end;
 mod error;
 mod fleet;
 mod http;
@@ -10,6 +11,7 @@
 mod tickets;
 
 pub use crowd::{Crowd, Sending, leave, open_descriptors, peak_memory_kib};
+pub use early_end::EarlyEnd;
 pub use error::Error;
 pub use fleet::{Engine, EntryInstance, Fleet, FleetOptions};
 pub use http::{HttpResponse, request};
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -1,4 +1,7 @@
 //! HTTP/1.1 client that reports whether any byte of a failed request may have been sent.
+//!
+//! A response without a length fails if its connection ends before the server has acknowledged the
+//! whole request.
 
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -16,7 +19,9 @@
 
 use crate::body::Body;
 use crate::error::{ConnectSnafu, Error, HttpSnafu, TimedOutSnafu};
-use crate::fair_stream::FairStream;
+use crate::fair_stream::{FairStream, Observer};
+use crate::response_reader::ResponseReader;
+use crate::sending::{RequestBody, SendProgress};
 
 /// Largest head of a response, in bytes; also bounds the read buffer of a connection.
 const MAX_HEAD_BYTES: usize = 65_536;
@@ -59,7 +64,7 @@
 /// A pooled connection.
 #[derive(Debug)]
 struct IdleConnection {
-    sender: SendRequest<Body>,
+    connection: Connection,
     idle_since: Instant,
     usable_from: Instant,
     usable_until: Instant,
@@ -67,7 +72,7 @@
 
 impl IdleConnection {
     fn is_open(&self, now: Instant) -> bool {
-        !self.sender.is_closed() && now < self.usable_until
+        !self.connection.sender.is_closed() && now < self.usable_until
     }
 }
 
@@ -101,7 +106,8 @@
 /// A connection that carries one request at a time and is not shared.
 #[derive(Debug)]
 pub struct Connection {
-    sender: SendRequest<Body>,
+    sender: SendRequest<RequestBody>,
+    progress: Rc<SendProgress>,
 }
 
 impl Client {
@@ -125,9 +131,12 @@
         SockRef::from(&tcp)
             .set_tcp_user_timeout(Some(self.options.user_timeout))
             .context(ConnectSnafu { address })?;
+        let progress = Rc::new(SendProgress::new());
+        let reader = ResponseReader::new(tcp.clone(), progress.clone());
+        let stream = HyperStream::new_plain((reader, tcp));
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
-            .handshake(FairStream::new(HyperStream::new_plain(tcp), None))
+            .handshake(FairStream::new(stream, Observer::Sending(progress.clone())))
             .await
             .context(HttpSnafu)?;
         compio::runtime::spawn(async move {
@@ -135,7 +144,7 @@
             let _ = connection.await;
         })
         .detach();
-        Ok(Connection { sender })
+        Ok(Connection { sender, progress })
     }
 
     /// Sends a request over a pooled or new connection and waits for the head of the response.
@@ -206,10 +215,11 @@
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&address)?;
         connections.retain(|idle| idle.is_open(now));
-        let is_usable = |idle: &IdleConnection| idle.sender.is_ready() && idle.usable_from <= now;
+        let is_usable =
+            |idle: &IdleConnection| idle.connection.sender.is_ready() && idle.usable_from <= now;
         // Reuses the most recently returned connection, so that the others can expire.
         let index = connections.iter().rposition(is_usable)?;
-        Some(Connection { sender: connections.remove(index).sender })
+        Some(connections.remove(index).connection)
     }
 
     fn put_idle(
@@ -233,7 +243,7 @@
         connections.retain(|idle| idle.is_open(now));
         if connections.len() < MAX_IDLE_PER_ADDRESS {
             connections.push(IdleConnection {
-                sender: connection.sender,
+                connection,
                 idle_since: now,
                 usable_from: now + reuse_delay,
                 usable_until: now + reuse_for,
@@ -258,8 +268,9 @@
         &mut self,
         request: Request<Body>,
     ) -> Result<Response<Incoming>, (Option<Request<Body>>, Error)> {
+        let request = request.map(|body| RequestBody::new(body, self.progress.clone()));
         self.sender.try_send_request(request).await.map_err(|mut error| {
-            let unsent = error.take_message();
+            let unsent = error.take_message().map(|request| request.map(RequestBody::into_inner));
             (unsent, Error::Http { source: error.into_error() })
         })
     }
--- a/crates/net/src/fair_stream.rs
+++ b/crates/net/src/fair_stream.rs
@@ -8,10 +8,20 @@
 use hyper::rt::{Read, ReadBufCursor, Write};
 
 use crate::connection::ServedConnection;
+use crate::sending::SendProgress;
 
 /// Successive reads that succeed at once before the stream yields.
 const MAX_READY_READS: u32 = 2; // up to 128 KiB, some milliseconds of parsing
 
+/// What a stream reports its reads and writes to.
+#[derive(Debug)]
+pub(crate) enum Observer {
+    /// Gets to know when bytes arrive, and whether the other side reads what is written.
+    Served(Rc<ServedConnection>),
+    /// Gets to know whether all that was written has left the process.
+    Sending(Rc<SendProgress>),
+}
+
 /// Wraps a connection's stream. `hyper` reads on in one poll as long as bytes arrive that complete
 /// no message, so a server that sends interim responses without end would stop all other tasks of
 /// the thread.
@@ -19,18 +29,29 @@
 pub(crate) struct FairStream<S> {
     inner: S,
     ready_reads: u32,
-    /// Gets to know when bytes arrive, and whether the other side reads what is written.
-    connection: Option<Rc<ServedConnection>>,
+    observer: Observer,
 }
 
 impl<S> FairStream<S> {
-    pub(crate) fn new(inner: S, connection: Option<Rc<ServedConnection>>) -> Self {
-        Self { inner, ready_reads: 0, connection }
+    pub(crate) fn new(inner: S, observer: Observer) -> Self {
+        Self { inner, ready_reads: 0, observer }
     }
 
     fn record_write<T>(&self, polled: Poll<T>) -> Poll<T> {
-        if let Some(connection) = &self.connection {
-            connection.set_unread(polled.is_pending());
+        match &self.observer {
+            Observer::Served(connection) => connection.set_unread(polled.is_pending()),
+            Observer::Sending(progress) => progress.set_flushed(false),
+        }
+        polled
+    }
+
+    fn record_flush(&self, polled: Poll<io::Result<()>>) -> Poll<io::Result<()>> {
+        match &self.observer {
+            Observer::Served(connection) => connection.set_unread(polled.is_pending()),
+            Observer::Sending(progress) => {
+                // `hyper` flushes only when it has written all that it has.
+                progress.set_flushed(matches!(polled, Poll::Ready(Ok(()))));
+            }
         }
         polled
     }
@@ -52,7 +73,7 @@
         }
         let polled = Pin::new(&mut self.inner).poll_read(context, buffer);
         self.ready_reads = if polled.is_ready() { self.ready_reads + 1 } else { 0 };
-        if let (Poll::Ready(Ok(())), Some(connection)) = (&polled, &self.connection) {
+        if let (Poll::Ready(Ok(())), Observer::Served(connection)) = (&polled, &self.observer) {
             connection.on_read();
         }
         Poll::Ready(ready!(polled))
@@ -87,7 +108,7 @@
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         let polled = Pin::new(&mut self.inner).poll_flush(context);
-        self.record_write(polled)
+        self.record_flush(polled)
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -10,6 +10,8 @@
 mod fair_stream;
 mod memory;
 mod peer;
+mod response_reader;
+mod sending;
 mod server;
 mod whole_body;
 
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -23,7 +23,7 @@
 use crate::body::Body;
 use crate::connection::{Caller, Connections, ServedConnection};
 use crate::error::{Error, ListenSnafu};
-use crate::fair_stream::FairStream;
+use crate::fair_stream::{FairStream, Observer};
 use crate::memory::Memory;
 
 /// Smallest read buffer that `hyper` accepts, in bytes.
@@ -158,7 +158,7 @@
     F: Future<Output = Response<Body>> + 'static,
 {
     let _ = tcp.set_nodelay(true);
-    let stream = FairStream::new(HyperStream::new_plain(tcp), Some(connection.clone()));
+    let stream = FairStream::new(HyperStream::new_plain(tcp), Observer::Served(connection.clone()));
     let service = service_fn(move |request: Request<Incoming>| {
         let has_arrived = request.body().is_end_stream();
         connection.set_phase(if has_arrived {
