--- a/crates/net/src/response_reader.rs
+++ b/crates/net/src/response_reader.rs
@@ -30,7 +30,7 @@
         Self { tcp, progress }
     }
 
-    async fn check_end(&self) -> io::Result<()> {
+    async fn check_request_received(&self) -> io::Result<()> {
         if !self.progress.is_sent() {
             // The last write may be done without its writer having been polled since.
             yield_once().await;
@@ -54,7 +54,9 @@
         B: IoBufMut,
     {
         match self.tcp.read(buffer).await {
-            BufResult(Ok(0), buffer) => BufResult(self.check_end().await.map(|()| 0), buffer),
+            BufResult(Ok(0), buffer) => {
+                BufResult(self.check_request_received().await.map(|()| 0), buffer)
+            }
             read => read,
         }
     }
