--- a/crates/net/tests/responses.rs
+++ b/crates/net/tests/responses.rs
@@ -9,6 +9,7 @@
 use cowslip_harness::EarlyEnd;
 use cowslip_net::{Body, ChunkSender, Client, ClientOptions, body_channel, full_body, read_body};
 use http::Request;
+use socket2::SockRef;
 
 const HEAD: &[u8] = b"HTTP/1.1 200 OK\r\nx-framing: none\r\n\r\n";
 const PART_BYTES: usize = 4;
@@ -17,8 +18,9 @@
 const LARGE_BYTES: usize = 3_500_000;
 /// Fits into no send buffer, so that a write still waits when the connection ends.
 const UNSENT_BYTES: usize = 16_000_000;
-/// Fits into the send buffer of a connection, and not into the read buffer of the other side.
+/// Fits into the send buffer of a connection, and not into the read buffer of the server.
 const BUFFERED_BYTES: usize = 300_000;
+const READ_BUFFER_BYTES: usize = 65_536;
 /// Time in which what was sent arrives.
 const ARRIVAL: Duration = Duration::from_millis(50);
 const TIMEOUT: Duration = Duration::from_secs(10);
@@ -117,6 +119,7 @@
 /// Starts a server for one connection.
 fn start_server(Case { end, part_bytes, .. }: Case) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    SockRef::from(&listener).set_recv_buffer_size(READ_BUFFER_BYTES).expect("a buffer size");
     let address = listener.local_addr().expect("an address");
     let response = [HEAD, &vec![b'a'; part_bytes]].concat();
     thread::spawn(move || {
