--- a/crates/harness/src/early_end.rs
+++ b/crates/harness/src/early_end.rs
@@ -23,8 +23,7 @@
 }
 
 impl EarlyEnd {
-    /// All ways to end a connection.
-    pub const ALL: [Self; 3] = [Self::EndThenReset, Self::Close, Self::Reset];
+    const ALL: [Self; 3] = [Self::EndThenReset, Self::Close, Self::Reset];
 
     /// Returns the way with this debug form.
     #[must_use]
