--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -7,7 +7,7 @@
     exit 2
   fi
 done
-timeout 110 target/review-3/cases endless review/11
+timeout 110 target/review-3/cases recount review/11
 status=$?
 [ "$status" -le 2 ] || status=2
 exit "$status"
--- a/review/standins-3/instance.rs
+++ b/review/standins-3/instance.rs
@@ -25,8 +25,6 @@
     pub descriptors: u32,
     pub requires_fence: bool,
     pub retry_slack: u32,
-    /// Engines of each stage, all in the first zone.
-    pub engines: usize,
 }
 
 /// One machine and its process.
@@ -126,15 +124,6 @@
 }
 
 impl Instance {
-    /// Returns the memory of the process.
-    pub fn memory_bytes(&self) -> u64 {
-        let id = self.process.as_ref().map_or(0, Child::id);
-        let status = fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
-        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
-        let kib = line.and_then(|line| line.trim().trim_end_matches(" kB").parse::<u64>().ok());
-        kib.unwrap_or(0) * 1_024
-    }
-
     pub fn kill(&mut self) {
         if let Some(mut child) = self.process.take() {
             let _ = child.kill();
--- a/review/standins-3/leaving.rs
+++ b/review/standins-3/leaving.rs
@@ -13,7 +13,6 @@
     descriptors: 4_100,
     requires_fence: true,
     retry_slack: 52,
-    engines: 0,
 };
 /// `contact_ms`, after which calm machines are in touch and the store is stable.
 const CONTACT: Duration = Duration::from_millis(4_000);
--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -1,16 +1,15 @@
 //! Cases for a small deployment on stand-ins: the store comes back from an older copy, a worker
-//! starts again, engines send bytes without end.
+//! starts again.
 //!
 //! `cases CASE FOLDER` writes `record.txt` into the folder and exits with 1 if the rule was broken,
 //! 0 if it held, and 2 if the case could not run. With `TROUBLE=0` there is no disruption.
 
 mod config;
-mod endless;
-mod engine;
 mod http;
 mod instance;
 mod leaving;
 mod record;
+mod recount;
 mod restart;
 mod site;
 mod store;
@@ -25,7 +24,7 @@
 fn main() {
     let words: Vec<String> = std::env::args().collect();
     let [_, case, folder] = &words[..] else {
-        eprintln!("usage: cases leaving|usage|config|restart|endless FOLDER");
+        eprintln!("usage: cases leaving|usage|config|restart|recount FOLDER");
         exit(2);
     };
     // A case that fails to run must not look like one in which the rule was broken.
@@ -39,7 +38,7 @@
         "leaving" => leaving::run(&record, has_trouble),
         "usage" => usage::run(&record, has_trouble),
         "restart" => restart::run(&record, has_trouble),
-        "endless" => endless::run(&record, has_trouble),
+        "recount" => recount::run(&record, has_trouble),
         "config" => config::run(&record, has_trouble),
         other => panic!("unknown case {other}"),
     };
--- a/review/standins-3/restart.rs
+++ b/review/standins-3/restart.rs
@@ -14,7 +14,6 @@
     descriptors: 4_100,
     requires_fence: true,
     retry_slack: 52,
-    engines: 0,
 };
 /// Time after an answer with `Retry-After` from which on requests count, and most of them.
 const GRACE: Duration = Duration::from_millis(500);
--- a/review/standins-3/site.rs
+++ b/review/standins-3/site.rs
@@ -5,7 +5,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::engine::{Engine, MODELS};
 use crate::http::call;
 use crate::instance::{Deployment, Instance};
 use crate::record::Record;
@@ -35,7 +34,6 @@
     pub store: Store,
     pub duties: Duties,
     pub workers: Vec<Worker>,
-    pub engines: Vec<Engine>,
     pub arrivals: Arrivals,
     pub instances: Vec<Instance>,
     pub record: Record,
@@ -64,13 +62,6 @@
             Worker::start(address, &id, SERVICE, zone, HEARTBEAT, &store, &arrivals, record)
         });
         let workers = workers.collect();
-        let engines = (0..2 * deployment.engines).map(|index| {
-            let address = SocketAddr::from((ip(120 + index), 0));
-            let (id, zone) = (format!("i-engine-{}", index + 1), deployment.zones[0].0);
-            let stage = if index < deployment.engines { "prefill" } else { "decode" };
-            Engine::start(address, &id, stage, zone, HEARTBEAT, &store, record)
-        });
-        let engines = engines.collect();
         let instances = (0..machines).map(|index| {
             let ip = ip(1 + index);
             let (store, duties) = (store.address, duties.address);
@@ -78,17 +69,8 @@
         });
         let instances: Vec<Instance> = instances.collect();
         let record = record.clone();
-        let site = Self {
-            store,
-            duties,
-            workers,
-            engines,
-            arrivals,
-            instances,
-            record,
-            directory,
-            requests: 0,
-        };
+        let site =
+            Self { store, duties, workers, arrivals, instances, record, directory, requests: 0 };
         let deadline = site.record.now() + START_TIMEOUT;
         while !site.instances.iter().all(Instance::is_ready) {
             assert!(site.record.now() < deadline, "not all machines are ready");
@@ -175,19 +157,6 @@
         .expect("a free net")
 }
 
-/// Returns a request for a stream.
-pub fn stream_request(number: u32, limit: Duration) -> String {
-    let attempt = format!("{number:016x}");
-    format!(
-        "POST /label/text HTTP/1.1\r\nhost: {HOST}\r\ncowslipvale-attempt-id: {attempt}\r\n\
-         cowslipvale-model: m\r\ncowslipvale-token-counts: 1460,17\r\n\
-         cowslipvale-prompt-prefix: 5c1e07a2:350,{attempt}:1110\r\n\
-         cowslipvale-deadline-ms: {}\r\nauthorization: Bearer {KEY}\r\ncontent-length: 16\r\n\r\n\
-         {attempt}",
-        limit.as_millis()
-    )
-}
-
 /// Returns a booking, which may run once.
 pub fn booking_request(attempt: &str, key: &str) -> String {
     format!(
@@ -206,15 +175,9 @@
          {{\"name\":\"book-order\",\"host\":\"{HOST}\",\"path_prefix\":\"/book/\",\
          \"kind\":\"unsafe\",\"timeout_ms\":{timeout_ms},\"slo_ms\":300,\"priority\":2,\
          \"service\":\"{SERVICE}\",\"attempts\":1,\"public\":false,\"sticky\":false,\
-         \"resumable\":false}},\
-         {{\"name\":\"spool-label\",\"host\":\"{HOST}\",\"path_prefix\":\"/label/\",\
-         \"kind\":\"streaming\",\"timeout_ms\":6000,\"slo_ms\":300,\"priority\":0,\
-         \"service\":\"{MODELS}\",\"attempts\":1,\"public\":false,\"sticky\":true,\
-         \"resumable\":false,\"itl_slo_ms\":250}}],\
+         \"resumable\":false}}],\
          \"services\":[{{\"name\":\"{SERVICE}\",\"health_path\":\"/healthz\",\"max_conns\":96,\
-         \"protocol\":\"h1\",\"tls\":false}},\
-         {{\"name\":\"{MODELS}\",\"health_path\":\"/healthz\",\"max_conns\":610,\
-         \"protocol\":\"h1\",\"tls\":false,\"engine\":{{\"slots\":128}}}}],\
+         \"protocol\":\"h1\",\"tls\":false}}],\
          \"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\
          \"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}},\
          \"tenants\":[{{\"name\":\"hule930\",\"api_keys\":[{keys}],\"priority\":1}}]}}"
--- a/review/standins-3/store.rs
+++ b/review/standins-3/store.rs
@@ -237,6 +237,7 @@
     pub fence: u64,
     pub window: u64,
     pub counts: String,
+    pub status: u16,
 }
 
 /// The platform's interface for duties.
@@ -292,7 +293,7 @@
             let status = if checks_fence && fence < highest { 409 } else { 200 };
             let window = window.parse().unwrap_or(0);
             let at = record.now();
-            let call = DutyCall { at, machine: machine.clone(), fence, window, counts };
+            let call = DutyCall { at, machine: machine.clone(), fence, window, counts, status };
             record.write(&format!(
                 "platform: {} from {machine} with fence {fence}: window {window}, {} -> {status}",
                 request.path(),
--- a/review/standins-3/usage.rs
+++ b/review/standins-3/usage.rs
@@ -13,7 +13,6 @@
     descriptors: 4_100,
     requires_fence: false,
     retry_slack: 186,
-    engines: 0,
 };
 /// `contact_ms`, after which the platform's store counts as stable.
 const CONTACT: Duration = Duration::from_millis(4_000);
