--- a/review/15/run.sh
+++ b/review/15/run.sh
@@ -1,5 +1,8 @@
 #!/usr/bin/env bash
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run; see claim.txt.
+# TROUBLE=0 leaves the disruption out.
+TROUBLE=${TROUBLE:-1}
+export TROUBLE
 cd "$(dirname "$0")/../.." || exit 2
 for program in target/release/cowslip-platform target/review-3/cases; do
   if [ ! -x "$program" ]; then
