State the store's era in events, and the version of refusals

Change: the adapter decodes the era that each response of the store states, the hub tracks it (crate era), logs event 206 and sets cowslip_store_era when it rises. Event 502 names the version for no_route and bad_key. No decision changes.

--- a/crates/serve/src/caller/error_response.rs
+++ b/crates/serve/src/caller/error_response.rs
@@ -49,8 +49,8 @@
     pub(crate) fn from_rejection(rejection: Rejection) -> Self {
         match rejection {
             Rejection::NotReady => not_run("not_ready", NOT_READY_AFTER_MS),
-            Rejection::NoRoute => error(StatusCode::NOT_FOUND, "no_route"),
-            Rejection::BadKey => error(StatusCode::UNAUTHORIZED, "bad_key"),
+            Rejection::NoRoute { .. } => error(StatusCode::NOT_FOUND, "no_route"),
+            Rejection::BadKey { .. } => error(StatusCode::UNAUTHORIZED, "bad_key"),
             Rejection::NoUpstream => not_run("no_upstream", RETRY_AFTER_MS),
             Rejection::AllHold { retry_after_ms } => not_run("upstreams_hold", retry_after_ms),
             Rejection::OverAllowance { retry_after_ms } => Self {
--- a/crates/serve/src/caller/server.rs
+++ b/crates/serve/src/caller/server.rs
@@ -113,9 +113,7 @@
             .request(|reply| HubMessage::Authorize { query, reply })
             .await
             .unwrap_or(Err(Rejection::NotReady))
-            .map_err(|rejection| {
-                self.reject(&head.attempt_id, ErrorResponse::from_rejection(rejection))
-            })?;
+            .map_err(|rejection| self.deny(&head.attempt_id, rejection))?;
         let authorized = authorized_request.authorized;
         let timeout_ms =
             head.timeout_ms.unwrap_or(DEFAULT_TIMEOUT_MS).min(authorized.route.timeout_ms);
@@ -192,6 +190,23 @@
         })
     }
 
+    /// Logs and counts a request that the configuration does not allow, with its version.
+    fn deny(&self, attempt_id: &str, rejection: Rejection) -> ErrorResponse {
+        let error_response = ErrorResponse::from_rejection(rejection);
+        let (Rejection::NoRoute { version } | Rejection::BadKey { version }) = rejection else {
+            return self.reject(attempt_id, error_response);
+        };
+        event!(
+            Event::RequestRefused,
+            request = attempt_id,
+            reason = error_response.reason,
+            status = error_response.status.as_u16(),
+            version = version
+        );
+        self.count_refusal();
+        error_response
+    }
+
     /// Logs and counts a request that ends before it is placed.
     fn reject(&self, attempt_id: &str, error_response: ErrorResponse) -> ErrorResponse {
         event!(
@@ -200,9 +215,13 @@
             reason = error_response.reason,
             status = error_response.status.as_u16()
         );
-        self.shared.metrics.requests.with_label_values(&["refused"]).inc();
+        self.count_refusal();
         error_response
     }
+
+    fn count_refusal(&self) {
+        self.shared.metrics.requests.with_label_values(&["refused"]).inc();
+    }
 }
 
 /// Hashes the caller's workspace, method, path and body; equal requests have the same digest at all
--- a/crates/serve/src/hub/message.rs
+++ b/crates/serve/src/hub/message.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use cowslip_era::EraStatement;
 use cowslip_fleet::{
     Authorized, CapacityOrder, Failure, Prompt, RoleOrder, SendOutcome, StopSchedule, Upstream,
 };
@@ -61,6 +62,8 @@
     Announced { upstream: Arc<str>, started_at_ms: u64, is_leaving: bool, hold_ms: Option<u64> },
     /// Reports that an upstream's identity or role differs from its entry.
     Misdirected { upstream: Arc<str> },
+    /// Reports what a response of the store states about its era.
+    EraStated { era: EraStatement },
     /// Delivers records of a topic; a list holds the newest record of every key.
     Records { topic: Topic, page: Page, is_list: bool },
     /// Reports whether a topic can be read.
@@ -211,10 +214,10 @@
 pub(crate) enum Rejection {
     /// This instance has no declared configuration yet.
     NotReady,
-    /// No route matches the host and path.
-    NoRoute,
-    /// The API key belongs to no workspace.
-    BadKey,
+    /// No route of this version of the configuration matches the host and path.
+    NoRoute { version: u64 },
+    /// The API key belongs to no workspace of this version of the configuration.
+    BadKey { version: u64 },
     /// No upstream accepts work.
     NoUpstream,
     /// All upstreams that accept work want none from this instance for this time.
--- a/crates/serve/src/hub/mod.rs
+++ b/crates/serve/src/hub/mod.rs
@@ -1,6 +1,7 @@
 //! The task that owns the state of the instance and makes all of its decisions.
 
 mod allowances;
+mod era;
 mod feed;
 mod grants;
 mod hedging;
@@ -19,6 +20,7 @@
 use cowslip_authority::Holder;
 use cowslip_clock::{Clock, unix_ms};
 use cowslip_codec::{holder_to_proto, request_starts_key};
+use cowslip_era::EraTracker;
 use cowslip_fleet::{
     DeclaredConfig, RetryBudget, SendOutcome, StopSchedule, UpstreamChange, UpstreamHealth,
     UpstreamRegistry, plan_capacity, plan_roles,
@@ -69,6 +71,7 @@
     /// Whether the store or a peer has provided any list of upstreams.
     is_roster_known: bool,
     roster_reads: RosterReads,
+    store_era: EraTracker,
     store_evidence: StoreEvidence,
     roster_transfer: Option<RosterTransfer>,
     health: UpstreamHealth,
@@ -134,6 +137,7 @@
             roster_records: RosterRecords::default(),
             is_roster_known: false,
             roster_reads: RosterReads::default(),
+            store_era: EraTracker::default(),
             store_evidence: StoreEvidence::default(),
             roster_transfer: None,
             health: UpstreamHealth::default(),
@@ -217,6 +221,7 @@
             HubMessage::UpstreamLost { id, upstream, started_at_ms } => {
                 self.on_upstream_lost(id, &upstream, started_at_ms);
             }
+            HubMessage::EraStated { era } => self.on_era_stated(era),
             HubMessage::Records { topic, page, is_list } => self.on_records(topic, page, is_list),
             HubMessage::StoreState { topic, is_up } => self.on_store_state(topic, is_up),
             HubMessage::ReadMode { topic, reply } => send_reply(&reply, self.read_mode(topic)),
--- a/crates/serve/src/hub/requests.rs
+++ b/crates/serve/src/hub/requests.rs
@@ -80,8 +80,8 @@
         let key = query.key.as_deref();
         let authorized =
             config.authorize(&query.host, &query.path, key).map_err(|denial| match denial {
-                Denial::NoRoute => Rejection::NoRoute,
-                Denial::BadKey => Rejection::BadKey,
+                Denial::NoRoute => Rejection::NoRoute { version: config.version },
+                Denial::BadKey => Rejection::BadKey { version: config.version },
             })?;
         Ok(AuthorizedRequest { authorized, max_body_bytes: config.limits.max_body_bytes })
     }
--- a/crates/serve/src/metrics.rs
+++ b/crates/serve/src/metrics.rs
@@ -28,6 +28,7 @@
     "cowslip_upstreams",
     "cowslip_is_holder",
     "cowslip_peers",
+    "cowslip_store_era",
     "cowslip_is_reader",
     "cowslip_quarantined_requests",
     "cowslip_quarantined_segments",
@@ -72,6 +73,8 @@
     pub(crate) is_holder: IntGauge,
     /// Peers to which this instance keeps links.
     pub(crate) peers: IntGauge,
+    /// Restores that the store has stated.
+    pub(crate) store_era: IntGauge,
     /// 1 while this instance reads the store itself.
     pub(crate) is_reader: IntGauge,
     /// Whole requests that are refused.
@@ -147,6 +150,7 @@
             upstreams: gauge("cowslip_upstreams", "Upstreams that take work")?,
             is_holder: gauge("cowslip_is_holder", "1 while this instance holds the lease")?,
             peers: gauge("cowslip_peers", "Other instances to which there are links")?,
+            store_era: gauge("cowslip_store_era", "Restores that the store has stated")?,
             is_reader: gauge("cowslip_is_reader", "1 while this instance reads the store itself")?,
             quarantined_requests: gauge(
                 "cowslip_quarantined_requests",
--- a/crates/serve/src/platform.rs
+++ b/crates/serve/src/platform.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use cowslip_era::EraStatement;
 use cowslip_fleet::{CapacityOrder, DeclaredConfig, EngineRole, Prompt, Upstream};
 use cowslip_net::{Account, Body};
 use http::{HeaderMap, Method, Request, Response, StatusCode, request, response};
@@ -55,7 +56,8 @@
     fn release_prefilled(&self, prefilled: &PrefilledPrompt) -> Request<Body>;
 }
 
-/// The platform's store of keyed records, grouped by topic.
+/// The platform's store of keyed records, grouped by topic. It may be restored from an older copy of
+/// itself, and then gives offsets out again in a higher era.
 pub trait Store {
     /// Reads a topic's records from an offset on. If there are none, waits up to `wait_ms` for one.
     fn read(
@@ -63,7 +65,7 @@
         topic: Topic,
         from: u64,
         wait_ms: u64,
-    ) -> impl Future<Output = Result<Page, StoreError>>;
+    ) -> impl Future<Output = StoreResponse<Page>>;
 
     /// Reads the newest record of each key of a topic, one page at a time: the keys after `after`,
     /// or the first ones.
@@ -71,7 +73,7 @@
         &self,
         topic: Topic,
         after: Option<&str>,
-    ) -> impl Future<Output = Result<LatestPage, StoreError>>;
+    ) -> impl Future<Output = StoreResponse<LatestPage>>;
 
     /// Appends all of the records or none. With `expected_offset`, appends only if the topic ends
     /// there.
@@ -80,7 +82,7 @@
         topic: Topic,
         expected_offset: Option<u64>,
         records: &[(String, Bytes)],
-    ) -> impl Future<Output = Result<Appended, StoreError>>;
+    ) -> impl Future<Output = StoreResponse<Appended>>;
 
     /// Closes idle connections, so that the next call opens a new one.
     fn close_idle_connections(&self);
@@ -164,6 +166,15 @@
     Starts,
 }
 
+/// A response of the store, or the lack of one.
+#[derive(Clone, Debug)]
+pub struct StoreResponse<T> {
+    /// What the response states about the store's era.
+    pub era: EraStatement,
+    /// Contents of the response.
+    pub result: Result<T, StoreError>,
+}
+
 /// A record of a keyed topic.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct StoredRecord {
--- a/crates/serve/src/run.rs
+++ b/crates/serve/src/run.rs
@@ -24,9 +24,9 @@
 use crate::metrics::Metrics;
 use crate::platform::{Platform, Topic};
 use crate::tasks::{
-    HubHandle, LeaseMessage, PollSchedule, deregister, run_duties, run_lease, run_links,
-    run_peer_server, run_quarantine, run_registration, run_reservations, run_starts, run_ticker,
-    run_topic_reader, write_starts,
+    HubHandle, LeaseMessage, PollSchedule, StoreClient, deregister, run_duties, run_lease,
+    run_links, run_peer_server, run_quarantine, run_registration, run_reservations, run_starts,
+    run_ticker, run_topic_reader, write_starts,
 };
 
 /// Most queued messages to the hub; senders wait while the queue is full.
@@ -137,11 +137,12 @@
     drop(stop);
     let serving = time_until(clock, schedule.serve_until_ms);
     let is_finished = finish_requests(callers, serving, end_service).await;
+    let client = StoreClient::new(platform, hub.clone());
     let final_writes = async {
-        if let Some(Err(error)) = write_starts(&platform, &hub).await {
+        if let Some(Err(error)) = write_starts(&client, &hub).await {
             event!(Event::AppendFailed, topic = "Starts", why = format_args!("{error:?}"));
         }
-        deregister(&platform, instance.as_str()).await;
+        deregister(&client, instance.as_str()).await;
     };
     // The platform kills the process when the time for the shutdown is over.
     let _ = compio::time::timeout(FINAL_WRITES, final_writes).await;
@@ -184,8 +185,9 @@
             links,
             reservations,
         );
+        let client = StoreClient::new(platform.clone(), hub.clone());
         let read_topic = |topic: Topic, schedule: PollSchedule| {
-            run_topic_reader(platform.clone(), hub.clone(), (*metrics).clone(), topic, schedule)
+            run_topic_reader(client.clone(), hub.clone(), (*metrics).clone(), topic, schedule)
                 .boxed_local()
         };
         let entry = proto::InstanceEntry {
@@ -218,11 +220,11 @@
             run_links(hub.clone(), (*metrics).clone(), config.feed_every(), link_commands)
                 .boxed_local(),
             run_reservations(hub.clone(), reservation_calls).boxed_local(),
-            run_registration(platform.clone(), hub.clone(), entry).boxed_local(),
-            run_starts(platform.clone(), hub.clone()).boxed_local(),
-            run_quarantine(platform.clone(), hub.clone()).boxed_local(),
+            run_registration(client.clone(), hub.clone(), entry).boxed_local(),
+            run_starts(client.clone(), hub.clone()).boxed_local(),
+            run_quarantine(client.clone(), hub.clone()).boxed_local(),
             run_lease(
-                platform.clone(),
+                client.clone(),
                 hub.clone(),
                 clock,
                 (*identity).clone(),
--- a/crates/serve/src/tasks/duties.rs
+++ b/crates/serve/src/tasks/duties.rs
@@ -15,6 +15,7 @@
 use super::HubHandle;
 use super::lease::LeaseMessage;
 use super::store_availability::StoreAvailability;
+use super::store_client::StoreClient;
 use super::store_reads::{ReadMethod, read_list};
 use crate::events::{Event, event};
 use crate::hub::{HubMessage, PlannedOrders};
@@ -40,6 +41,7 @@
 /// The duty task: its handles to other tasks, and its recent reports and orders.
 pub(crate) struct DutyTask<P> {
     platform: P,
+    client: StoreClient<P>,
     hub: HubHandle,
     clock: Clock,
     metrics: Metrics,
@@ -72,6 +74,7 @@
     P: Platform,
 {
     let mut duties = DutyTask {
+        client: StoreClient::new(platform.clone(), hub.clone()),
         platform,
         hub,
         clock,
@@ -254,7 +257,7 @@
         &mut self,
         cluster_ms: u64,
     ) -> Option<BTreeMap<Arc<str>, BTreeMap<u64, StartCounts>>> {
-        let result = read_list(&self.platform, Topic::Starts, ReadMethod::Single).await;
+        let result = read_list(&self.client, Topic::Starts, ReadMethod::Single).await;
         self.store.record(&result);
         // After a failed read, the windows are still due at the next attempt.
         let page = result.ok()?;
@@ -277,7 +280,7 @@
             }
         }
         if !unused.is_empty()
-            && let Err(error) = self.platform.append(Topic::Starts, None, &unused).await
+            && let Err(error) = self.client.append(Topic::Starts, None, &unused).await
         {
             event!(Event::AppendFailed, topic = "Starts", why = format_args!("{error:?}"));
         }
--- a/crates/serve/src/tasks/lease.rs
+++ b/crates/serve/src/tasks/lease.rs
@@ -19,6 +19,7 @@
 
 use super::HubHandle;
 use super::store_availability::StoreAvailability;
+use super::store_client::StoreClient;
 use super::store_reads::{ReadMethod, read_list};
 use crate::events::{Event, event};
 use crate::hub::{HeldLease, HubMessage, ReadMode};
@@ -50,7 +51,7 @@
 pub(crate) struct SteppedDown;
 
 struct LeaseTask<P> {
-    platform: P,
+    client: StoreClient<P>,
     hub: HubHandle,
     clock: Clock,
     lease: CasLease,
@@ -63,7 +64,7 @@
 
 /// Acquires and renews the lease until a message steps it down.
 pub(crate) async fn run_lease<P>(
-    platform: P,
+    client: StoreClient<P>,
     hub: HubHandle,
     clock: Clock,
     identity: Holder,
@@ -76,7 +77,7 @@
     let store = StoreAvailability::new(Topic::Lease, "the lease");
     let finalized = BTreeMap::new();
     let mut task =
-        LeaseTask { platform, hub, clock, lease, finalized, view: None, is_holder: false, store };
+        LeaseTask { client, hub, clock, lease, finalized, view: None, is_holder: false, store };
     loop {
         task.step(None).await;
         let message = compio::time::timeout(TICK, messages.recv().fuse()).await;
@@ -135,8 +136,8 @@
 
     async fn read(&mut self, sent_at_ms: u64) {
         let result = match &self.view {
-            None => read_list(&self.platform, Topic::Lease, ReadMethod::Single).await,
-            Some(view) => self.platform.read(Topic::Lease, view.end, 0).await,
+            None => read_list(&self.client, Topic::Lease, ReadMethod::Single).await,
+            Some(view) => self.client.read(Topic::Lease, view.end, 0).await,
         };
         self.store.record(&result);
         match result {
@@ -188,7 +189,7 @@
                 self.finalized = self.finalized.split_off(&old);
             }
         }
-        let result = self.platform.append(Topic::Lease, Some(expected_end), &records).await;
+        let result = self.client.append(Topic::Lease, Some(expected_end), &records).await;
         self.store.record(&result);
         let append_result = match result {
             Ok(appended) => {
--- a/crates/serve/src/tasks/mod.rs
+++ b/crates/serve/src/tasks/mod.rs
@@ -10,6 +10,7 @@
 mod reservations;
 mod starts;
 mod store_availability;
+mod store_client;
 mod store_reads;
 mod topic_reader;
 
@@ -27,6 +28,7 @@
 pub(crate) use registration::{deregister, run_registration};
 pub(crate) use reservations::run_reservations;
 pub(crate) use starts::{run_starts, write_starts};
+pub(crate) use store_client::StoreClient;
 pub(crate) use topic_reader::{PollSchedule, run_topic_reader};
 
 /// Interval between ticks of the hub.
--- a/crates/serve/src/tasks/quarantine.rs
+++ b/crates/serve/src/tasks/quarantine.rs
@@ -7,6 +7,7 @@
 
 use super::HubHandle;
 use super::store_availability::StoreAvailability;
+use super::store_client::StoreClient;
 use crate::events::{Event, event};
 use crate::hub::{HubMessage, QUARANTINE_KEY};
 use crate::platform::{Platform, Topic};
@@ -15,7 +16,7 @@
 const WRITE_EVERY: Duration = Duration::from_secs(1);
 
 /// Writes the quarantine after each change until the process ends.
-pub(crate) async fn run_quarantine<P>(platform: P, hub: HubHandle)
+pub(crate) async fn run_quarantine<P>(client: StoreClient<P>, hub: HubHandle)
 where
     P: Platform,
 {
@@ -25,7 +26,7 @@
         let taken = hub.request(|reply| HubMessage::TakeQuarantine { reply }).await;
         let Some(entry) = taken.flatten() else { continue };
         let record = (QUARANTINE_KEY.to_owned(), Bytes::from(to_json(&entry)));
-        let result = platform.append(Topic::Instances, None, &[record]).await;
+        let result = client.append(Topic::Instances, None, &[record]).await;
         store.record(&result);
         if result.is_ok() {
             event!(Event::QuarantineStored, suspects = entry.suspects.len());
--- a/crates/serve/src/tasks/registration.rs
+++ b/crates/serve/src/tasks/registration.rs
@@ -8,6 +8,7 @@
 
 use super::HubHandle;
 use super::store_availability::StoreAvailability;
+use super::store_client::StoreClient;
 use crate::events::{Event, event};
 use crate::hub::HubMessage;
 use crate::platform::{Platform, Topic};
@@ -21,7 +22,7 @@
 
 /// Writes the entry at intervals until the process ends.
 pub(crate) async fn run_registration<P>(
-    platform: P,
+    client: StoreClient<P>,
     hub: HubHandle,
     mut entry: proto::InstanceEntry,
 ) where
@@ -35,7 +36,7 @@
             entry.written_at_ms = cluster_ms;
         }
         let record = (key.clone(), Bytes::from(to_json(&entry)));
-        let result = platform.append(Topic::Instances, None, &[record]).await;
+        let result = client.append(Topic::Instances, None, &[record]).await;
         store.record(&result);
         if result.is_ok() {
             retry_delay = RETRY_DELAY;
@@ -45,12 +46,12 @@
 }
 
 /// Removes the entry from the store.
-pub(crate) async fn deregister<P>(platform: &P, name: &str)
+pub(crate) async fn deregister<P>(client: &StoreClient<P>, name: &str)
 where
     P: Platform,
 {
     let record = (name.to_owned(), Bytes::new());
-    if let Err(error) = platform.append(Topic::Instances, None, &[record]).await {
+    if let Err(error) = client.append(Topic::Instances, None, &[record]).await {
         event!(Event::AppendFailed, topic = "Instances", why = format_args!("{error:?}"));
     }
 }
--- a/crates/serve/src/tasks/starts.rs
+++ b/crates/serve/src/tasks/starts.rs
@@ -9,6 +9,7 @@
 
 use super::HubHandle;
 use super::store_availability::StoreAvailability;
+use super::store_client::StoreClient;
 use crate::hub::HubMessage;
 use crate::platform::{Appended, Platform, StoreError, Topic};
 
@@ -18,14 +19,14 @@
 const MAX_APPEND_BYTES: usize = 1_048_576;
 
 /// Writes changed starts until the process ends.
-pub(crate) async fn run_starts<P>(platform: P, hub: HubHandle)
+pub(crate) async fn run_starts<P>(client: StoreClient<P>, hub: HubHandle)
 where
     P: Platform,
 {
     let mut store = StoreAvailability::new(Topic::Starts, "writing");
     loop {
         compio::time::sleep(WRITE_EVERY).await;
-        if let Some(result) = write_starts(&platform, &hub).await {
+        if let Some(result) = write_starts(&client, &hub).await {
             store.record(&result);
         }
     }
@@ -33,7 +34,7 @@
 
 /// Writes the starts that changed since the last write. Returns `None` if none has changed.
 pub(crate) async fn write_starts<P>(
-    platform: &P,
+    client: &StoreClient<P>,
     hub: &HubHandle,
 ) -> Option<Result<Appended, StoreError>>
 where
@@ -52,7 +53,7 @@
     while !rest.is_empty() && result.as_ref().is_none_or(Result::is_ok) {
         let (batch, others) = rest.split_at(batch_len(rest));
         rest = others;
-        result = Some(platform.append(Topic::Starts, None, batch).await);
+        result = Some(client.append(Topic::Starts, None, batch).await);
     }
     let is_written = result.as_ref()?.is_ok();
     hub.send(HubMessage::StartsWritten { is_written }).await;
--- a/crates/serve/src/tasks/store_reads.rs
+++ b/crates/serve/src/tasks/store_reads.rs
@@ -5,6 +5,7 @@
 
 use futures_util::future::{Either, select};
 
+use super::store_client::StoreClient;
 use crate::events::{Event, event};
 use crate::platform::{LatestPage, Page, Platform, StoreError, Topic};
 
@@ -22,7 +23,7 @@
 
 /// Reads a topic's records from an offset on, and waits up to `wait_ms` for one.
 pub(super) async fn read_from<P>(
-    platform: &P,
+    client: &StoreClient<P>,
     topic: Topic,
     from: u64,
     wait_ms: u64,
@@ -31,23 +32,23 @@
 where
     P: Platform,
 {
-    let first = platform.read(topic, from, wait_ms);
-    let second = || platform.read(topic, from, 0);
-    repeat_if_silent(platform, topic, method, Duration::from_millis(wait_ms), first, second).await
+    let first = client.read(topic, from, wait_ms);
+    let second = || client.read(topic, from, 0);
+    repeat_if_silent(client, topic, method, Duration::from_millis(wait_ms), first, second).await
 }
 
 /// Reads the newest record of each key of a topic.
 pub(super) async fn read_list<P>(
-    platform: &P,
+    client: &StoreClient<P>,
     topic: Topic,
     method: ReadMethod,
 ) -> Result<Page, StoreError>
 where
     P: Platform,
 {
-    let mut list = read_list_page(platform, topic, method, None).await?;
+    let mut list = read_list_page(client, topic, method, None).await?;
     while let Some(after) = list.continue_after {
-        let next = read_list_page(platform, topic, method, Some(&after)).await?;
+        let next = read_list_page(client, topic, method, Some(&after)).await?;
         list.continue_after = next.continue_after;
         // The pages are not one snapshot. The next read, from the end offset of the first page,
         // returns every change made while the later pages were read.
@@ -59,7 +60,7 @@
 
 /// Reads one page of a list. The pages are repeated one by one, so that a long list is not.
 async fn read_list_page<P>(
-    platform: &P,
+    client: &StoreClient<P>,
     topic: Topic,
     method: ReadMethod,
     after: Option<&str>,
@@ -67,15 +68,15 @@
 where
     P: Platform,
 {
-    let read = || platform.read_latest(topic, after);
-    repeat_if_silent(platform, topic, method, Duration::ZERO, read(), read).await
+    let read = || client.read_latest(topic, after);
+    repeat_if_silent(client, topic, method, Duration::ZERO, read(), read).await
 }
 
 /// Runs `first`, and `second` beside it on a new connection if no response arrives in time after
 /// `wait`. An open connection may go silent while the store serves others, which is no outage of the
 /// store.
 async fn repeat_if_silent<P, T, F, S, G>(
-    platform: &P,
+    client: &StoreClient<P>,
     topic: Topic,
     method: ReadMethod,
     wait: Duration,
@@ -94,7 +95,7 @@
     let first = pin!(first);
     let second = pin!(async {
         compio::time::sleep(wait + HEDGE_AFTER).await;
-        platform.close_idle_connections();
+        client.close_idle_connections();
         second().await
     });
     match select(first, second).await {
--- a/crates/serve/src/tasks/topic_reader.rs
+++ b/crates/serve/src/tasks/topic_reader.rs
@@ -6,6 +6,7 @@
 
 use super::HubHandle;
 use super::store_availability::StoreAvailability;
+use super::store_client::StoreClient;
 use super::store_reads::{ReadMethod, read_from, read_list};
 use crate::hub::{HubMessage, ReadMode};
 use crate::metrics::Metrics;
@@ -38,7 +39,7 @@
 /// Reads a topic until the process ends: first the newest record of each key, then the records
 /// after them. Reads nothing while feeders read for this instance.
 pub(crate) async fn run_topic_reader<P>(
-    platform: P,
+    client: StoreClient<P>,
     hub: HubHandle,
     metrics: Metrics,
     topic: Topic,
@@ -71,8 +72,8 @@
         }
         let wait_ms = if failures == 0 { schedule.wait_ms } else { 0 };
         let result = match next {
-            None => read_list(&platform, topic, method).await,
-            Some(from) => read_from(&platform, topic, from, wait_ms, method).await,
+            None => read_list(&client, topic, method).await,
+            Some(from) => read_from(&client, topic, from, wait_ms, method).await,
         };
         let outcome = if result.is_ok() { "ok" } else { "failed" };
         metrics.store_calls.with_label_values(&[outcome]).inc();
