Read the store again in each new era

A feeder sent its configuration only to peers with a lower offset, so fed instances missed the next one. A reader whose next offset existed again went on from there, and one whose waiting read was held went on from it, so that neither reader learned of the configurations below. Change: each response of the store is settled with its era; late ones and invalid eras are dropped (event 207). A higher era restarts every topic with a list and interrupts waiting reads. Feeds carry the era, and the configuration's version in place of its offset.

--- a/crates/era/src/tracker.rs
+++ b/crates/era/src/tracker.rs
@@ -46,6 +46,12 @@
         self.known.unwrap_or_default()
     }
 
+    /// Returns the highest era that was stated; `None` before the first statement.
+    #[must_use]
+    pub fn known(&self) -> Option<StoreEra> {
+        self.known
+    }
+
     /// Applies what a response states.
     pub fn on_statement(&mut self, statement: EraStatement) -> EraChange {
         let stated = match statement {
--- a/crates/proto/src/generated.rs
+++ b/crates/proto/src/generated.rs
@@ -1230,6 +1230,7 @@
 ///    "read_age_ms",
 ///    "roster",
 ///    "roster_has_more",
+///    "store_era",
 ///    "suspects",
 ///    "true_ms"
 ///  ],
@@ -1246,7 +1247,7 @@
 ///      ]
 ///    },
 ///    "declaration": {
-///      "description": "Declared configuration, if it is newer than the requester's; otherwise null.",
+///      "description": "Declared configuration, if its version is higher than the requester's; otherwise null.",
 ///      "oneOf": [
 ///        {
 ///          "$ref": "#/definitions/StoredRecord"
@@ -1289,6 +1290,14 @@
 ///      "description": "Whether further records of the upstreams' entries did not fit.",
 ///      "type": "boolean"
 ///    },
+///    "store_era": {
+///      "description": "Highest era of the store that the replying instance knows; null for none.",
+///      "type": [
+///        "integer",
+///        "null"
+///      ],
+///      "format": "uint64"
+///    },
 ///    "suspects": {
 ///      "$ref": "#/definitions/SuspectChanges"
 ///    },
@@ -1307,7 +1316,7 @@
 pub struct FeedReply {
     ///Grant that answers the requester's report, if the replying instance holds the lease; otherwise null.
     pub allowances: ::std::option::Option<AllowanceOffer>,
-    ///Declared configuration, if it is newer than the requester's; otherwise null.
+    ///Declared configuration, if its version is higher than the requester's; otherwise null.
     pub declaration: ::std::option::Option<StoredRecord>,
     ///Instance list, if it is wanted and changed after `seen`; otherwise null.
     pub instances: ::std::option::Option<FeederList>,
@@ -1318,6 +1327,8 @@
     pub roster: ::std::vec::Vec<StoredRecord>,
     ///Whether further records of the upstreams' entries did not fit.
     pub roster_has_more: bool,
+    ///Highest era of the store that the replying instance knows; null for none.
+    pub store_era: ::std::option::Option<u64>,
     pub suspects: SuspectChanges,
     ///Estimate of the cluster time by the replying instance, in Unix milliseconds.
     pub true_ms: u64,
@@ -1332,7 +1343,7 @@
 ///  "type": "object",
 ///  "required": [
 ///    "allowances",
-///    "declaration_offset",
+///    "declaration_version",
 ///    "failure_domain",
 ///    "from",
 ///    "peer_address",
@@ -1340,6 +1351,7 @@
 ///    "roster_digests",
 ///    "seen",
 ///    "starts",
+///    "store_era",
 ///    "suspects",
 ///    "true_ms",
 ///    "wants_instances",
@@ -1357,8 +1369,8 @@
 ///        }
 ///      ]
 ///    },
-///    "declaration_offset": {
-///      "description": "Offset of the newest declared configuration that the sender has; null for none.",
+///    "declaration_version": {
+///      "description": "Version of the declared configuration that the sender has; null for none.",
 ///      "type": [
 ///        "integer",
 ///        "null"
@@ -1405,6 +1417,14 @@
 ///        "$ref": "#/definitions/InstanceRequestStarts"
 ///      }
 ///    },
+///    "store_era": {
+///      "description": "Highest era of the store that the sender knows; null for none.",
+///      "type": [
+///        "integer",
+///        "null"
+///      ],
+///      "format": "uint64"
+///    },
 ///    "suspects": {
 ///      "$ref": "#/definitions/SuspectChanges"
 ///    },
@@ -1431,8 +1451,8 @@
 pub struct FeedRequest {
     ///Report of the sender, if it is a broker of allowances; otherwise null.
     pub allowances: ::std::option::Option<AllowanceReport>,
-    ///Offset of the newest declared configuration that the sender has; null for none.
-    pub declaration_offset: ::std::option::Option<u64>,
+    ///Version of the declared configuration that the sender has; null for none.
+    pub declaration_version: ::std::option::Option<u64>,
     pub failure_domain: cowslip_name::Name,
     pub from: Holder,
     ///IP address and port on which the sender accepts other instances.
@@ -1445,6 +1465,8 @@
     pub seen: ::std::option::Option<FeedCursor>,
     ///Request starts that changed since the sender's last request, where the sender does not write them to the store itself or failed to.
     pub starts: ::std::vec::Vec<InstanceRequestStarts>,
+    ///Highest era of the store that the sender knows; null for none.
+    pub store_era: ::std::option::Option<u64>,
     pub suspects: SuspectChanges,
     ///Sender's estimate of the cluster time, in Unix milliseconds.
     pub true_ms: u64,
@@ -5094,17 +5116,23 @@
 ///  "description": "Record of a keyed topic as the store holds it.",
 ///  "type": "object",
 ///  "required": [
+///    "era",
 ///    "key",
 ///    "offset",
 ///    "value"
 ///  ],
 ///  "properties": {
+///    "era": {
+///      "description": "Era of the store in which the record was read; 0 for a store that states none.",
+///      "type": "integer",
+///      "format": "uint64"
+///    },
 ///    "key": {
 ///      "description": "Key of the record, unique in its topic for the newest record.",
 ///      "type": "string"
 ///    },
 ///    "offset": {
-///      "description": "Offset of the record in its topic.",
+///      "description": "Offset of the record in its topic, within its era.",
 ///      "type": "integer",
 ///      "format": "uint64"
 ///    },
@@ -5124,9 +5152,11 @@
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct StoredRecord {
+    ///Era of the store in which the record was read; 0 for a store that states none.
+    pub era: u64,
     ///Key of the record, unique in its topic for the newest record.
     pub key: ::std::string::String,
-    ///Offset of the record in its topic.
+    ///Offset of the record in its topic, within its era.
     pub offset: u64,
     ///Value in bytes; empty for a removed key.
     pub value: ::std::vec::Vec<u8>,
--- a/crates/serve/src/events.rs
+++ b/crates/serve/src/events.rs
@@ -14,6 +14,7 @@
     StoreConnectionSilent = 204, Warn, "a read of the store got no response on its connection, but another one did";
     StoreOutageEnded = 205, Info, "an outage of the store has ended, removals of upstreams are delayed for a moment";
     StoreRestored = 206, Warn, "the store came back from an older copy";
+    StoreEraRejected = 207, Warn, "a response of the store states an earlier or invalid era and was dropped";
     ConfigApplied = 300, Info, "a declared configuration was applied";
     AllowanceIgnored = 301, Warn, "an allowance in the declared configuration has no effect";
     UpstreamJoined = 310, Info, "an upstream accepts requests";
--- a/crates/serve/src/hub/feed.rs
+++ b/crates/serve/src/hub/feed.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use cowslip_codec::{holder_to_proto, start_windows_from_proto, start_windows_to_proto};
+use cowslip_era::StoreEra;
 use cowslip_membership::{FeedRole, PeerKnowledge};
 use cowslip_name::Name;
 use cowslip_proto as proto;
@@ -109,7 +110,8 @@
             peer_address: self.config.peer_address.to_string(),
             failure_domain: self.config.settings.instance.failure_domain.clone(),
             reads_store,
-            declaration_offset: self.declaration.as_ref().map(|record| record.offset),
+            store_era: self.era_for_peers(),
+            declaration_version: self.declared_config.as_ref().map(|config| config.version),
             wants_roster,
             roster_digests,
             wants_instances: self.feed_topology.wants_feeders(now_ms),
@@ -131,6 +133,7 @@
 
     pub(super) fn handle_feed(&mut self, request: proto::FeedRequest) -> proto::FeedReply {
         let now_ms = self.clock.now_ms();
+        self.on_peer_era(request.store_era);
         self.on_suspects(&request.suspects);
         self.instances.on_feed_request(&request);
         self.feed_topology.on_feed_request(now_ms, &request.from.instance, request.reads_store);
@@ -148,11 +151,9 @@
         let cursor = request.seen.filter(|cursor| cursor.incarnation == self.identity.incarnation);
         // A cursor of an earlier incarnation says nothing about this one's changes.
         let cursor = cursor.unwrap_or(empty);
-        let declaration = self
-            .declaration
-            .as_ref()
-            .filter(|record| request.declaration_offset.is_none_or(|offset| offset < record.offset))
-            .map(to_proto);
+        let version = self.declared_config.as_ref().map(|config| config.version);
+        let is_newer = version > request.declaration_version;
+        let declaration = self.declaration.as_ref().filter(|_| is_newer).map(to_proto);
         let sends_roster = request.wants_roster && self.is_roster_known;
         let sends_instances = request.wants_instances && !self.instances.is_fed();
         // A missing entry may only be late, so a removal is sent once the registry has dropped the
@@ -168,6 +169,7 @@
         let (suspects, sent_suspects) = self.suspects_since(cursor.suspects);
         proto::FeedReply {
             read_age_ms: self.read_at_ms(now_ms).map(|at_ms| now_ms.saturating_sub(at_ms)),
+            store_era: self.era_for_peers(),
             declaration,
             roster_has_more: roster_version < log.version(),
             roster: roster
@@ -192,6 +194,7 @@
     pub(super) fn apply_feed(&mut self, from: &Name, feed: proto::FeedReply) {
         let now_ms = self.clock.now_ms();
         self.cluster_clock.on_estimate(now_ms, feed.true_ms);
+        self.on_peer_era(feed.store_era);
         if let Some(age_ms) = feed.read_age_ms {
             self.on_store_read(now_ms.saturating_sub(age_ms));
         }
@@ -249,11 +252,17 @@
 fn to_proto(record: &StoredRecord) -> proto::StoredRecord {
     proto::StoredRecord {
         key: record.key.to_string(),
+        era: record.era.number(),
         offset: record.offset,
         value: record.value.to_vec(),
     }
 }
 
 fn from_proto(record: proto::StoredRecord) -> StoredRecord {
-    StoredRecord { key: Arc::from(record.key), offset: record.offset, value: record.value.into() }
+    StoredRecord {
+        key: Arc::from(record.key),
+        era: StoreEra::new(record.era).unwrap_or_default(),
+        offset: record.offset,
+        value: record.value.into(),
+    }
 }
--- a/crates/serve/src/hub/message.rs
+++ b/crates/serve/src/hub/message.rs
@@ -5,7 +5,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cowslip_era::EraStatement;
+use async_channel::Sender;
+use cowslip_era::{EraStatement, StoreEra};
 use cowslip_fleet::{
     Authorized, CapacityOrder, Failure, Prompt, RoleOrder, SendOutcome, StopSchedule, Upstream,
 };
@@ -62,10 +63,13 @@
     Announced { upstream: Arc<str>, started_at_ms: u64, is_leaving: bool, hold_ms: Option<u64> },
     /// Reports that an upstream's identity or role differs from its entry.
     Misdirected { upstream: Arc<str> },
-    /// Reports what a response of the store states about its era.
-    EraStated { era: EraStatement },
+    /// Reports what a response of the store states about its era. The reply is the highest known era,
+    /// or `None` if the response is to be dropped.
+    EraStated { era: EraStatement, reply: ReplySender<Option<StoreEra>> },
+    /// Reports each later era of the store to a task that holds a position or a call in it.
+    WatchRestores { watcher: Sender<StoreEra> },
     /// Delivers records of a topic; a list holds the newest record of every key.
-    Records { topic: Topic, page: Page, is_list: bool },
+    Records { topic: Topic, era: StoreEra, page: Page, is_list: bool },
     /// Reports whether a topic can be read.
     StoreState { topic: Topic, is_up: bool },
     /// Asks whether and how this instance reads a topic of the store.
--- a/crates/serve/src/hub/mod.rs
+++ b/crates/serve/src/hub/mod.rs
@@ -20,7 +20,7 @@
 use cowslip_authority::Holder;
 use cowslip_clock::{Clock, unix_ms};
 use cowslip_codec::{holder_to_proto, request_starts_key};
-use cowslip_era::EraTracker;
+use cowslip_era::{EraTracker, StoreEra};
 use cowslip_fleet::{
     DeclaredConfig, RetryBudget, SendOutcome, StopSchedule, UpstreamChange, UpstreamHealth,
     UpstreamRegistry, plan_capacity, plan_roles,
@@ -72,6 +72,10 @@
     is_roster_known: bool,
     roster_reads: RosterReads,
     store_era: EraTracker,
+    /// Whether a response with an earlier or invalid era was logged.
+    is_other_era_logged: bool,
+    /// Tasks that are told of restores of the store.
+    restore_watchers: Vec<Sender<StoreEra>>,
     store_evidence: StoreEvidence,
     roster_transfer: Option<RosterTransfer>,
     health: UpstreamHealth,
@@ -138,6 +142,8 @@
             is_roster_known: false,
             roster_reads: RosterReads::default(),
             store_era: EraTracker::default(),
+            is_other_era_logged: false,
+            restore_watchers: Vec::new(),
             store_evidence: StoreEvidence::default(),
             roster_transfer: None,
             health: UpstreamHealth::default(),
@@ -221,8 +227,11 @@
             HubMessage::UpstreamLost { id, upstream, started_at_ms } => {
                 self.on_upstream_lost(id, &upstream, started_at_ms);
             }
-            HubMessage::EraStated { era } => self.on_era_stated(era),
-            HubMessage::Records { topic, page, is_list } => self.on_records(topic, page, is_list),
+            HubMessage::EraStated { era, reply } => send_reply(&reply, self.on_era_stated(era)),
+            HubMessage::WatchRestores { watcher } => self.restore_watchers.push(watcher),
+            HubMessage::Records { topic, era, page, is_list } => {
+                self.on_records(topic, era, page, is_list);
+            }
             HubMessage::StoreState { topic, is_up } => self.on_store_state(topic, is_up),
             HubMessage::ReadMode { topic, reply } => send_reply(&reply, self.read_mode(topic)),
             HubMessage::StoreRetry { failures, spread_permille, reply } => {
--- a/crates/serve/src/hub/records.rs
+++ b/crates/serve/src/hub/records.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use cowslip_codec::from_json;
+use cowslip_era::StoreEra;
 use cowslip_fleet::{LeaveReason, Upstream, UpstreamChange};
 use cowslip_membership::ChangeLog;
 use cowslip_proto as proto;
@@ -99,7 +100,11 @@
 where
     P: Platform,
 {
-    pub(super) fn on_records(&mut self, topic: Topic, page: Page, is_list: bool) {
+    pub(super) fn on_records(&mut self, topic: Topic, era: StoreEra, page: Page, is_list: bool) {
+        // The store was restored while the message waited; the reader starts again.
+        if era != self.store_era.era() {
+            return;
+        }
         if page.skipped_records > 0 {
             event!(
                 Event::RecordMalformed,
@@ -114,7 +119,7 @@
                     self.on_declaration(record, "store");
                 }
             }
-            Topic::Roster => self.on_roster(page, is_list),
+            Topic::Roster => self.on_roster(era, page, is_list),
             Topic::Instances => self.on_instances(page.records, is_list),
             // The tasks that write these topics also read them.
             Topic::Lease | Topic::Starts => {}
@@ -153,7 +158,7 @@
         self.apply_allowances();
     }
 
-    fn on_roster(&mut self, page: Page, is_list: bool) {
+    fn on_roster(&mut self, era: StoreEra, page: Page, is_list: bool) {
         let now_ms = self.clock.now_ms();
         self.roster_reads.succeeded_at_ms = Some(now_ms);
         self.on_store_read(now_ms);
@@ -162,7 +167,7 @@
             for key in missing {
                 let value = bytes::Bytes::new();
                 let offset = page.next_offset.saturating_sub(1);
-                self.on_upstream(StoredRecord { key, offset, value }, "list");
+                self.on_upstream(StoredRecord { key, era, offset, value }, "list");
             }
             let listed = page.records.iter().map(|record| &*record.key);
             let changes = self.registry.on_list(now_ms, listed);
--- a/crates/serve/src/metrics.rs
+++ b/crates/serve/src/metrics.rs
@@ -29,6 +29,7 @@
     "cowslip_is_holder",
     "cowslip_peers",
     "cowslip_store_era",
+    "cowslip_other_era_responses_total",
     "cowslip_is_reader",
     "cowslip_quarantined_requests",
     "cowslip_quarantined_segments",
@@ -73,6 +74,8 @@
     pub(crate) is_holder: IntGauge,
     /// Peers to which this instance keeps links.
     pub(crate) peers: IntGauge,
+    /// Responses of the store that were dropped for their era.
+    pub(crate) other_era_responses: IntCounter,
     /// Restores that the store has stated.
     pub(crate) store_era: IntGauge,
     /// 1 while this instance reads the store itself.
@@ -131,6 +134,11 @@
             "Bodies and responses that were refused memory",
         )?;
         registry.register(Box::new(memory_refusals.clone()))?;
+        let other_era_responses = IntCounter::new(
+            "cowslip_other_era_responses_total",
+            "Responses of the store that were dropped for their era",
+        )?;
+        registry.register(Box::new(other_era_responses.clone()))?;
         Ok(Self {
             requests: counter_by("cowslip_requests_total", "Requests by how they ended", "end")?,
             sends: counter_by("cowslip_sends_total", "Sends to upstreams by outcome", "outcome")?,
@@ -150,6 +158,7 @@
             upstreams: gauge("cowslip_upstreams", "Upstreams that take work")?,
             is_holder: gauge("cowslip_is_holder", "1 while this instance holds the lease")?,
             peers: gauge("cowslip_peers", "Other instances to which there are links")?,
+            other_era_responses,
             store_era: gauge("cowslip_store_era", "Restores that the store has stated")?,
             is_reader: gauge("cowslip_is_reader", "1 while this instance reads the store itself")?,
             quarantined_requests: gauge(
--- a/crates/serve/src/platform.rs
+++ b/crates/serve/src/platform.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use cowslip_era::EraStatement;
+use cowslip_era::{EraStatement, Position, StoreEra};
 use cowslip_fleet::{CapacityOrder, DeclaredConfig, EngineRole, Prompt, Upstream};
 use cowslip_net::{Account, Body};
 use http::{HeaderMap, Method, Request, Response, StatusCode, request, response};
@@ -180,12 +180,22 @@
 pub struct StoredRecord {
     /// Key of the record within its topic.
     pub key: Arc<str>,
-    /// Offset of the record in its topic.
+    /// Era in which the record was read. A [`Store`] leaves it at 0, since its response states it.
+    pub era: StoreEra,
+    /// Offset of the record in its topic, within its era.
     pub offset: u64,
     /// Contents; empty for a removed key.
     pub value: Bytes,
 }
 
+impl StoredRecord {
+    /// Returns the position of the record in its topic.
+    #[must_use]
+    pub fn position(&self) -> Position {
+        Position { era: self.era, offset: self.offset }
+    }
+}
+
 /// The result of a read.
 #[derive(Clone, Debug, Default)]
 pub struct Page {
@@ -226,6 +236,9 @@
     Refused(u16),
     /// The call failed, and the store may have executed it.
     Unknown(String),
+    /// The response states an earlier era than a known one, or one that is invalid. An append may
+    /// have been executed.
+    OtherEra,
 }
 
 /// The head of a caller's request.
--- a/crates/serve/src/run.rs
+++ b/crates/serve/src/run.rs
@@ -26,7 +26,7 @@
 use crate::tasks::{
     HubHandle, LeaseMessage, PollSchedule, StoreClient, deregister, run_duties, run_lease,
     run_links, run_peer_server, run_quarantine, run_registration, run_reservations, run_starts,
-    run_ticker, run_topic_reader, write_starts,
+    run_ticker, run_topic_reader, watch_restores, write_starts,
 };
 
 /// Most queued messages to the hub; senders wait while the queue is full.
@@ -187,8 +187,12 @@
         );
         let client = StoreClient::new(platform.clone(), hub.clone());
         let read_topic = |topic: Topic, schedule: PollSchedule| {
-            run_topic_reader(client.clone(), hub.clone(), (*metrics).clone(), topic, schedule)
-                .boxed_local()
+            let (client, hub, metrics) = (client.clone(), hub.clone(), (*metrics).clone());
+            async move {
+                let restores = watch_restores(&hub).await;
+                run_topic_reader(client, hub, metrics, topic, schedule, restores).await;
+            }
+            .boxed_local()
         };
         let entry = proto::InstanceEntry {
             holder: proto::Holder {
--- a/crates/serve/src/tasks/duties.rs
+++ b/crates/serve/src/tasks/duties.rs
@@ -260,7 +260,7 @@
         let result = read_list(&self.client, Topic::Starts, ReadMethod::Single).await;
         self.store.record(&result);
         // After a failed read, the windows are still due at the next attempt.
-        let page = result.ok()?;
+        let page = result.ok()?.value;
         let oldest = self.times.window_of(cluster_ms.saturating_sub(4 * self.times.late_ms));
         let mut counters = BTreeMap::new();
         let mut unused = Vec::new();
--- a/crates/serve/src/tasks/lease.rs
+++ b/crates/serve/src/tasks/lease.rs
@@ -141,8 +141,8 @@
         };
         self.store.record(&result);
         match result {
-            Ok(page) => {
-                let view = self.apply_page(&page);
+            Ok(read) => {
+                let view = self.apply_page(&read.value);
                 self.view = Some(view.clone());
                 self.lease.on_view(self.clock.now_ms(), sent_at_ms, view);
             }
@@ -196,6 +196,7 @@
                 if let Some((window, counts)) = window {
                     self.finalized.insert(window, counts.clone());
                 }
+                let appended = appended.value;
                 AppendResult::Appended { offset: appended.first_offset, end: appended.next_offset }
             }
             Err(StoreError::Outdated) => AppendResult::Conflict,
--- a/crates/serve/src/tasks/links.rs
+++ b/crates/serve/src/tasks/links.rs
@@ -141,7 +141,7 @@
         let feed = self.codec.decode_reply(&reply).map_err(|error| error.to_string())?;
         let pace = if request.wants_roster && feed.roster_has_more && !feed.roster.is_empty() {
             Pace::Continue
-        } else if request.declaration_offset.is_none() && feed.declaration.is_none() {
+        } else if request.declaration_version.is_none() && feed.declaration.is_none() {
             Pace::Starting
         } else {
             Pace::Regular
--- a/crates/serve/src/tasks/mod.rs
+++ b/crates/serve/src/tasks/mod.rs
@@ -16,6 +16,8 @@
 
 use std::time::Duration;
 
+use async_channel::Receiver;
+use cowslip_era::StoreEra;
 use cowslip_task::Handle;
 
 use crate::hub::HubMessage;
@@ -37,6 +39,13 @@
 /// Sends messages to the hub; a sender waits while the hub's inbox is full.
 pub(crate) type HubHandle = Handle<HubMessage>;
 
+/// Returns a receiver of the eras that begin with restores of the store.
+pub(crate) async fn watch_restores(hub: &HubHandle) -> Receiver<StoreEra> {
+    let (watcher, restores) = async_channel::unbounded();
+    hub.send(HubMessage::WatchRestores { watcher }).await;
+    restores
+}
+
 /// Sends the hub its ticks until the process ends.
 pub(crate) async fn run_ticker(hub: HubHandle) {
     loop {
--- a/crates/serve/src/tasks/starts.rs
+++ b/crates/serve/src/tasks/starts.rs
@@ -11,7 +11,7 @@
 use super::store_availability::StoreAvailability;
 use super::store_client::StoreClient;
 use crate::hub::HubMessage;
-use crate::platform::{Appended, Platform, StoreError, Topic};
+use crate::platform::{Platform, StoreError, Topic};
 
 /// Interval between writes of a reader; other instances send it their starts more often.
 const WRITE_EVERY: Duration = Duration::from_secs(2);
@@ -36,7 +36,7 @@
 pub(crate) async fn write_starts<P>(
     client: &StoreClient<P>,
     hub: &HubHandle,
-) -> Option<Result<Appended, StoreError>>
+) -> Option<Result<(), StoreError>>
 where
     P: Platform,
 {
@@ -53,7 +53,7 @@
     while !rest.is_empty() && result.as_ref().is_none_or(Result::is_ok) {
         let (batch, others) = rest.split_at(batch_len(rest));
         rest = others;
-        result = Some(client.append(Topic::Starts, None, batch).await);
+        result = Some(client.append(Topic::Starts, None, batch).await.map(|_| ()));
     }
     let is_written = result.as_ref()?.is_ok();
     hub.send(HubMessage::StartsWritten { is_written }).await;
--- a/crates/serve/src/tasks/store_reads.rs
+++ b/crates/serve/src/tasks/store_reads.rs
@@ -5,7 +5,7 @@
 
 use futures_util::future::{Either, select};
 
-use super::store_client::StoreClient;
+use super::store_client::{InEra, StoreClient};
 use crate::events::{Event, event};
 use crate::platform::{LatestPage, Page, Platform, StoreError, Topic};
 
@@ -28,7 +28,7 @@
     from: u64,
     wait_ms: u64,
     method: ReadMethod,
-) -> Result<Page, StoreError>
+) -> Result<InEra<Page>, StoreError>
 where
     P: Platform,
 {
@@ -37,25 +37,28 @@
     repeat_if_silent(client, topic, method, Duration::from_millis(wait_ms), first, second).await
 }
 
-/// Reads the newest record of each key of a topic.
+/// Reads the newest record of each key of a topic. Fails if the store is restored between two pages.
 pub(super) async fn read_list<P>(
     client: &StoreClient<P>,
     topic: Topic,
     method: ReadMethod,
-) -> Result<Page, StoreError>
+) -> Result<InEra<Page>, StoreError>
 where
     P: Platform,
 {
-    let mut list = read_list_page(client, topic, method, None).await?;
+    let InEra { era, value: mut list } = read_list_page(client, topic, method, None).await?;
     while let Some(after) = list.continue_after {
         let next = read_list_page(client, topic, method, Some(&after)).await?;
-        list.continue_after = next.continue_after;
+        if next.era != era {
+            return Err(StoreError::OtherEra);
+        }
+        list.continue_after = next.value.continue_after;
         // The pages are not one snapshot. The next read, from the end offset of the first page,
         // returns every change made while the later pages were read.
-        list.page.records.extend(next.page.records);
-        list.page.skipped_records += next.page.skipped_records;
+        list.page.records.extend(next.value.page.records);
+        list.page.skipped_records += next.value.page.skipped_records;
     }
-    Ok(list.page)
+    Ok(InEra { era, value: list.page })
 }
 
 /// Reads one page of a list. The pages are repeated one by one, so that a long list is not.
@@ -64,7 +67,7 @@
     topic: Topic,
     method: ReadMethod,
     after: Option<&str>,
-) -> Result<LatestPage, StoreError>
+) -> Result<InEra<LatestPage>, StoreError>
 where
     P: Platform,
 {
