Tell older copies of upstream entries from live ones

A copy also lists upstreams that had left, and lacks those that had joined. Change: records are compared by era and offset. An entry that may be a copy is stale if its incarnation and seq are not newer than the known entry, or than the entry at which the upstream was dropped (the last 4096 are remembered); it changes nothing and is not fed. Entries that the first list after a restore lacks have 2 s to reappear; removals that were read take effect at once.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -4,6 +4,7 @@
 //! No function reads a clock, a socket or a random source, or depends on an encoding.
 
 mod declared_config;
+mod dropped;
 mod health;
 mod placement;
 mod plan;
@@ -21,7 +22,8 @@
 pub use placement::{Load, Locality, Placement, PlacementRequest, Prompt, PromptSegment, place};
 pub use plan::{CapacityOrder, RoleOrder, plan_capacity, plan_roles};
 pub use registry::{
-    EngineRole, LeaveReason, STORE_RECOVERY_GRACE_MS, Upstream, UpstreamChange, UpstreamRegistry,
+    EngineRole, EntryOrder, EntryResult, LeaveReason, STORE_RECOVERY_GRACE_MS, Upstream,
+    UpstreamChange, UpstreamEntry, UpstreamRegistry,
 };
 pub use response_end::{Failure, Framing, Interruption, Progress, ResponseKind, check_end};
 pub use retry_budget::{RetryBudget, RetryBudgetLimits};
--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -4,8 +4,10 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-/// Time after the store has recovered within which entries that expired during the outage may
-/// reappear before their upstreams are dropped: upstreams write them again in about two seconds.
+use crate::dropped::{DroppedUpstream, DroppedUpstreams};
+
+/// Time after an outage or a restore of the store within which missing entries may reappear before
+/// their upstreams are dropped: upstreams write them again in about two seconds.
 pub const STORE_RECOVERY_GRACE_MS: u64 = 2_000;
 /// Longest quarantine of an upstream whose entry seems to be outdated: a role change takes three
 /// seconds, and the next entry comes more than one second later.
@@ -45,6 +47,34 @@
     pub is_reclaimable: bool,
 }
 
+/// An upstream's entry and its place among the entries of the same incarnation.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct UpstreamEntry {
+    /// Contents of the entry.
+    pub upstream: Upstream,
+    /// Number of times that this incarnation has written its entry, 0 if unknown.
+    pub seq: u64,
+}
+
+/// Relation of an entry to what is known of its upstream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum EntryOrder {
+    /// The entry was read after everything that is known, in the same era of the store.
+    Newer,
+    /// The entry was read in a later era than the known entry or its removal, so it may be an older
+    /// copy of it.
+    MaybeCopy,
+}
+
+/// What became of an upstream's entry.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum EntryResult {
+    /// The entry was applied and caused these changes.
+    Applied(Vec<UpstreamChange>),
+    /// The entry is older than what is known and changed nothing.
+    Stale,
+}
+
 /// Reason why an upstream gets no new work.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum LeaveReason {
@@ -81,13 +111,27 @@
 #[derive(Clone, Debug)]
 struct Registration {
     upstream: Arc<Upstream>,
-    /// Time at which the upstream is dropped unless its entry reappears; `None` while the entry
-    /// exists.
-    expires_at_ms: Option<u64>,
+    /// Sequence number of the entry, 0 if unknown.
+    seq: u64,
+    /// Time at which the upstream is dropped unless its entry reappears; `None` unless a list lacked
+    /// the entry.
+    missing_until_ms: Option<u64>,
+    /// The same for an entry whose removal was read. A list that lacks the entry does not extend
+    /// this time.
+    removed_until_ms: Option<u64>,
     /// End of the quarantine after the upstream refused work for the role in its entry.
     quarantined_until_ms: u64,
 }
 
+impl Registration {
+    fn is_expired(&self, now_ms: u64) -> bool {
+        [self.missing_until_ms, self.removed_until_ms]
+            .iter()
+            .flatten()
+            .any(|until_ms| *until_ms <= now_ms)
+    }
+}
+
 /// Registered upstreams by id.
 #[derive(Clone, Debug, Default)]
 pub struct UpstreamRegistry {
@@ -95,8 +139,14 @@
     /// Statements of upstreams by id. They outlive the registration, since an entry that expires
     /// may reappear.
     announcements: BTreeMap<Arc<str>, Announcement>,
+    /// Upstreams whose entries a restored store may list again. An upstream that is registered again
+    /// stays in it.
+    dropped: DroppedUpstreams,
     /// End of the grace period after an outage of the store, in which removals are delayed.
     grace_until_ms: u64,
+    /// End of the grace period after a restore of the store, in which only the removals of missing
+    /// entries are delayed.
+    restore_grace_until_ms: u64,
 }
 
 impl UpstreamRegistry {
@@ -105,25 +155,44 @@
         self.grace_until_ms = self.grace_until_ms.max(at_ms + STORE_RECOVERY_GRACE_MS);
     }
 
-    /// Applies an upstream's entry. An incarnation that was draining never takes work again.
-    pub fn on_entry(&mut self, entry: Upstream) -> Vec<UpstreamChange> {
-        let id = entry.id.clone();
+    /// Starts the grace period of a restore of the store that was noticed at `now_ms`. The restored
+    /// copy lacks entries that were written after it was made, so entries may be missing from its
+    /// lists; removals that were read take effect as usual.
+    pub fn on_restored(&mut self, now_ms: u64) {
+        self.restore_grace_until_ms =
+            self.restore_grace_until_ms.max(now_ms + STORE_RECOVERY_GRACE_MS);
+    }
+
+    /// Applies an upstream's entry unless it is stale. An incarnation that was draining never takes
+    /// work again.
+    pub fn on_entry(&mut self, entry: UpstreamEntry, order: EntryOrder) -> EntryResult {
+        let is_older_copy = match order {
+            EntryOrder::Newer => false,
+            EntryOrder::MaybeCopy => self.is_older_copy(&entry),
+        };
+        if is_older_copy {
+            return EntryResult::Stale;
+        }
+        let UpstreamEntry { upstream, seq } = entry;
+        let id = upstream.id.clone();
         let mut changes = Vec::new();
         let mut quarantined_until_ms = 0;
         match self.registrations.get(&id) {
-            Some(known) if known.upstream.started_at_ms > entry.started_at_ms => return changes,
-            Some(known) if known.upstream.started_at_ms == entry.started_at_ms => {
+            Some(known) if known.upstream.started_at_ms > upstream.started_at_ms => {
+                return EntryResult::Stale;
+            }
+            Some(known) if known.upstream.started_at_ms == upstream.started_at_ms => {
                 let was_draining = known.upstream.is_draining;
-                if was_draining && !entry.is_draining {
-                    return changes;
+                if was_draining && !upstream.is_draining {
+                    return EntryResult::Stale;
                 }
-                if entry.is_draining && !was_draining {
+                if upstream.is_draining && !was_draining {
                     changes.push(UpstreamChange::Left(id.clone(), LeaveReason::Draining));
                 }
-                if known.upstream.role == entry.role {
+                if known.upstream.role == upstream.role {
                     quarantined_until_ms = known.quarantined_until_ms;
                 } else {
-                    changes.push(UpstreamChange::Role(id.clone(), entry.role));
+                    changes.push(UpstreamChange::Role(id.clone(), upstream.role));
                 }
             }
             Some(_) => {
@@ -132,17 +201,51 @@
             }
             None => changes.push(UpstreamChange::Joined(id.clone())),
         }
-        let upstream = Arc::new(entry);
-        self.registrations
-            .insert(id, Registration { upstream, expires_at_ms: None, quarantined_until_ms });
-        changes
+        let registration = Registration {
+            upstream: Arc::new(upstream),
+            seq,
+            missing_until_ms: None,
+            removed_until_ms: None,
+            quarantined_until_ms,
+        };
+        self.registrations.insert(id, registration);
+        EntryResult::Applied(changes)
     }
 
-    /// Applies the removal of an entry, delayed to the end of the grace period if one is running.
+    /// Returns whether an entry from a restored store is an older copy of the known entry or of one
+    /// that was dropped.
+    fn is_older_copy(&self, entry: &UpstreamEntry) -> bool {
+        let UpstreamEntry { upstream, seq } = entry;
+        if let Some(known) = self.registrations.get(&upstream.id) {
+            return upstream.started_at_ms != 0
+                && upstream.started_at_ms == known.upstream.started_at_ms
+                && (1..known.seq).contains(seq);
+        }
+        self.dropped.get(&upstream.id).is_some_and(|dropped| {
+            // A late response may announce the leave after the upstream was dropped.
+            let has_left = dropped.has_left || self.announcement(upstream).is_leaving;
+            DroppedUpstream { has_left, ..*dropped }.covers(upstream.started_at_ms, *seq)
+        })
+    }
+
+    /// Applies the removal of an entry that was read from the store, delayed to the end of the
+    /// grace period of an outage if one is running.
     pub fn on_removed(&mut self, now_ms: u64, id: &str) -> Vec<UpstreamChange> {
         let Some(registration) = self.registrations.get_mut(id) else { return Vec::new() };
         if now_ms < self.grace_until_ms {
-            registration.expires_at_ms.get_or_insert(self.grace_until_ms);
+            registration.removed_until_ms.get_or_insert(self.grace_until_ms);
+            return Vec::new();
+        }
+        self.remove(id)
+    }
+
+    /// Applies that an entry is missing from a list: removes the upstream, delayed to the end of
+    /// the later grace period if one is running.
+    pub fn on_missing(&mut self, now_ms: u64, id: &str) -> Vec<UpstreamChange> {
+        let Some(registration) = self.registrations.get_mut(id) else { return Vec::new() };
+        let grace_until_ms = self.grace_until_ms.max(self.restore_grace_until_ms);
+        if now_ms < grace_until_ms {
+            registration.missing_until_ms = Some(grace_until_ms);
             return Vec::new();
         }
         self.remove(id)
@@ -156,7 +259,7 @@
         let listed: std::collections::BTreeSet<&str> = listed.into_iter().collect();
         let missing: Vec<Arc<str>> =
             self.registrations.keys().filter(|id| !listed.contains(&***id)).cloned().collect();
-        missing.iter().flat_map(|id| self.on_removed(now_ms, id)).collect()
+        missing.iter().flat_map(|id| self.on_missing(now_ms, id)).collect()
     }
 
     /// Drops upstreams whose entries did not reappear within the grace period.
@@ -164,21 +267,20 @@
         let expired: Vec<Arc<str>> = self
             .registrations
             .iter()
-            .filter(|(_, registration)| {
-                registration.expires_at_ms.is_some_and(|at_ms| at_ms <= now_ms)
-            })
+            .filter(|(_, registration)| registration.is_expired(now_ms))
             .map(|(id, _)| id.clone())
             .collect();
         expired.iter().flat_map(|id| self.remove(id)).collect()
     }
 
     fn remove(&mut self, id: &str) -> Vec<UpstreamChange> {
-        self.registrations
-            .remove(id)
-            .map(|registration| {
-                vec![UpstreamChange::Left(registration.upstream.id.clone(), LeaveReason::Gone)]
-            })
-            .unwrap_or_default()
+        let Some(Registration { upstream, seq, .. }) = self.registrations.remove(id) else {
+            return Vec::new();
+        };
+        let has_left = upstream.is_draining || self.announcement(&upstream).is_leaving;
+        let dropped = DroppedUpstream { started_at_ms: upstream.started_at_ms, seq, has_left };
+        self.dropped.insert(upstream.id.clone(), dropped);
+        vec![UpstreamChange::Left(upstream.id.clone(), LeaveReason::Gone)]
     }
 
     /// Returns the upstream with this id, draining or not.
--- a/crates/fleet/tests/plan.rs
+++ b/crates/fleet/tests/plan.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 
 use cowslip_fleet::{
-    CapacityLimits, DeclaredConfig, EngineRole, Service, Upstream, UpstreamRegistry, plan_capacity,
-    plan_roles,
+    CapacityLimits, DeclaredConfig, EngineRole, EntryOrder, Service, Upstream, UpstreamEntry,
+    UpstreamRegistry, plan_capacity, plan_roles,
 };
 
 use EngineRole::{Decode, Prefill};
@@ -22,7 +22,7 @@
 fn registry(engines: &[Engine]) -> UpstreamRegistry {
     let mut registry = UpstreamRegistry::default();
     for (index, engine) in engines.iter().enumerate() {
-        registry.on_entry(Upstream {
+        let upstream = Upstream {
             id: Arc::from(format!("engine-{index}")),
             started_at_ms: 1,
             service: Arc::from("models"),
@@ -32,7 +32,8 @@
             is_draining: false,
             role: Some(engine.role),
             is_reclaimable: engine.is_reclaimable,
-        });
+        };
+        registry.on_entry(UpstreamEntry { upstream, seq: 0 }, EntryOrder::Newer);
     }
     registry
 }
--- a/crates/fleet/tests/registry.rs
+++ b/crates/fleet/tests/registry.rs
@@ -3,7 +3,8 @@
 use std::sync::Arc;
 
 use cowslip_fleet::{
-    EngineRole, LeaveReason, STORE_RECOVERY_GRACE_MS, Upstream, UpstreamChange, UpstreamRegistry,
+    EngineRole, EntryOrder, EntryResult, LeaveReason, STORE_RECOVERY_GRACE_MS, Upstream,
+    UpstreamChange, UpstreamEntry, UpstreamRegistry,
 };
 use proptest::prelude::*;
 
@@ -21,12 +22,29 @@
     }
 }
 
+fn entry(started_at_ms: u64, seq: u64, is_draining: bool) -> UpstreamEntry {
+    UpstreamEntry { upstream: upstream("up", started_at_ms, is_draining, Decode), seq }
+}
+
+/// Applies an entry without a sequence number that is newer than all known ones.
+fn apply(registry: &mut UpstreamRegistry, upstream: Upstream) -> EntryResult {
+    registry.on_entry(UpstreamEntry { upstream, seq: 0 }, EntryOrder::Newer)
+}
+
 enum Step {
+    /// Incarnation, whether it is draining and its role, in an entry without a sequence number.
     Entry(u64, bool, EngineRole),
+    /// Incarnation, sequence number and whether it is draining.
+    Numbered(u64, u64, bool),
+    /// The same in an entry that may be an older copy.
+    Copied(u64, u64, bool),
     Remove,
+    Missing,
+    Restored,
     List(&'static [&'static str]),
     StoreRecovered,
     RoleMismatch,
+    Tick,
     /// This incarnation stated that it is leaving.
     Leaving(u64),
     /// This incarnation wants no requests until this time.
@@ -41,7 +59,10 @@
 }
 
 use EngineRole::{Decode, Prefill};
-use Step::{Entry, Hold, Leaving, List, Remove, RoleMismatch, StoreRecovered};
+use Step::{
+    Copied, Entry, Hold, Leaving, List, Missing, Numbered, Remove, Restored, RoleMismatch,
+    StoreRecovered, Tick,
+};
 
 const CASES: &[Case] = &[
     Case { name: "ready", steps: &[(0, Entry(1, false, Decode))], at_ms: 0, is_eligible: true },
@@ -181,6 +202,204 @@
         at_ms: 7,
         is_eligible: true,
     },
+    Case {
+        name: "a copy of an earlier entry",
+        steps: &[(0, Numbered(1, 3, false)), (5, Copied(1, 2, true))],
+        at_ms: 5,
+        is_eligible: true,
+    },
+    Case {
+        name: "a later entry in a restored store",
+        steps: &[(0, Numbered(1, 3, false)), (5, Copied(1, 4, true))],
+        at_ms: 5,
+        is_eligible: false,
+    },
+    Case {
+        name: "a copy without a sequence number",
+        steps: &[(0, Numbered(1, 3, false)), (5, Copied(1, 0, true))],
+        at_ms: 5,
+        is_eligible: false,
+    },
+    Case {
+        name: "a copy of an entry without a sequence number",
+        steps: &[(0, Numbered(1, 0, false)), (5, Copied(1, 2, true))],
+        at_ms: 5,
+        is_eligible: false,
+    },
+    Case {
+        name: "a copy without an incarnation",
+        steps: &[(0, Numbered(0, 3, false)), (5, Copied(0, 2, true))],
+        at_ms: 5,
+        is_eligible: false,
+    },
+    Case {
+        name: "a copy from before draining",
+        steps: &[(0, Numbered(1, 0, true)), (5, Copied(1, 0, false))],
+        at_ms: 5,
+        is_eligible: false,
+    },
+    Case {
+        name: "a copy of a removed entry",
+        steps: &[(0, Numbered(1, 3, false)), (5, Remove), (6, Copied(1, 3, false))],
+        at_ms: 6,
+        is_eligible: false,
+    },
+    Case {
+        name: "a copy of an entry that was missing from a list",
+        steps: &[(0, Numbered(1, 3, false)), (5, Missing), (6, Copied(1, 2, false))],
+        at_ms: 6,
+        is_eligible: false,
+    },
+    Case {
+        name: "a later entry after the removal",
+        steps: &[(0, Numbered(1, 3, false)), (5, Remove), (6, Copied(1, 4, false))],
+        at_ms: 6,
+        is_eligible: true,
+    },
+    Case {
+        name: "the same entry read after the removal in the same era",
+        steps: &[(0, Numbered(1, 3, false)), (5, Remove), (6, Numbered(1, 3, false))],
+        at_ms: 6,
+        is_eligible: true,
+    },
+    Case {
+        name: "a copy without a sequence number after the removal",
+        steps: &[(0, Numbered(1, 3, false)), (5, Remove), (6, Copied(1, 0, false))],
+        at_ms: 6,
+        is_eligible: true,
+    },
+    Case {
+        name: "a copy after the removal of an entry without a sequence number",
+        steps: &[(0, Numbered(1, 0, false)), (5, Remove), (6, Copied(1, 3, false))],
+        at_ms: 6,
+        is_eligible: true,
+    },
+    Case {
+        name: "a copy without an incarnation after the removal",
+        steps: &[(0, Numbered(0, 3, true)), (5, Remove), (6, Copied(0, 2, false))],
+        at_ms: 6,
+        is_eligible: true,
+    },
+    Case {
+        name: "a copy of an incarnation before the removed one",
+        steps: &[(0, Numbered(2, 1, false)), (5, Remove), (6, Copied(1, 9, false))],
+        at_ms: 6,
+        is_eligible: false,
+    },
+    Case {
+        name: "a new incarnation after the removal",
+        steps: &[(0, Numbered(1, 3, true)), (5, Remove), (6, Copied(2, 1, false))],
+        at_ms: 6,
+        is_eligible: true,
+    },
+    Case {
+        name: "a copy from before draining and the removal",
+        steps: &[(0, Numbered(1, 3, true)), (5, Remove), (6, Copied(1, 0, false))],
+        at_ms: 6,
+        is_eligible: false,
+    },
+    Case {
+        name: "a copy of an entry that expired",
+        steps: &[
+            (0, Numbered(1, 3, false)),
+            (5, Restored),
+            (6, Missing),
+            (2_005, Tick),
+            (2_006, Copied(1, 3, false)),
+        ],
+        at_ms: 9_000,
+        is_eligible: false,
+    },
+    Case {
+        name: "still missing after the grace period of a restore",
+        steps: &[(0, Numbered(1, 3, false)), (5, Restored), (6, Missing)],
+        at_ms: 5 + STORE_RECOVERY_GRACE_MS,
+        is_eligible: false,
+    },
+    Case {
+        name: "missing from the list of a restored store",
+        steps: &[(0, Numbered(1, 3, false)), (5, Restored), (6, List(&["other"]))],
+        at_ms: 5 + STORE_RECOVERY_GRACE_MS - 1,
+        is_eligible: true,
+    },
+    Case {
+        name: "missing after the grace period of a restore",
+        steps: &[(0, Numbered(1, 3, false)), (5, Restored), (2_005, Missing)],
+        at_ms: 2_005,
+        is_eligible: false,
+    },
+    Case {
+        name: "the same entry reappears after a restore",
+        steps: &[(0, Numbered(1, 3, false)), (5, Restored), (6, Missing), (7, Copied(1, 3, false))],
+        at_ms: 9_000,
+        is_eligible: true,
+    },
+    Case {
+        name: "an earlier entry appears after a restore",
+        steps: &[(0, Numbered(1, 3, false)), (5, Restored), (6, Missing), (7, Copied(1, 2, false))],
+        at_ms: 9_000,
+        is_eligible: false,
+    },
+    Case {
+        name: "removed within the grace period of a restore",
+        steps: &[(0, Numbered(1, 3, false)), (5, Restored), (6, Remove)],
+        at_ms: 6,
+        is_eligible: false,
+    },
+    Case {
+        name: "removed while missing after a restore",
+        steps: &[(0, Numbered(1, 3, false)), (5, Restored), (6, Missing), (7, Remove)],
+        at_ms: 7,
+        is_eligible: false,
+    },
+    Case {
+        name: "missing in an outage and a later restore",
+        steps: &[
+            (0, Numbered(1, 3, false)),
+            (5, StoreRecovered),
+            (6, Missing),
+            (900, Restored),
+            (901, Missing),
+        ],
+        at_ms: 900 + STORE_RECOVERY_GRACE_MS - 1,
+        is_eligible: true,
+    },
+    Case {
+        name: "still missing after an outage and a later restore",
+        steps: &[(0, Numbered(1, 3, false)), (5, StoreRecovered), (900, Restored), (901, Missing)],
+        at_ms: 900 + STORE_RECOVERY_GRACE_MS,
+        is_eligible: false,
+    },
+    Case {
+        name: "missing in a restore and a later outage",
+        steps: &[(0, Numbered(1, 3, false)), (5, Restored), (900, StoreRecovered), (901, Missing)],
+        at_ms: 900 + STORE_RECOVERY_GRACE_MS - 1,
+        is_eligible: true,
+    },
+    Case {
+        name: "removed in an outage and missing after a later restore",
+        steps: &[
+            (0, Numbered(1, 3, false)),
+            (5, StoreRecovered),
+            (6, Remove),
+            (900, Restored),
+            (901, Missing),
+        ],
+        at_ms: 5 + STORE_RECOVERY_GRACE_MS,
+        is_eligible: false,
+    },
+    Case {
+        name: "removed in an outage while missing after a later restore",
+        steps: &[
+            (0, Numbered(1, 3, false)),
+            (5, StoreRecovered),
+            (900, Restored),
+            (901, Missing),
+            (902, Remove),
+        ],
+        at_ms: 5 + STORE_RECOVERY_GRACE_MS,
+        is_eligible: false,
+    },
 ];
 
 #[test]
@@ -190,9 +409,20 @@
         for (now_ms, step) in *steps {
             match step {
                 Entry(started_at_ms, is_draining, role) => {
-                    registry.on_entry(upstream("up", *started_at_ms, *is_draining, *role));
+                    apply(&mut registry, upstream("up", *started_at_ms, *is_draining, *role));
+                }
+                Numbered(started_at_ms, seq, is_draining) => {
+                    let entry = entry(*started_at_ms, *seq, *is_draining);
+                    registry.on_entry(entry, EntryOrder::Newer);
+                }
+                Copied(started_at_ms, seq, is_draining) => {
+                    let entry = entry(*started_at_ms, *seq, *is_draining);
+                    registry.on_entry(entry, EntryOrder::MaybeCopy);
                 }
                 Remove => drop(registry.on_removed(*now_ms, "up")),
+                Missing => drop(registry.on_missing(*now_ms, "up")),
+                Restored => registry.on_restored(*now_ms),
+                Tick => drop(registry.on_tick(*now_ms)),
                 List(ids) => drop(registry.on_list(*now_ms, ids.iter().copied())),
                 StoreRecovered => registry.on_store_recovered(*now_ms),
                 RoleMismatch => registry.on_role_mismatch(*now_ms, "up"),
@@ -213,30 +443,140 @@
 fn changes_report_joins_roles_and_departures() {
     let mut registry = UpstreamRegistry::default();
     let id: Arc<str> = Arc::from("up");
-    assert_eq!(
-        registry.on_entry(upstream("up", 1, false, Decode)),
-        [UpstreamChange::Joined(id.clone())]
-    );
-    assert_eq!(registry.on_entry(upstream("up", 1, false, Decode)), []);
+    let joined = UpstreamChange::Joined(id.clone());
     let role = UpstreamChange::Role(id.clone(), Some(Prefill));
-    assert_eq!(registry.on_entry(upstream("up", 1, false, Prefill)), [role]);
     let draining = UpstreamChange::Left(id.clone(), LeaveReason::Draining);
-    assert_eq!(registry.on_entry(upstream("up", 1, true, Prefill)), [draining]);
     let gone = UpstreamChange::Left(id.clone(), LeaveReason::Gone);
-    let replaced = registry.on_entry(upstream("up", 2, false, Decode));
-    assert_eq!(replaced, [gone.clone(), UpstreamChange::Joined(id)]);
+    let steps = [
+        (upstream("up", 1, false, Decode), EntryResult::Applied(vec![joined.clone()])),
+        (upstream("up", 1, false, Decode), EntryResult::Applied(Vec::new())),
+        (upstream("up", 1, false, Prefill), EntryResult::Applied(vec![role])),
+        (upstream("up", 1, true, Prefill), EntryResult::Applied(vec![draining])),
+        (upstream("up", 1, false, Prefill), EntryResult::Stale),
+        (upstream("up", 2, false, Decode), EntryResult::Applied(vec![gone.clone(), joined])),
+        (upstream("up", 1, false, Decode), EntryResult::Stale),
+    ];
+    for (entry, expected) in steps {
+        assert_eq!(apply(&mut registry, entry), expected);
+    }
+    registry.on_restored(0);
+    assert_eq!(registry.on_missing(0, "up"), []);
     assert_eq!(registry.on_removed(0, "up"), [gone]);
     assert_eq!(registry.on_removed(0, "up"), []);
 }
 
+#[test]
+fn copies_of_upstreams_that_announced_their_leave_are_stale() {
+    struct Case {
+        name: &'static str,
+        is_removed_first: bool,
+        /// Number of other upstreams that announce their leave afterwards.
+        other_leaves: usize,
+        copy: UpstreamEntry,
+        is_stale: bool,
+    }
+    let case = |name, is_removed_first, other_leaves, copy, is_stale| Case {
+        name,
+        is_removed_first,
+        other_leaves,
+        copy,
+        is_stale,
+    };
+    let cases = [
+        case("left before the removal", false, 0, entry(1, 9, false), true),
+        case("left after the removal", true, 0, entry(1, 9, false), true),
+        case("announcement forgotten", false, 5_000, entry(1, 9, false), true),
+        case("without a sequence number", false, 0, entry(1, 0, false), true),
+        case("new incarnation", false, 0, entry(2, 1, false), false),
+    ];
+    for Case { name, is_removed_first, other_leaves, copy, is_stale } in cases {
+        let mut registry = UpstreamRegistry::default();
+        registry.on_entry(entry(1, 3, false), EntryOrder::Newer);
+        if is_removed_first {
+            registry.on_removed(0, "up");
+        }
+        registry.on_leaving(&Arc::from("up"), 1);
+        registry.on_removed(0, "up");
+        for index in 0..other_leaves {
+            registry.on_leaving(&Arc::from(format!("other-{index}")), 1);
+        }
+        let result = registry.on_entry(copy, EntryOrder::MaybeCopy);
+        assert_eq!(result == EntryResult::Stale, is_stale, "{name}");
+    }
+}
+
+#[test]
+fn upstreams_that_were_dropped_first_are_forgotten_first() {
+    const REMEMBERED: usize = 4_096;
+    let mut registry = UpstreamRegistry::default();
+    let entry = |index: usize, seq| UpstreamEntry {
+        upstream: upstream(&format!("up-{index}"), 1, false, Decode),
+        seq,
+    };
+    let mut drop_upstream = |index, seq| {
+        registry.on_entry(entry(index, seq), EntryOrder::Newer);
+        registry.on_removed(0, &format!("up-{index}"));
+    };
+    (0..REMEMBERED).for_each(|index| drop_upstream(index, 1));
+    drop_upstream(0, 2);
+    drop_upstream(REMEMBERED, 1);
+    let is_stale = |registry: &mut UpstreamRegistry, index| {
+        registry.on_entry(entry(index, 1), EntryOrder::MaybeCopy) == EntryResult::Stale
+    };
+    let forgotten: Vec<usize> =
+        (0..=REMEMBERED).filter(|index| !is_stale(&mut registry, *index)).collect();
+    assert_eq!(forgotten, [1]);
+}
+
 proptest! {
+    /// Of all entries that were read before, a restored store revives or changes none, and a live
+    /// upstream's next entry applies.
+    #[test]
+    fn copies_of_known_entries_change_nothing(
+        steps in prop::collection::vec((any::<bool>(), any::<bool>(), any::<bool>()), 1..20),
+        drops in any::<bool>(),
+    ) {
+        let mut registry = UpstreamRegistry::default();
+        let mut history = vec![entry(1, 1, false)];
+        registry.on_entry(entry(1, 1, false), EntryOrder::Newer);
+        for (restarts, drains, is_removed) in steps {
+            let UpstreamEntry { upstream, seq } = history.last().expect("first entry").clone();
+            let next = if restarts {
+                entry(upstream.started_at_ms + 1, 1, drains)
+            } else {
+                entry(upstream.started_at_ms, seq + 1, upstream.is_draining || drains)
+            };
+            history.push(next.clone());
+            registry.on_entry(next, EntryOrder::Newer);
+            if is_removed {
+                registry.on_removed(0, "up");
+            }
+        }
+        if drops {
+            registry.on_removed(0, "up");
+        }
+        let known = registry.get("up").cloned();
+        let (newest, older) = history.split_last().expect("first entry");
+        for copy in older {
+            prop_assert_eq!(registry.on_entry(copy.clone(), EntryOrder::MaybeCopy), EntryResult::Stale);
+        }
+        let expected =
+            if known.is_some() { EntryResult::Applied(Vec::new()) } else { EntryResult::Stale };
+        prop_assert_eq!(registry.on_entry(newest.clone(), EntryOrder::MaybeCopy), expected);
+        prop_assert_eq!(registry.get("up"), known.as_ref());
+        let next = UpstreamEntry { seq: newest.seq + 1, ..newest.clone() };
+        let is_live = known.is_some() || !newest.upstream.is_draining;
+        let result = registry.on_entry(next, EntryOrder::MaybeCopy);
+        prop_assert_eq!(result != EntryResult::Stale, is_live);
+    }
+
     /// A draining incarnation takes no work again, in whatever order entries arrive.
     #[test]
     fn draining_incarnation_is_never_eligible_again(entries in prop::collection::vec((1u64..4, any::<bool>()), 0..40)) {
         let mut registry = UpstreamRegistry::default();
         let mut drained = std::collections::BTreeSet::new();
         for (started_at_ms, is_draining) in entries {
-            registry.on_entry(upstream("up", started_at_ms, is_draining, Decode));
+            apply(&mut registry, upstream("up", started_at_ms, is_draining, Decode));
             let newest = registry.get("up").expect("registered upstream").started_at_ms;
             if is_draining && newest == started_at_ms {
                 drained.insert(started_at_ms);
--- a/crates/serve/src/hub/records.rs
+++ b/crates/serve/src/hub/records.rs
@@ -7,8 +7,8 @@
 use std::time::Duration;
 
 use cowslip_codec::from_json;
-use cowslip_era::StoreEra;
-use cowslip_fleet::{LeaveReason, Upstream, UpstreamChange};
+use cowslip_era::{Position, StoreEra};
+use cowslip_fleet::{EntryOrder, EntryResult, LeaveReason, Upstream, UpstreamChange};
 use cowslip_membership::ChangeLog;
 use cowslip_proto as proto;
 
@@ -42,8 +42,10 @@
 #[derive(Debug, Default)]
 pub(super) struct RosterRecords {
     log: ChangeLog<StoredRecord>,
-    /// Offset of the newest malformed record of each key. These are not sent to peers.
-    malformed: BTreeMap<Arc<str>, u64>,
+    /// Position of the newest malformed record of each key. These are not sent to peers.
+    malformed: BTreeMap<Arc<str>, Position>,
+    /// Era of the newest list that the store returned.
+    listed_era: Option<StoreEra>,
 }
 
 impl RosterRecords {
@@ -53,8 +55,21 @@
     }
 
     fn is_known(&self, record: &StoredRecord) -> bool {
-        let known = self.log.get(&record.key).map(|known| known.offset);
-        known.max(self.malformed.get(&record.key).copied()) >= Some(record.offset)
+        let known = self.log.get(&record.key).map(StoredRecord::position);
+        known.max(self.malformed.get(&record.key).copied()) >= Some(record.position())
+    }
+
+    /// Returns how a record relates to the known one of its key.
+    fn order_of(&self, record: &StoredRecord) -> EntryOrder {
+        match self.log.get(&record.key) {
+            Some(known) if known.era < record.era => EntryOrder::MaybeCopy,
+            _ => EntryOrder::Newer,
+        }
+    }
+
+    /// Records a list of the store. Returns whether it is the first one after a restore.
+    fn on_list(&mut self, era: StoreEra) -> bool {
+        self.listed_era.replace(era).is_some_and(|listed| listed < era)
     }
 
     /// Remembers a malformed record, so that it is logged once.
@@ -62,7 +77,7 @@
         if self.malformed.len() >= MAX_MALFORMED_RECORDS {
             self.malformed.clear();
         }
-        self.malformed.insert(record.key.clone(), record.offset);
+        self.malformed.insert(record.key.clone(), record.position());
     }
 
     fn insert(&mut self, record: StoredRecord, digest: u64, upstream_count: usize) {
@@ -163,11 +178,14 @@
         self.roster_reads.succeeded_at_ms = Some(now_ms);
         self.on_store_read(now_ms);
         if is_list {
+            if self.roster_records.on_list(era) {
+                self.registry.on_restored(now_ms);
+            }
             let missing: Vec<Arc<str>> = self.roster_records.missing(&page.records).collect();
             for key in missing {
                 let value = bytes::Bytes::new();
                 let offset = page.next_offset.saturating_sub(1);
-                self.on_upstream(StoredRecord { key, era, offset, value }, "list");
+                self.on_upstream_missing(StoredRecord { key, era, offset, value });
             }
             let listed = page.records.iter().map(|record| &*record.key);
             let changes = self.registry.on_list(now_ms, listed);
@@ -188,8 +206,13 @@
         } else {
             match self.platform.decode_upstream(&record.key, &record.value) {
                 Ok(entry) => {
-                    let digest = digest_of(&entry);
-                    (self.registry.on_entry(entry), digest)
+                    let digest = digest_of(&entry.upstream);
+                    match self.registry.on_entry(entry, self.roster_records.order_of(&record)) {
+                        EntryResult::Applied(changes) => (changes, digest),
+                        // Its record is not passed on either, so that a later one is compared with
+                        // what is known.
+                        EntryResult::Stale => return,
+                    }
                 }
                 Err(why) => {
                     let upstream = &record.key;
@@ -208,6 +231,17 @@
         self.on_upstream_changes(&changes, source);
     }
 
+    /// Applies that a list of the store lacks an upstream's entry; `record` takes the place of its
+    /// removal.
+    fn on_upstream_missing(&mut self, record: StoredRecord) {
+        if self.roster_records.is_known(&record) {
+            return;
+        }
+        let changes = self.registry.on_missing(self.clock.now_ms(), &record.key);
+        self.roster_records.insert(record, 0, self.registry.iter().len());
+        self.on_upstream_changes(&changes, "list");
+    }
+
     pub(super) fn on_upstream_changes(&mut self, changes: &[UpstreamChange], source: &str) {
         for change in changes {
             match change {
--- a/crates/serve/src/platform.rs
+++ b/crates/serve/src/platform.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use cowslip_era::{EraStatement, Position, StoreEra};
-use cowslip_fleet::{CapacityOrder, DeclaredConfig, EngineRole, Prompt, Upstream};
+use cowslip_fleet::{CapacityOrder, DeclaredConfig, EngineRole, Prompt, Upstream, UpstreamEntry};
 use cowslip_net::{Account, Body};
 use http::{HeaderMap, Method, Request, Response, StatusCode, request, response};
 
@@ -100,7 +100,7 @@
     ///
     /// # Errors
     /// Returns why the entry is invalid.
-    fn decode_upstream(&self, key: &str, value: &[u8]) -> Result<Upstream, String>;
+    fn decode_upstream(&self, key: &str, value: &[u8]) -> Result<UpstreamEntry, String>;
 }
 
 /// Calls to the platform that only the lease holder makes.
