Decide the lease within one era of the store

Change: the token is the era and the offset. A lease record names its era and has an effect in no other. A holder whose lease has not expired stops acting, renews at once in the new era and goes on; all others wait for lease and margin, also for their own or released records in the copy.

--- a/crates/authority/src/cas_lease.rs
+++ b/crates/authority/src/cas_lease.rs
@@ -2,9 +2,13 @@
 //!
 //! The store appends a record only if the writer names the current end offset, so a claim that was
 //! appended has acquired the lease, and no replay of all claims is needed to find the holder. The
-//! offset of the holder's newest record is the fencing token. It rises with each renewal, so a call
-//! that is executed late carries an older token.
+//! position of the holder's newest record gives the fencing token. It rises with each renewal, so a
+//! call that is executed late carries an older token.
+//!
+//! A restore of the store takes acknowledged records away, gives their offsets out again and raises
+//! the store's era. A record therefore counts only in the era in which it was decided.
 
+use cowslip_era::{Position, StoreEra};
 use cowslip_name::Name;
 
 use crate::log_lease::LeaseTimes;
@@ -19,17 +23,44 @@
     pub nonce: u64,
     /// Whether the record releases the lease.
     pub is_released: bool,
+    /// Era in which the writer decided on the record. In another era it has no effect on the lease.
+    pub era: StoreEra,
 }
 
 /// Result of one read of the scope's records.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub struct CasLeaseView {
+    /// Era of the read, to which the offsets belong.
+    pub era: StoreEra,
     /// Offset that the next record gets.
     pub end: u64,
     /// Offset and content of the newest record, `None` if the scope has no record.
     pub newest: Option<(u64, CasLeaseRecord)>,
 }
 
+/// What the newest record of a view says about the lease.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum NewestRecord {
+    Missing,
+    /// A record of an earlier era, whoever wrote it.
+    Ineffective,
+    Released,
+    Own,
+    Foreign,
+}
+
+impl CasLeaseView {
+    fn newest_record(&self, own: &Holder) -> NewestRecord {
+        match &self.newest {
+            None => NewestRecord::Missing,
+            Some((_, record)) if record.era != self.era => NewestRecord::Ineffective,
+            Some((_, record)) if record.holder == *own => NewestRecord::Own,
+            Some((_, record)) if record.is_released => NewestRecord::Released,
+            Some(_) => NewestRecord::Foreign,
+        }
+    }
+}
+
 /// Next action for the owner of a [`CasLease`].
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub enum CasLeaseStep {
@@ -59,13 +90,24 @@
     },
     /// The records did not end at the expected offset, so nothing was appended.
     Conflict,
-    /// The store did not reply; the record may or may not be appended, possibly later.
+    /// The store did not reply, or replied in another era than the record's; the record may or may
+    /// not be appended, possibly later.
     Unknown,
 }
 
+/// A lease that is held and not silent.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub struct UsableLease {
+    /// Position of the holder's newest record; of an earlier era until the lease is renewed in the
+    /// known one.
+    pub position: Position,
+    /// Local time in milliseconds at which the lease expires.
+    pub expires_at_ms: u64,
+}
+
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 struct HeldLease {
-    fence: Term,
+    position: Position,
     expires_at_ms: u64,
     silent_until_ms: u64,
 }
@@ -75,11 +117,21 @@
 /// The holder's lease runs from the time just before it sent the newest write that it knows to be
 /// appended. A candidate waits for the lease duration and the drift margin from the time it first
 /// read the newest record, and its claim is appended only if no record was appended since.
+///
+/// After a restore, a holder whose lease has not expired renews at once and does not act until the
+/// renewal is acknowledged. Every other process waits as for the record of a living holder, since
+/// the records of the last holder may be gone.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub struct CasLease {
     own: Holder,
     times: LeaseTimes,
     next_nonce: u64,
+    /// Highest era that this process knows.
+    era: StoreEra,
+    /// Local time at which this process learned the era, `None` if the era has not risen since its
+    /// first view.
+    era_since_ms: Option<u64>,
+    /// State of the store in the known era.
     view: Option<CasLeaseView>,
     /// Local time at which the newest record was first read, or appended by this process.
     newest_seen_at_ms: u64,
@@ -113,6 +165,8 @@
             own,
             times,
             next_nonce: 0,
+            era: StoreEra::default(),
+            era_since_ms: None,
             view: None,
             newest_seen_at_ms: now_ms,
             is_view_stale: true,
@@ -137,21 +191,41 @@
         if self.has_stepped_down {
             return self.release(now_ms);
         }
-        let is_own = matches!(&view.newest, Some((_, record)) if record.holder == self.own);
-        if is_own {
-            let elapsed_ms = now_ms.saturating_sub(self.renewed_at_ms);
-            // A lease that expired while the store was away is renewed as soon as it responds.
-            let has_expired = self.held.is_some_and(|held| held.expires_at_ms <= now_ms);
-            return if elapsed_ms < self.times.renew_every_ms && !has_expired {
-                CasLeaseStep::Wait
-            } else {
-                self.write(now_ms, false)
-            };
+        let held = self.unexpired(now_ms);
+        let is_renewal_due = now_ms.saturating_sub(self.renewed_at_ms) >= self.times.renew_every_ms
+            || held.is_some_and(|held| held.position.era < self.era);
+        match (view.newest_record(&self.own), held) {
+            (NewestRecord::Own, _) => {
+                // A lease that expired while the store was away is renewed as soon as it responds.
+                let has_expired = self.held.is_some() && held.is_none();
+                self.write_if(is_renewal_due || has_expired, now_ms)
+            }
+            (NewestRecord::Released, _) => self.write(now_ms, false),
+            // Others cannot have claimed before this lease expires. After that, such a record may
+            // hide a claim.
+            (NewestRecord::Missing | NewestRecord::Ineffective, Some(_)) => {
+                self.write_if(is_renewal_due, now_ms)
+            }
+            (NewestRecord::Missing, None) => match self.era_since_ms {
+                Some(since_ms) => self.claim_after(since_ms, now_ms),
+                None => self.write(now_ms, false),
+            },
+            (NewestRecord::Ineffective, None) | (NewestRecord::Foreign, _) => {
+                self.claim_after(self.newest_seen_at_ms, now_ms)
+            }
         }
-        let is_free = view.newest.as_ref().is_none_or(|(_, record)| record.is_released);
-        let elapsed_ms = now_ms.saturating_sub(self.newest_seen_at_ms);
-        let has_waited = elapsed_ms >= self.times.lease_ms + self.times.drift_margin_ms;
-        if is_free || has_waited && now_ms >= self.no_claim_until_ms {
+    }
+
+    fn write_if(&mut self, is_due: bool, now_ms: u64) -> CasLeaseStep {
+        if is_due { self.write(now_ms, false) } else { CasLeaseStep::Wait }
+    }
+
+    /// Claims the lease if the previous holder's lease, which was not renewed after `since_ms`, has
+    /// expired.
+    fn claim_after(&mut self, since_ms: u64, now_ms: u64) -> CasLeaseStep {
+        let has_waited =
+            now_ms.saturating_sub(since_ms) >= self.times.lease_ms + self.times.drift_margin_ms;
+        if has_waited && now_ms >= self.no_claim_until_ms {
             return self.write(now_ms, false);
         }
         if now_ms.saturating_sub(self.read_at_ms) >= self.times.renew_every_ms {
@@ -165,11 +239,14 @@
     }
 
     /// Returns whether this process has stepped down while the newest known record is still its own.
+    ///
+    /// A record of an earlier era is not released: a successor's record may have been lost.
     #[must_use]
     pub fn is_release_due(&self) -> bool {
-        let newest = self.view.as_ref().and_then(|view| view.newest.as_ref());
         self.has_stepped_down
-            && newest.is_some_and(|(_, record)| record.holder == self.own && !record.is_released)
+            && self
+                .effective_newest()
+                .is_some_and(|(_, record)| record.holder == self.own && !record.is_released)
     }
 
     fn write(&mut self, now_ms: u64, is_released: bool) -> CasLeaseStep {
@@ -178,12 +255,37 @@
         self.next_nonce += 1;
         self.renewed_at_ms = now_ms;
         self.last_write = Some(SentWrite { nonce, sent_at_ms: now_ms });
-        let record = CasLeaseRecord { holder: self.own.clone(), nonce, is_released };
+        let record = CasLeaseRecord { holder: self.own.clone(), nonce, is_released, era: view.era };
         CasLeaseStep::Write { expected_end: view.end, record }
     }
 
+    /// Returns the highest era of the store that this process knows.
+    #[must_use]
+    pub fn era(&self) -> StoreEra {
+        self.era
+    }
+
+    /// Applies an era of the store, which has no effect unless it is higher than the known one.
+    pub fn on_era(&mut self, now_ms: u64, era: StoreEra) {
+        if era <= self.era {
+            return;
+        }
+        self.era = era;
+        if self.view.is_some() || self.era_since_ms.is_some() {
+            self.era_since_ms = Some(now_ms);
+        }
+        self.view = None;
+        self.is_view_stale = true;
+    }
+
     /// Applies the result of a read that was sent at `sent_at_ms`.
+    ///
+    /// A view of a higher era than the known one raises it, and one of a lower era has no effect.
     pub fn on_view(&mut self, now_ms: u64, sent_at_ms: u64, view: CasLeaseView) {
+        self.on_era(now_ms, view.era);
+        if view.era < self.era {
+            return;
+        }
         self.is_view_stale = false;
         self.read_at_ms = sent_at_ms;
         if std::mem::take(&mut self.is_claim_unanswered) {
@@ -195,31 +297,46 @@
         if !is_same {
             self.newest_seen_at_ms = now_ms;
         }
-        match (&view.newest, self.last_write) {
-            (Some((offset, record)), Some(write))
-                if record.holder == self.own && record.nonce == write.nonce =>
-            {
-                self.set_held(*offset, record.is_released, write);
+        match view.newest_record(&self.own) {
+            NewestRecord::Own => {
+                let newest = view.newest.as_ref();
+                let write = self.last_write;
+                if let (Some((offset, record)), Some(write)) = (newest, write)
+                    && record.nonce == write.nonce
+                {
+                    let position = Position { era: view.era, offset: *offset };
+                    self.set_held(position, record.is_released, write);
+                }
             }
-            (Some((_, record)), _) if record.holder == self.own => {}
-            (Some(_), _) => {
+            NewestRecord::Ineffective if self.is_holder(now_ms) => {}
+            NewestRecord::Ineffective | NewestRecord::Released | NewestRecord::Foreign => {
                 self.held = None;
                 self.peer_seen_at_ms = Some(now_ms);
             }
-            (None, _) => self.held = None,
+            // Records vanish with a restore only.
+            NewestRecord::Missing => {
+                self.held = self.held.filter(|held| held.position.era < view.era);
+            }
         }
         self.view = Some(view);
     }
 
     /// Applies the result of the write that [`CasLease::next_step`] returned.
+    ///
+    /// A response that states another era than the record's is [`AppendResult::Unknown`], since the
+    /// record may have met other records at its expected offset. So is any result for a record of a
+    /// lower era than the known one.
     pub fn on_written(&mut self, now_ms: u64, record: CasLeaseRecord, result: AppendResult) {
+        let result = if record.era < self.era { AppendResult::Unknown } else { result };
         match result {
             AppendResult::Appended { offset, end } => {
                 if let Some(write) = self.last_write.filter(|write| write.nonce == record.nonce) {
-                    self.set_held(offset, record.is_released, write);
+                    let position = Position { era: record.era, offset };
+                    self.set_held(position, record.is_released, write);
                 }
                 self.newest_seen_at_ms = now_ms;
-                self.view = Some(CasLeaseView { end, newest: Some((offset, record)) });
+                let era = record.era;
+                self.view = Some(CasLeaseView { era, end, newest: Some((offset, record)) });
             }
             AppendResult::Conflict => self.is_view_stale = true,
             AppendResult::Unknown => {
@@ -229,10 +346,10 @@
         }
     }
 
-    fn set_held(&mut self, offset: u64, is_released: bool, write: SentWrite) {
+    fn set_held(&mut self, position: Position, is_released: bool, write: SentWrite) {
         if is_released
             || self.has_stepped_down
-            || self.rejected_fence.is_some_and(|rejected| offset <= rejected)
+            || self.rejected_fence.is_some_and(|rejected| position.fencing_token() <= rejected)
         {
             self.held = None;
             return;
@@ -242,27 +359,35 @@
         let silent_until_ms =
             self.peer_seen_at_ms.map_or(0, |seen_at_ms| seen_at_ms + self.times.silence_ms);
         let expires_at_ms = write.sent_at_ms + self.times.lease_ms;
-        self.held = Some(HeldLease { fence: offset, expires_at_ms, silent_until_ms });
+        self.held = Some(HeldLease { position, expires_at_ms, silent_until_ms });
+    }
+
+    fn unexpired(&self, now_ms: u64) -> Option<HeldLease> {
+        self.held.filter(|held| now_ms < held.expires_at_ms)
     }
 
     /// Whether this process holds the lease at `now_ms`, even if it may not act yet.
     #[must_use]
     pub fn is_holder(&self, now_ms: u64) -> bool {
-        self.held.is_some_and(|held| now_ms < held.expires_at_ms)
+        self.unexpired(now_ms).is_some()
     }
 
-    /// Returns the fencing token under which this process may act at `now_ms`.
+    /// Returns the fencing token under which this process may act at `now_ms`; `None` also while
+    /// the renewal in the known era is due.
     #[must_use]
     pub fn fence(&self, now_ms: u64) -> Option<Term> {
-        self.fence_with_expiry(now_ms).map(|(fence, _)| fence)
+        self.usable(now_ms)
+            .filter(|lease| lease.position.era == self.era)
+            .map(|lease| lease.position.fencing_token())
     }
 
-    /// Returns the fencing token with the time at which the lease expires.
+    /// Returns the lease that is held at `now_ms` and no longer silent, even if its renewal in the
+    /// known era is due.
     #[must_use]
-    pub fn fence_with_expiry(&self, now_ms: u64) -> Option<(Term, u64)> {
-        self.held
-            .filter(|held| now_ms < held.expires_at_ms && held.silent_until_ms <= now_ms)
-            .map(|held| (held.fence, held.expires_at_ms))
+    pub fn usable(&self, now_ms: u64) -> Option<UsableLease> {
+        self.unexpired(now_ms).filter(|held| held.silent_until_ms <= now_ms).map(
+            |HeldLease { position, expires_at_ms, .. }| UsableLease { position, expires_at_ms },
+        )
     }
 
     /// Makes the next renewal due immediately.
@@ -276,7 +401,7 @@
     /// a higher token.
     pub fn on_fenced(&mut self, fence: Term) {
         self.rejected_fence = self.rejected_fence.max(Some(fence));
-        if self.held.is_some_and(|held| held.fence <= fence) {
+        if self.held.is_some_and(|held| held.position.fencing_token() <= fence) {
             self.held = None;
             self.is_view_stale = true;
             self.renew_now();
@@ -289,10 +414,16 @@
         self.held = None;
     }
 
-    /// Returns the lease holder by the newest known record, even if its lease has expired.
+    /// Returns the lease holder by the newest known record, even if its lease has expired; `None`
+    /// if the record is of an earlier era.
     #[must_use]
     pub fn holder(&self) -> Option<&Name> {
-        let (_, record) = self.view.as_ref()?.newest.as_ref()?;
+        let (_, record) = self.effective_newest()?;
         (!record.is_released).then_some(&record.holder.instance)
     }
+
+    fn effective_newest(&self) -> Option<&(u64, CasLeaseRecord)> {
+        let view = self.view.as_ref()?;
+        view.newest.as_ref().filter(|(_, record)| record.era == view.era)
+    }
 }
--- a/crates/authority/src/lib.rs
+++ b/crates/authority/src/lib.rs
@@ -12,7 +12,9 @@
 mod orders;
 mod terms;
 
-pub use cas_lease::{AppendResult, CasLease, CasLeaseRecord, CasLeaseStep, CasLeaseView};
+pub use cas_lease::{
+    AppendResult, CasLease, CasLeaseRecord, CasLeaseStep, CasLeaseView, UsableLease,
+};
 pub use log_lease::{LeaseAction, LeaseTimes, LogLease};
 pub use order_guard::{OrderGuard, OrderGuardStep, TargetState};
 pub use orders::{OrderEntry, OrderTable, Target};
--- a/crates/authority/tests/cas_lease.rs
+++ b/crates/authority/tests/cas_lease.rs
@@ -1,12 +1,15 @@
-//! Processes that compete for one `CasLease` over a store that is slow, loses replies and executes
-//! writes after their callers timed out.
+//! Processes that compete for one `CasLease` over a store that is slow, loses replies, executes
+//! writes after their callers timed out and comes back from older copies of itself.
 //!
-//! No two processes may act at once, fencing tokens must rise from holder to holder, and a takeover
-//! must wait for the lease and the drift margin, so that holders cannot alternate within a lease.
+//! No two processes may act at once, fencing tokens must rise from holder to holder and never fall,
+//! a process must not act under an era that it knows to be over, and a takeover must wait for the
+//! lease and the drift margin, so that holders cannot alternate within a lease.
 
 use cowslip_authority::{
     AppendResult, CasLease, CasLeaseRecord, CasLeaseStep, CasLeaseView, Holder, LeaseTimes,
+    UsableLease,
 };
+use cowslip_era::{Position, StoreEra};
 use cowslip_name::Name;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
@@ -23,6 +26,16 @@
     AppendAtAnyOffset,
     /// Candidates wait for a shorter time than the lease of the first process.
     CandidatesAssumeShorterLease,
+    /// A record that was decided before a restore and appended after it acquires the lease.
+    LateWritesCount,
+    /// A holder goes on as if the store had not been restored.
+    HolderIgnoresRestores,
+    /// A holder acts before its renewal in the new era.
+    HolderActsBeforeRenewal,
+    /// Others than the holder take a peer's record of an earlier era for a release.
+    OthersDoNotWait,
+    /// A former holder that reads its own record of an earlier era goes on as the holder.
+    FormerHolderRenews,
 }
 
 #[derive(Clone, Debug)]
@@ -30,8 +43,12 @@
     AdvanceClock(u64),
     /// A process takes its next step; a call to the store that it starts stays pending.
     Poll(usize),
-    /// The store executes the pending call and replies.
+    /// The store executes the pending call; its reply is under way.
+    Execute(usize),
+    /// The process gets the reply to the pending call.
     Reply(usize),
+    /// A process takes its next step and gets the reply to its call.
+    Call(usize),
     /// The store executes the pending call, and the reply is lost.
     LoseReply(usize),
     /// The pending call times out, and the store may still execute it.
@@ -42,23 +59,63 @@
     Restart(usize),
     /// The process steps down.
     Release(usize),
+    /// The store loses a number of its newest records, and its era rises.
+    Restore(usize),
+    /// The process learns the store's era otherwise than by its own calls.
+    LearnEra(usize),
 }
 
-enum Call {
-    Read { sent_at_ms: u64 },
-    Write { expected_end: u64, record: CasLeaseRecord },
+enum PendingCall {
+    Read {
+        sent_at_ms: u64,
+    },
+    Write {
+        expected_end: u64,
+        record: CasLeaseRecord,
+    },
+    /// `is_late` tells whether the newest record was appended in a later era than its own.
+    ExecutedRead {
+        sent_at_ms: u64,
+        view: CasLeaseView,
+        is_late: bool,
+    },
+    ExecutedWrite {
+        record: CasLeaseRecord,
+        era: StoreEra,
+        result: AppendResult,
+    },
+}
+
+/// An action of a process under its lease.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+struct Action {
+    process: usize,
+    at_ms: u64,
+    position: Position,
+    /// Highest era that the process had been told.
+    told_era: StoreEra,
+}
+
+#[derive(Clone)]
+struct StoredRecord {
+    record: CasLeaseRecord,
+    /// Era in which the store appended the record.
+    appended_in: StoreEra,
 }
 
 struct Simulation {
     now_ms: u64,
-    records: Vec<CasLeaseRecord>,
+    era: StoreEra,
+    records: Vec<StoredRecord>,
     processes: Vec<CasLease>,
-    calls: Vec<Option<Call>>,
+    calls: Vec<Option<PendingCall>>,
+    /// Highest era that each process has been told, `None` before its first view.
+    told_eras: Vec<Option<StoreEra>>,
     timed_out_writes: Vec<(u64, CasLeaseRecord)>,
     incarnations: u64,
+    current_incarnations: [u64; PROCESSES],
     fault: Fault,
-    /// Process, time and fencing token of each action.
-    actions: Vec<(usize, u64, u64)>,
+    actions: Vec<Action>,
 }
 
 fn times(fault: Fault, index: usize) -> LeaseTimes {
@@ -74,11 +131,14 @@
     fn new(fault: Fault) -> Self {
         let mut simulation = Self {
             now_ms: 0,
+            era: StoreEra::default(),
             records: Vec::new(),
             processes: Vec::new(),
             calls: (0..PROCESSES).map(|_| None).collect(),
+            told_eras: vec![None; PROCESSES],
             timed_out_writes: Vec::new(),
             incarnations: 0,
+            current_incarnations: [0; PROCESSES],
             fault,
             actions: Vec::new(),
         };
@@ -91,9 +151,13 @@
 
     fn new_incarnation(&mut self, index: usize) -> CasLease {
         self.incarnations += 1;
+        self.current_incarnations[index] = self.incarnations;
+        CasLease::new(self.holder(index), times(self.fault, index), self.now_ms)
+    }
+
+    fn holder(&self, index: usize) -> Holder {
         let instance = Name::new(&format!("entry-{index}")).expect("valid name");
-        let holder = Holder { instance, incarnation: self.incarnations };
-        CasLease::new(holder, times(self.fault, index), self.now_ms)
+        Holder { instance, incarnation: self.current_incarnations[index] }
     }
 
     fn append(&mut self, expected_end: u64, record: CasLeaseRecord) -> AppendResult {
@@ -101,50 +165,119 @@
         if expected_end != end && self.fault != Fault::AppendAtAnyOffset {
             return AppendResult::Conflict;
         }
-        self.records.push(record);
+        self.records.push(StoredRecord { record, appended_in: self.era });
         AppendResult::Appended { offset: end, end: end + 1 }
     }
 
     fn view(&self) -> CasLeaseView {
-        let newest = self.records.last().cloned();
+        let newest = self.records.last().map(|stored| stored.record.clone());
         let end = self.records.len() as u64;
-        CasLeaseView { end, newest: newest.map(|record| (end - 1, record)) }
+        CasLeaseView { era: self.era, end, newest: newest.map(|record| (end - 1, record)) }
+    }
+
+    /// Returns the pending call of a process after the store has executed it.
+    fn execute(&mut self, index: usize) -> Option<PendingCall> {
+        Some(match self.calls[index].take()? {
+            PendingCall::Read { sent_at_ms } => {
+                let newest = self.records.last();
+                let is_late = newest.is_some_and(|it| it.record.era < it.appended_in);
+                PendingCall::ExecutedRead { sent_at_ms, view: self.view(), is_late }
+            }
+            PendingCall::Write { expected_end, record } => {
+                let result = self.append(expected_end, record.clone());
+                PendingCall::ExecutedWrite { record, era: self.era, result }
+            }
+            executed => executed,
+        })
+    }
+
+    fn reply(&mut self, index: usize) {
+        let now_ms = self.now_ms;
+        match self.execute(index) {
+            Some(PendingCall::ExecutedRead { sent_at_ms, view, is_late }) => {
+                let view = self.presented(index, view, is_late);
+                if !self.ignores_restores(index) {
+                    self.told_eras[index] = self.told_eras[index].max(Some(view.era));
+                }
+                self.processes[index].on_view(now_ms, sent_at_ms, view);
+            }
+            Some(PendingCall::ExecutedWrite { record, era, result }) => {
+                if self.ignores_restores(index) {
+                    self.processes[index].on_written(now_ms, record, result);
+                    return;
+                }
+                let result = if era == record.era { result } else { AppendResult::Unknown };
+                self.processes[index].on_written(now_ms, record, result);
+                self.tell_era(index, era);
+            }
+            _ => {}
+        }
+    }
+
+    fn tell_era(&mut self, index: usize, era: StoreEra) {
+        if let Some(told) = &mut self.told_eras[index] {
+            *told = era.max(*told);
+        }
+        self.processes[index].on_era(self.now_ms, era);
+    }
+
+    fn ignores_restores(&self, index: usize) -> bool {
+        self.fault == Fault::HolderIgnoresRestores && self.processes[index].is_holder(self.now_ms)
+    }
+
+    /// Returns a view as the process reads it when the rule of the fault is omitted.
+    fn presented(&self, index: usize, mut view: CasLeaseView, is_late: bool) -> CasLeaseView {
+        let process = &self.processes[index];
+        let is_holder = process.is_holder(self.now_ms);
+        let era = view.era;
+        if self.ignores_restores(index) {
+            view.era = process.era();
+        }
+        let Some((_, record)) = &mut view.newest else { return view };
+        let is_own = record.holder == self.holder(index);
+        match self.fault {
+            Fault::LateWritesCount if is_late => record.era = era,
+            Fault::HolderIgnoresRestores if is_holder && record.era == era => {
+                record.era = view.era;
+            }
+            Fault::OthersDoNotWait if !is_holder && !is_own && record.era < era => {
+                record.era = era;
+                record.is_released = true;
+            }
+            Fault::FormerHolderRenews if !is_holder && is_own && !is_late => record.era = era,
+            _ => {}
+        }
+        view
+    }
+
+    fn write_late(&mut self, index: usize) -> Option<CasLeaseRecord> {
+        match self.calls[index].take()? {
+            PendingCall::Write { expected_end, record } => {
+                self.timed_out_writes.push((expected_end, record.clone()));
+                Some(record)
+            }
+            PendingCall::ExecutedWrite { record, .. } => Some(record),
+            PendingCall::Read { .. } | PendingCall::ExecutedRead { .. } => None,
+        }
     }
 
     fn step(&mut self, step: &Step) {
         match *step {
             Step::AdvanceClock(ms) => self.now_ms += ms,
-            Step::Poll(index) => {
-                if self.calls[index].is_none() {
-                    self.calls[index] = match self.processes[index].next_step(self.now_ms) {
-                        CasLeaseStep::Wait => None,
-                        CasLeaseStep::Read => Some(Call::Read { sent_at_ms: self.now_ms }),
-                        CasLeaseStep::Write { expected_end, record } => {
-                            Some(Call::Write { expected_end, record })
-                        }
-                    };
-                }
+            Step::Poll(index) => self.poll(index),
+            Step::Execute(index) => self.calls[index] = self.execute(index),
+            Step::Reply(index) => self.reply(index),
+            Step::Call(index) => {
+                self.poll(index);
+                self.reply(index);
             }
-            Step::Reply(index) => match self.calls[index].take() {
-                None => {}
-                Some(Call::Read { sent_at_ms }) => {
-                    let view = self.view();
-                    self.processes[index].on_view(self.now_ms, sent_at_ms, view);
-                }
-                Some(Call::Write { expected_end, record }) => {
-                    let result = self.append(expected_end, record.clone());
-                    self.processes[index].on_written(self.now_ms, record, result);
-                }
-            },
             Step::LoseReply(index) => {
-                if let Some(Call::Write { expected_end, record }) = self.calls[index].take() {
-                    self.append(expected_end, record.clone());
+                if let Some(PendingCall::ExecutedWrite { record, .. }) = self.execute(index) {
                     self.processes[index].on_written(self.now_ms, record, AppendResult::Unknown);
                 }
             }
             Step::TimeOut(index) => {
-                if let Some(Call::Write { expected_end, record }) = self.calls[index].take() {
-                    self.timed_out_writes.push((expected_end, record.clone()));
+                if let Some(record) = self.write_late(index) {
                     self.processes[index].on_written(self.now_ms, record, AppendResult::Unknown);
                 }
             }
@@ -155,46 +288,109 @@
                 }
             }
             Step::Restart(index) => {
-                if let Some(Call::Write { expected_end, record }) = self.calls[index].take() {
-                    self.timed_out_writes.push((expected_end, record));
-                }
+                self.write_late(index);
                 self.processes[index] = self.new_incarnation(index);
+                self.told_eras[index] = None;
             }
             Step::Release(index) => self.processes[index].step_down(),
+            Step::Restore(lost) => {
+                self.records.truncate(self.records.len().saturating_sub(lost));
+                self.era = era(self.era.number() + 1);
+            }
+            Step::LearnEra(index) => {
+                if !self.ignores_restores(index) {
+                    self.tell_era(index, self.era);
+                }
+            }
         }
         self.record_actions();
     }
 
+    fn poll(&mut self, index: usize) {
+        if self.calls[index].is_none() {
+            self.calls[index] = match self.processes[index].next_step(self.now_ms) {
+                CasLeaseStep::Wait => None,
+                CasLeaseStep::Read => Some(PendingCall::Read { sent_at_ms: self.now_ms }),
+                CasLeaseStep::Write { expected_end, record } => {
+                    Some(PendingCall::Write { expected_end, record })
+                }
+            };
+        }
+    }
+
+    /// Whether a process that has not read the store yet would find it empty after a restore. It
+    /// cannot tell that from a new store, and claims at once.
+    fn is_indistinguishable_from_a_new_store(&self, step: &Step) -> bool {
+        match *step {
+            Step::Restore(lost) => {
+                lost >= self.records.len() && self.told_eras.iter().any(Option::is_none)
+            }
+            Step::Restart(_) => self.records.is_empty() && self.era > StoreEra::default(),
+            _ => false,
+        }
+    }
+
+    fn acting(&self, index: usize) -> Option<Position> {
+        let process = &self.processes[index];
+        let UsableLease { position, expires_at_ms } = process.usable(self.now_ms)?;
+        assert!(self.now_ms < expires_at_ms, "an expired lease is usable");
+        if self.fault == Fault::HolderActsBeforeRenewal {
+            return Some(position);
+        }
+        let token = process.fence(self.now_ms)?;
+        assert_eq!(token, position.fencing_token());
+        Some(position)
+    }
+
     fn record_actions(&mut self) {
-        for (index, process) in self.processes.iter().enumerate() {
-            if let Some(fence) = process.fence(self.now_ms) {
-                self.actions.push((index, self.now_ms, fence));
+        let at_ms = self.now_ms;
+        for process in 0..PROCESSES {
+            if let Some(position) = self.acting(process) {
+                let told_era = self.told_eras[process].unwrap_or_default();
+                self.actions.push(Action { process, at_ms, position, told_era });
             }
         }
     }
 
     fn violation(&self) -> Option<&'static str> {
-        let acting =
-            self.processes.iter().filter(|process| process.fence(self.now_ms).is_some()).count();
+        let acting = (0..PROCESSES).filter(|index| self.acting(*index).is_some()).count();
         if acting > 1 {
             return Some("two processes act at once");
         }
-        let &[.., (before, _, old), (after, _, new)] = self.actions.as_slice() else { return None };
-        (before != after && new <= old).then_some("a fencing token does not rise")
+        let [earlier @ .., newest] = self.actions.as_slice() else { return None };
+        if newest.position.era < newest.told_era {
+            return Some("a process acts before its renewal in the new era");
+        }
+        let previous = earlier.last()?;
+        let old = previous.position.fencing_token();
+        let new = newest.position.fencing_token();
+        if new < old {
+            return Some("a fencing token falls");
+        }
+        (previous.process != newest.process && new <= old)
+            .then_some("a fencing token does not rise from holder to holder")
     }
 }
 
+fn era(number: u64) -> StoreEra {
+    StoreEra::new(number).expect("a valid era")
+}
+
 fn steps() -> impl Strategy<Value = Vec<Step>> {
     let index = 0..PROCESSES;
     let step = prop_oneof![
         6 => (1u64..4).prop_map(Step::AdvanceClock),
         8 => index.clone().prop_map(Step::Poll),
+        8 => index.clone().prop_map(Step::Call),
+        1 => index.clone().prop_map(Step::Execute),
         8 => index.clone().prop_map(Step::Reply),
         1 => index.clone().prop_map(Step::LoseReply),
         1 => index.clone().prop_map(Step::TimeOut),
         1 => Just(Step::ExecuteLate),
         1 => index.clone().prop_map(Step::Restart),
-        1 => index.prop_map(Step::Release),
+        1 => index.clone().prop_map(Step::Release),
+        1 => (0usize..4).prop_map(Step::Restore),
+        1 => index.prop_map(Step::LearnEra),
     ];
     prop::collection::vec(step, 0..300)
 }
@@ -202,6 +398,9 @@
 fn run(fault: Fault, steps: &[Step]) -> Result<usize, &'static str> {
     let mut simulation = Simulation::new(fault);
     for step in steps {
+        if simulation.is_indistinguishable_from_a_new_store(step) {
+            continue;
+        }
         simulation.step(step);
         if let Some(violation) = simulation.violation() {
             return Err(violation);
@@ -213,7 +412,7 @@
 proptest! {
     #[test]
     fn at_most_one_process_acts_at_a_time(steps in steps()) {
-        prop_assert!(run(Fault::None, &steps).is_ok());
+        prop_assert_eq!(run(Fault::None, &steps).err(), None);
     }
 }
 
@@ -226,6 +425,11 @@
     let cases = [
         Case { fault: Fault::AppendAtAnyOffset, cases: 2_000 },
         Case { fault: Fault::CandidatesAssumeShorterLease, cases: 2_000 },
+        Case { fault: Fault::LateWritesCount, cases: 2_000 },
+        Case { fault: Fault::HolderIgnoresRestores, cases: 2_000 },
+        Case { fault: Fault::HolderActsBeforeRenewal, cases: 2_000 },
+        Case { fault: Fault::OthersDoNotWait, cases: 2_000 },
+        Case { fault: Fault::FormerHolderRenews, cases: 5_000 },
     ];
     for Case { fault, cases } in cases {
         let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]);
@@ -338,6 +542,18 @@
             want: false,
         },
         Case { name: "no holder", is_holder: false, calls: &[], want: false },
+        Case {
+            name: "not written, and its record is of an earlier era",
+            is_holder: true,
+            calls: &[Step::TimeOut, |_| Step::Restore(0), Step::Reply, Step::Reply],
+            want: false,
+        },
+        Case {
+            name: "written in a later era",
+            is_holder: true,
+            calls: &[|_| Step::Restore(0), Step::Reply, Step::Reply],
+            want: false,
+        },
     ];
     for case in cases {
         let mut simulation = Simulation::new(Fault::None);
@@ -373,3 +589,283 @@
     }
     assert!(simulation.processes[0].fence(simulation.now_ms).is_some_and(|fence| fence > rejected));
 }
+
+struct RestoreCase {
+    name: &'static str,
+    /// Steps after process 0 has acquired the lease and process 1 has read its record.
+    steps: &'static [Step],
+    /// Records of an earlier era that the store has appended after the steps.
+    late_records: usize,
+    /// Processes whose calls succeed after the steps, in this order.
+    alive: &'static [usize],
+    /// The only process that acts in the new era.
+    want_process: usize,
+    /// Era and offset of its first action.
+    want_position: (u64, u64),
+    /// Time after the steps in which no process acts in the new era.
+    want_idle_ms: u64,
+}
+
+impl RestoreCase {
+    fn check(&self) {
+        let mut simulation = Simulation::new(Fault::None);
+        let step_checked = |simulation: &mut Simulation, step: &Step| {
+            simulation.step(step);
+            assert_eq!(simulation.violation(), None, "{}", self.name);
+        };
+        for step in [Step::Call(0), Step::Call(0), Step::Call(1)].iter().chain(self.steps) {
+            step_checked(&mut simulation, step);
+        }
+        let late = simulation.records.iter().filter(|it| it.record.era < it.appended_in).count();
+        assert_eq!(late, self.late_records, "{}", self.name);
+        let mut actions = Vec::new();
+        let mut idle_ms = 0;
+        for _ in 0..4 * TIMES.lease_ms {
+            for index in self.alive {
+                for _ in 0..3 {
+                    step_checked(&mut simulation, &Step::Call(*index));
+                }
+            }
+            let newest = simulation.actions.last().copied();
+            match newest.filter(|action| {
+                action.at_ms == simulation.now_ms && action.position.era == simulation.era
+            }) {
+                Some(action) => actions.push(action),
+                None => idle_ms += 1,
+            }
+            step_checked(&mut simulation, &Step::AdvanceClock(1));
+        }
+        let (era_number, offset) = self.want_position;
+        let want_position = Position { era: era(era_number), offset };
+        assert_eq!(actions.first().map(|it| it.position), Some(want_position), "{}", self.name);
+        assert!(actions.iter().all(|it| it.process == self.want_process), "{}", self.name);
+        assert_eq!(idle_ms, self.want_idle_ms, "{}", self.name);
+    }
+}
+
+#[test]
+fn after_a_restore_the_holder_renews_at_once() {
+    let cases = [
+        RestoreCase {
+            name: "the holder renews at once",
+            steps: &[Step::AdvanceClock(3), Step::Call(0), Step::Restore(1), Step::LearnEra(0)],
+            late_records: 0,
+            alive: &[1, 0],
+            want_process: 0,
+            want_position: (1, 1),
+            want_idle_ms: 0,
+        },
+        RestoreCase {
+            name: "the holder renews at once in an empty store",
+            steps: &[Step::Restore(1), Step::LearnEra(0)],
+            late_records: 0,
+            alive: &[1, 0],
+            want_process: 0,
+            want_position: (1, 0),
+            want_idle_ms: 0,
+        },
+        RestoreCase {
+            name: "the holder renews at once over the record of a former holder",
+            steps: &[
+                Step::AdvanceClock(12),
+                Step::Call(1),
+                Step::Restore(1),
+                Step::LearnEra(0),
+                Step::LearnEra(1),
+            ],
+            late_records: 0,
+            alive: &[0, 1],
+            want_process: 1,
+            want_position: (1, 1),
+            want_idle_ms: 0,
+        },
+        RestoreCase {
+            name: "a late claim of an earlier era before the renewal",
+            steps: &[
+                Step::AdvanceClock(12),
+                Step::Poll(1),
+                Step::TimeOut(1),
+                Step::Call(0),
+                Step::Restore(1),
+                Step::ExecuteLate,
+                Step::LearnEra(0),
+            ],
+            late_records: 1,
+            alive: &[1, 0],
+            want_process: 0,
+            want_position: (1, 2),
+            want_idle_ms: 0,
+        },
+        RestoreCase {
+            name: "a late claim of an earlier era after the renewal",
+            steps: &[
+                Step::AdvanceClock(3),
+                Step::Call(0),
+                Step::Call(1),
+                Step::AdvanceClock(12),
+                Step::Poll(1),
+                Step::TimeOut(1),
+                Step::Call(0),
+                Step::Restore(2),
+                Step::LearnEra(0),
+                Step::Call(0),
+                Step::Call(0),
+                Step::ExecuteLate,
+            ],
+            late_records: 1,
+            alive: &[1, 0],
+            want_process: 0,
+            want_position: (1, 1),
+            want_idle_ms: 0,
+        },
+        RestoreCase {
+            name: "two restores, and the holder renews",
+            steps: &[
+                Step::AdvanceClock(3),
+                Step::Call(0),
+                Step::AdvanceClock(3),
+                Step::Call(0),
+                Step::Restore(1),
+                Step::LearnEra(0),
+                Step::Restore(1),
+                Step::LearnEra(0),
+            ],
+            late_records: 0,
+            alive: &[1, 0],
+            want_process: 0,
+            want_position: (2, 1),
+            want_idle_ms: 0,
+        },
+    ];
+    for case in cases {
+        case.check();
+    }
+}
+
+#[test]
+fn after_a_restore_others_wait() {
+    let wait_ms = TIMES.lease_ms + TIMES.drift_margin_ms;
+    let cases = [
+        RestoreCase {
+            name: "a holder whose lease expired before its renewal waits",
+            steps: &[Step::Restore(0), Step::LearnEra(0), Step::AdvanceClock(10)],
+            late_records: 0,
+            alive: &[0],
+            want_process: 0,
+            want_position: (1, 1),
+            want_idle_ms: wait_ms,
+        },
+        RestoreCase {
+            name: "a former holder waits",
+            steps: &[Step::AdvanceClock(12), Step::Call(1), Step::Restore(1), Step::LearnEra(0)],
+            late_records: 0,
+            alive: &[0],
+            want_process: 0,
+            want_position: (1, 1),
+            want_idle_ms: wait_ms,
+        },
+        RestoreCase {
+            name: "a released record of an earlier era",
+            steps: &[
+                Step::Release(0),
+                Step::Call(0),
+                Step::AdvanceClock(3),
+                Step::Call(1),
+                Step::Call(1),
+                Step::Restore(1),
+            ],
+            late_records: 0,
+            alive: &[2],
+            want_process: 2,
+            want_position: (1, 2),
+            want_idle_ms: wait_ms,
+        },
+        RestoreCase {
+            name: "a late renewal of an earlier era starts the wait again",
+            steps: &[
+                Step::AdvanceClock(3),
+                Step::Poll(0),
+                Step::TimeOut(0),
+                Step::Restore(0),
+                Step::Call(1),
+                Step::AdvanceClock(6),
+                Step::ExecuteLate,
+            ],
+            late_records: 1,
+            alive: &[1],
+            want_process: 1,
+            want_position: (1, 2),
+            want_idle_ms: wait_ms,
+        },
+        RestoreCase {
+            name: "two restores, and the wait starts again",
+            steps: &[
+                Step::AdvanceClock(3),
+                Step::Restore(0),
+                Step::Call(1),
+                Step::AdvanceClock(6),
+                Step::Restore(0),
+            ],
+            late_records: 0,
+            alive: &[1],
+            want_process: 1,
+            want_position: (2, 1),
+            want_idle_ms: wait_ms,
+        },
+        RestoreCase {
+            name: "an empty store after a rise",
+            steps: &[Step::Restore(1), Step::LearnEra(1)],
+            late_records: 0,
+            alive: &[1],
+            want_process: 1,
+            want_position: (1, 0),
+            want_idle_ms: wait_ms,
+        },
+        RestoreCase {
+            name: "an empty store before the first read",
+            steps: &[Step::Restart(0), Step::Restore(1), Step::LearnEra(2)],
+            late_records: 0,
+            alive: &[2],
+            want_process: 2,
+            want_position: (1, 0),
+            want_idle_ms: 0,
+        },
+    ];
+    for case in cases {
+        case.check();
+    }
+}
+
+#[test]
+fn a_holder_acts_in_a_new_era_after_its_renewal_only() {
+    let mut simulation = Simulation::new(Fault::None);
+    // The store has executed a renewal before the restore, and the reply arrives after it.
+    for step in [
+        Step::Call(0),
+        Step::Call(0),
+        Step::AdvanceClock(3),
+        Step::Poll(0),
+        Step::Execute(0),
+        Step::Restore(0),
+        Step::LearnEra(0),
+        Step::Reply(0),
+    ] {
+        simulation.step(&step);
+    }
+    let now_ms = simulation.now_ms;
+    let old_view = CasLeaseView { era: era(0), ..simulation.view() };
+    let process = &mut simulation.processes[0];
+    process.on_view(now_ms, now_ms, old_view);
+    assert_eq!(process.next_step(now_ms), CasLeaseStep::Read, "a view of an earlier era");
+    let position = Position { era: era(0), offset: 0 };
+    let want = UsableLease { position, expires_at_ms: TIMES.lease_ms };
+    assert_eq!((process.era(), process.usable(now_ms)), (era(1), Some(want)));
+    assert_eq!((process.fence(now_ms), process.is_holder(now_ms)), (None, true));
+    process.on_era(now_ms, era(0));
+    assert_eq!(process.era(), era(1));
+    for step in [Step::Call(0), Step::Call(0)] {
+        simulation.step(&step);
+    }
+    let renewed = Position { era: era(1), offset: 2 };
+    assert_eq!(simulation.processes[0].fence(now_ms), Some(renewed.fencing_token()));
+}
--- a/crates/proto/src/generated.rs
+++ b/crates/proto/src/generated.rs
@@ -2284,6 +2284,11 @@
 ///    "released"
 ///  ],
 ///  "properties": {
+///    "era": {
+///      "description": "Era of the store in which the entry was decided, which is the only one in which it has an effect; absent for 0.",
+///      "type": "integer",
+///      "format": "uint64"
+///    },
 ///    "holder": {
 ///      "$ref": "#/definitions/Holder"
 ///    },
@@ -2304,6 +2309,9 @@
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct LeaseEntry {
+    ///Era of the store in which the entry was decided, which is the only one in which it has an effect; absent for 0.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub era: ::std::option::Option<u64>,
     pub holder: Holder,
     ///Number chosen by the writer, by which it recognizes its own entry.
     pub nonce: u64,
--- a/crates/serve/src/hub/grants.rs
+++ b/crates/serve/src/hub/grants.rs
@@ -4,13 +4,14 @@
 use std::sync::Arc;
 
 use cowslip_allowance::{Grant, GrantId, Granter, Shares, reserved_shares};
+use cowslip_authority::UsableLease;
 use cowslip_membership::{FeedRole, assigned_feeders};
 use cowslip_name::Name;
 use cowslip_proto as proto;
 use num_traits::ToPrimitive;
 
+use super::Hub;
 use super::instances::location_in;
-use super::{HeldLease, Hub};
 use crate::events::{Event, event};
 use crate::platform::Platform;
 
@@ -26,16 +27,16 @@
     P: Platform,
 {
     /// Starts or ends the granter with the lease that this instance holds.
-    pub(super) fn set_granter(&mut self, lease: Option<HeldLease>) {
+    pub(super) fn set_granter(&mut self, lease: Option<UsableLease>) {
         let now_ms = self.clock.now_ms();
         // After a lapse another instance may have granted shares.
-        if self.fence().is_none() {
+        if self.unexpired_lease().is_none() {
             self.allowances.granter = None;
         }
         match lease {
             Some(lease) if self.allowances.is_enforced() => {
                 let grant_ms = self.allowances.grant_ms;
-                let new = || Granter::new(now_ms, lease.fence, grant_ms);
+                let new = || Granter::new(now_ms, lease.position.fencing_token(), grant_ms);
                 self.allowances.granter.get_or_insert_with(new);
             }
             _ => self.allowances.granter = None,
@@ -79,7 +80,7 @@
         held: Option<&Grant>,
         demand: BTreeMap<Arc<str>, f64>,
     ) -> Option<Grant> {
-        self.fence()?;
+        self.unexpired_lease()?;
         let listed: BTreeSet<Name> = self.feed_topology.feeders().cloned().collect();
         let granter = self.allowances.granter.as_mut()?;
         let grant = granter.on_report(now_ms, broker, held, demand, &listed)?;
--- a/crates/serve/src/hub/message.rs
+++ b/crates/serve/src/hub/message.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use async_channel::Sender;
+use cowslip_authority::UsableLease;
 use cowslip_era::{EraStatement, StoreEra};
 use cowslip_fleet::{
     Authorized, CapacityOrder, Failure, Prompt, RoleOrder, SendOutcome, StopSchedule, Upstream,
@@ -85,8 +86,9 @@
     ApplyFeed { from: Name, feed: Box<proto::FeedReply> },
     /// Reports that an exchange with a peer failed.
     FeedFailed { peer: Name },
-    /// Sets the lease that this instance holds, if it holds one.
-    SetLease { lease: Option<HeldLease> },
+    /// Sets the lease that this instance holds, if it holds one. The reply is the highest known era of
+    /// the store.
+    SetLease { lease: Option<UsableLease>, reply: ReplySender<StoreEra> },
     /// Asks for the fencing token of an unexpired lease of this instance.
     Fence { reply: ReplySender<Option<u64>> },
     /// Asks for the orders that the lease holder should place.
@@ -236,15 +238,6 @@
     Stopping,
 }
 
-/// A lease that this instance holds.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) struct HeldLease {
-    /// Fencing token.
-    pub(crate) fence: u64,
-    /// Local clock time at which the lease expires, in milliseconds.
-    pub(crate) expires_at_ms: u64,
-}
-
 /// Orders that the lease holder places.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct PlannedOrders {
--- a/crates/serve/src/hub/mod.rs
+++ b/crates/serve/src/hub/mod.rs
@@ -17,7 +17,7 @@
 use std::sync::Arc;
 
 use async_channel::{Receiver, Sender};
-use cowslip_authority::Holder;
+use cowslip_authority::{Holder, UsableLease};
 use cowslip_clock::{Clock, unix_ms};
 use cowslip_codec::{holder_to_proto, request_starts_key};
 use cowslip_era::{EraTracker, StoreEra};
@@ -37,8 +37,8 @@
 use crate::platform::{Platform, StoredRecord, Topic};
 
 pub(crate) use message::{
-    Assignment, AuthorizedRequest, HeldLease, HubMessage, LinkState, Peer, PlannedOrders, ReadMode,
-    Rejection, ReservationCall, RetryReason, RouteQuery, SetPeers, UnplacedRequest,
+    Assignment, AuthorizedRequest, HubMessage, LinkState, Peer, PlannedOrders, ReadMode, Rejection,
+    ReservationCall, RetryReason, RouteQuery, SetPeers, UnplacedRequest,
 };
 pub(crate) use quarantine::QUARANTINE_KEY;
 
@@ -103,7 +103,7 @@
     /// Store key of the request starts that this instance counts.
     starts_key: Arc<str>,
     /// Lease of this instance, as the lease task last reported it.
-    lease: Option<HeldLease>,
+    lease: Option<UsableLease>,
     /// Times of the planned stop, once it has begun.
     stop: Option<StopSchedule>,
 }
@@ -243,10 +243,11 @@
             HubMessage::HandleFeed { feed, reply } => send_reply(&reply, self.handle_feed(*feed)),
             HubMessage::ApplyFeed { from, feed } => self.apply_feed(&from, *feed),
             HubMessage::FeedFailed { peer } => self.on_feed_failed(&peer),
-            HubMessage::SetLease { lease } => {
+            HubMessage::SetLease { lease, reply } => {
                 self.metrics.is_holder.set(i64::from(lease.is_some()));
                 self.set_granter(lease);
                 self.lease = lease;
+                send_reply(&reply, self.store_era.era());
             }
             HubMessage::Fence { reply } => send_reply(&reply, self.fence()),
             HubMessage::Plan { reply } => send_reply(&reply, self.plan_orders()),
@@ -283,9 +284,18 @@
         self.stop.is_none() && self.declared_config.is_some() && self.is_roster_known
     }
 
-    fn fence(&self) -> Option<u64> {
+    /// Returns the lease of this instance if it has not expired. After a restore of the store nobody
+    /// else can have acquired it before.
+    fn unexpired_lease(&self) -> Option<UsableLease> {
         let now_ms = self.clock.now_ms();
-        self.lease.filter(|lease| now_ms < lease.expires_at_ms).map(|lease| lease.fence)
+        self.lease.filter(|lease| now_ms < lease.expires_at_ms)
+    }
+
+    /// Returns the token under which this instance may call the platform: that of a lease which was
+    /// renewed in the known era.
+    fn fence(&self) -> Option<u64> {
+        let lease = self.unexpired_lease()?;
+        (lease.position.era == self.store_era.era()).then(|| lease.position.fencing_token())
     }
 
     fn plan_orders(&self) -> PlannedOrders {
--- a/crates/serve/src/tasks/lease.rs
+++ b/crates/serve/src/tasks/lease.rs
@@ -13,6 +13,7 @@
     from_json, holder_from_proto, holder_to_proto, start_counts_from_proto, start_window_to_proto,
     to_json,
 };
+use cowslip_era::StoreEra;
 use cowslip_proto as proto;
 use cowslip_usage::StartCounts;
 use futures_util::FutureExt;
@@ -22,7 +23,7 @@
 use super::store_client::StoreClient;
 use super::store_reads::{ReadMethod, read_list};
 use crate::events::{Event, event};
-use crate::hub::{HeldLease, HubMessage, ReadMode};
+use crate::hub::{HubMessage, ReadMode};
 use crate::platform::{Page, Platform, StoreError, Topic};
 
 /// Interval between steps of the lease.
@@ -128,6 +129,14 @@
         self.publish().await;
     }
 
+    /// Drops the view if the store was restored since.
+    fn learn_era(&mut self, era: StoreEra) {
+        if era > self.lease.era() {
+            self.lease.on_era(self.clock.now_ms(), era);
+            self.view = None;
+        }
+    }
+
     async fn is_store_reader(&self) -> bool {
         let mode =
             self.hub.request(|reply| HubMessage::ReadMode { topic: Topic::Lease, reply }).await;
@@ -135,6 +144,7 @@
     }
 
     async fn read(&mut self, sent_at_ms: u64) {
+        let is_list = self.view.is_none();
         let result = match &self.view {
             None => read_list(&self.client, Topic::Lease, ReadMethod::Single).await,
             Some(view) => self.client.read(Topic::Lease, view.end, 0).await,
@@ -142,7 +152,12 @@
         self.store.record(&result);
         match result {
             Ok(read) => {
-                let view = self.apply_page(&read.value);
+                self.learn_era(read.era);
+                // The offset that was read from is one of an earlier era.
+                if !is_list && self.view.is_none() {
+                    return;
+                }
+                let view = self.apply_page(read.era, &read.value);
                 self.view = Some(view.clone());
                 self.lease.on_view(self.clock.now_ms(), sent_at_ms, view);
             }
@@ -153,7 +168,7 @@
     }
 
     /// Applies a page of records and returns the view after them.
-    fn apply_page(&mut self, page: &Page) -> CasLeaseView {
+    fn apply_page(&mut self, era: StoreEra, page: &Page) -> CasLeaseView {
         let mut newest = self.view.take().and_then(|view| view.newest);
         for record in page.records.iter().filter(|record| !record.value.is_empty()) {
             if let Some(number) = record.key.strip_prefix(WINDOW_KEY_PREFIX) {
@@ -171,7 +186,7 @@
                 }
             }
         }
-        CasLeaseView { end: page.next_offset, newest }
+        CasLeaseView { era, end: page.next_offset, newest }
     }
 
     async fn write(
@@ -192,6 +207,11 @@
         let result = self.client.append(Topic::Lease, Some(expected_end), &records).await;
         self.store.record(&result);
         let append_result = match result {
+            // In another era than it was decided in, the record has no effect.
+            Ok(appended) if appended.era != record.era => {
+                self.learn_era(appended.era);
+                AppendResult::Unknown
+            }
             Ok(appended) => {
                 if let Some((window, counts)) = window {
                     self.finalized.insert(window, counts.clone());
@@ -221,21 +241,20 @@
 
     async fn publish(&mut self) {
         let now_ms = self.clock.now_ms();
-        let lease = self
-            .lease
-            .fence_with_expiry(now_ms)
-            .map(|(fence, expires_at_ms)| HeldLease { fence, expires_at_ms });
+        let lease = self.lease.usable(now_ms);
         let is_holder = self.lease.is_holder(now_ms);
         if is_holder != self.is_holder {
             self.is_holder = is_holder;
             if is_holder {
-                event!(Event::LeaseAcquired, fence = lease.map_or(0, |lease| lease.fence));
+                let fence = lease.map_or(0, |lease| lease.position.fencing_token());
+                event!(Event::LeaseAcquired, fence = fence);
             } else {
                 let holder = self.lease.holder().map_or("", |name| name.as_str());
                 event!(Event::LeaseLost, holder = holder);
             }
         }
-        self.hub.send(HubMessage::SetLease { lease }).await;
+        let known = self.hub.request(|reply| HubMessage::SetLease { lease, reply }).await;
+        self.learn_era(known.unwrap_or_default());
     }
 }
 
@@ -243,6 +262,7 @@
     proto::LeaseEntry {
         holder: holder_to_proto(&record.holder),
         nonce: record.nonce,
+        era: Some(record.era.number()).filter(|number| *number > 0),
         released: record.is_released,
     }
 }
@@ -251,6 +271,7 @@
     CasLeaseRecord {
         holder: holder_from_proto(&entry.holder),
         nonce: entry.nonce,
+        era: entry.era.and_then(StoreEra::new).unwrap_or_default(),
         is_released: entry.released,
     }
 }
