Keep the counts of finalized windows outside the store too

Change: the hub keeps finalized windows; the holder sends them to the other reader and reports once that has confirmed them, or after 1 s. A holder in a new era writes those it knows again with its renewal. The lease record states since when all windows are known or stored; an older one whose counts nobody knows is not reported (event 406).

--- a/crates/membership/src/feed_topology.rs
+++ b/crates/membership/src/feed_topology.rs
@@ -165,6 +165,12 @@
         self.feeders.keys()
     }
 
+    /// Returns whether an instance is one of the readers.
+    #[must_use]
+    pub fn is_reader(&self, name: &Name) -> bool {
+        self.readers.contains(name)
+    }
+
     /// Returns the part of this instance. Without a list of instances it counts as fed.
     #[must_use]
     pub fn role(&self) -> FeedRole {
--- a/crates/proto/src/generated.rs
+++ b/crates/proto/src/generated.rs
@@ -1345,6 +1345,7 @@
 ///    "allowances",
 ///    "declaration_version",
 ///    "failure_domain",
+///    "finalized",
 ///    "from",
 ///    "peer_address",
 ///    "reads_store",
@@ -1380,6 +1381,13 @@
 ///    "failure_domain": {
 ///      "$ref": "#/definitions/Name"
 ///    },
+///    "finalized": {
+///      "description": "Finalized usage windows that the sender knows since its last request, if the receiver reads the store; otherwise empty.",
+///      "type": "array",
+///      "items": {
+///        "$ref": "#/definitions/RequestStartWindow"
+///      }
+///    },
 ///    "from": {
 ///      "$ref": "#/definitions/Holder"
 ///    },
@@ -1454,6 +1462,8 @@
     ///Version of the declared configuration that the sender has; null for none.
     pub declaration_version: ::std::option::Option<u64>,
     pub failure_domain: cowslip_name::Name,
+    ///Finalized usage windows that the sender knows since its last request, if the receiver reads the store; otherwise empty.
+    pub finalized: ::std::vec::Vec<RequestStartWindow>,
     pub from: Holder,
     ///IP address and port on which the sender accepts other instances.
     pub peer_address: ::std::string::String,
@@ -2284,6 +2294,11 @@
 ///    "released"
 ///  ],
 ///  "properties": {
+///    "complete_since_ms": {
+///      "description": "Cluster time, in Unix milliseconds, since which every finalized usage window is known to the holder or in the store; absent for 0, when no window may have been lost.",
+///      "type": "integer",
+///      "format": "uint64"
+///    },
 ///    "era": {
 ///      "description": "Era of the store in which the entry was decided, which is the only one in which it has an effect; absent for 0.",
 ///      "type": "integer",
@@ -2309,6 +2324,9 @@
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct LeaseEntry {
+    ///Cluster time, in Unix milliseconds, since which every finalized usage window is known to the holder or in the store; absent for 0, when no window may have been lost.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub complete_since_ms: ::std::option::Option<u64>,
     ///Era of the store in which the entry was decided, which is the only one in which it has an effect; absent for 0.
     #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
     pub era: ::std::option::Option<u64>,
--- a/crates/serve/src/events.rs
+++ b/crates/serve/src/events.rs
@@ -27,6 +27,7 @@
     RoleOrdered = 403, Info, "a role change was ordered for an engine";
     WindowReported = 404, Info, "a usage window was reported";
     DutyFailed = 405, Warn, "a call to the platform's duties interface was not accepted";
+    WindowSkipped = 406, Warn, "a usage window is not reported, it may have been before the store was restored";
     GrantStarted = 410, Info, "this instance starts to give out shares of the allowances";
     GrantExpired = 411, Warn, "the grant of this instance expired";
     RequestPlaced = 500, Info, "a request was placed on an upstream";
--- a/crates/serve/src/hub/feed.rs
+++ b/crates/serve/src/hub/feed.rs
@@ -104,6 +104,7 @@
         let reads_store = self.reads_store(now_ms);
         let (starts, sent_starts, sent_own_starts) = self.starts_for_peer(now_ms, link);
         let (suspects, sent_suspects) = self.suspects_since(link.sent_suspects);
+        let (finalized, sent_finalized) = self.finalized_for_peer(peer, link);
         let (wants_roster, roster_digests) = self.wanted_roster(now_ms, peer, link);
         let request = proto::FeedRequest {
             from: holder_to_proto(&self.identity),
@@ -119,6 +120,7 @@
             true_ms: self.cluster_ms(),
             suspects,
             starts,
+            finalized,
             allowances,
         };
         let next_link = LinkState {
@@ -126,6 +128,7 @@
             sent_starts,
             sent_own_starts,
             sent_suspects,
+            sent_finalized,
             lacks_roster: link.lacks_roster,
         };
         (request, next_link)
@@ -141,6 +144,7 @@
             let windows = start_windows_from_proto(peer_starts.windows);
             self.starts.merge_peer(&Arc::from(peer_starts.key), &windows);
         }
+        self.on_finalized_of_peer(request.finalized);
         let allowances = self.allowance_offer(now_ms, &request.from.instance, request.allowances);
         let empty = proto::FeedCursor {
             incarnation: self.identity.incarnation,
--- a/crates/serve/src/hub/message.rs
+++ b/crates/serve/src/hub/message.rs
@@ -16,7 +16,7 @@
 use cowslip_poison::{RequestDigest, SegmentId};
 use cowslip_proto as proto;
 pub(crate) use cowslip_task::ReplySender;
-use cowslip_usage::StartWindows;
+use cowslip_usage::{StartCounts, StartWindows};
 
 use crate::platform::{Page, Topic};
 
@@ -82,8 +82,9 @@
     BuildFeed { to: Name, link: LinkState, reply: ReplySender<(proto::FeedRequest, LinkState)> },
     /// Handles a feed request from a peer.
     HandleFeed { feed: Box<proto::FeedRequest>, reply: ReplySender<proto::FeedReply> },
-    /// Applies a peer's reply to a feed request.
-    ApplyFeed { from: Name, feed: Box<proto::FeedReply> },
+    /// Applies a peer's reply to a feed request. The peer has received the finalized windows up to the
+    /// version `sent_finalized`.
+    ApplyFeed { from: Name, feed: Box<proto::FeedReply>, sent_finalized: u64 },
     /// Reports that an exchange with a peer failed.
     FeedFailed { peer: Name },
     /// Sets the lease that this instance holds, if it holds one. The reply is the highest known era of
@@ -103,6 +104,14 @@
     QuarantineNotWritten,
     /// Asks for all request starts that this instance knows, by the key of their records.
     KnownStarts { reply: ReplySender<BTreeMap<Arc<str>, StartWindows>> },
+    /// Remembers windows that were finalized in the store.
+    WindowsFinalized { windows: StartWindows },
+    /// Asks for the finalized counts of a window; the reply is `None` if they are not known.
+    FinalizedWindow { window: u64, reply: ReplySender<Option<StartCounts>> },
+    /// Asks for the newest finalized windows, at most `count`.
+    NewestFinalized { count: usize, reply: ReplySender<StartWindows> },
+    /// Asks for a reply once a peer that reads the store knows all finalized windows.
+    ConfirmFinalized { reply: ReplySender<()> },
     /// Asks for the cluster time, in milliseconds.
     ClusterTime { reply: ReplySender<u64> },
     /// Asks whether this instance accepts new connections.
@@ -155,6 +164,8 @@
     pub(crate) sent_own_starts: u64,
     /// Version of the suspects up to which the peer has received them.
     pub(crate) sent_suspects: u64,
+    /// Version of the finalized windows up to which the peer has received them.
+    pub(crate) sent_finalized: u64,
     /// Whether the peer has records of upstreams' entries that did not fit into its last reply.
     pub(crate) lacks_roster: bool,
 }
--- a/crates/serve/src/hub/mod.rs
+++ b/crates/serve/src/hub/mod.rs
@@ -3,6 +3,7 @@
 mod allowances;
 mod era;
 mod feed;
+mod finalized;
 mod grants;
 mod hedging;
 mod instances;
@@ -29,13 +30,14 @@
 use cowslip_membership::{FeedRole, FeedTopology, StoreEvidence};
 use cowslip_poison::{Quarantine, Refusal, SuspectKey};
 use cowslip_task::send_reply;
-use cowslip_usage::{ClusterClock, StartCounters, StartWindows, WindowTimes};
+use cowslip_usage::{ClusterClock, FinalizedWindows, StartCounters, StartWindows, WindowTimes};
 
 use crate::config::Config;
 use crate::events::{Event, event};
 use crate::metrics::Metrics;
 use crate::platform::{Platform, StoredRecord, Topic};
 
+pub(crate) use finalized::KEPT_FINALIZED_WINDOWS;
 pub(crate) use message::{
     Assignment, AuthorizedRequest, HubMessage, LinkState, Peer, PlannedOrders, ReadMode, Rejection,
     ReservationCall, RetryReason, RouteQuery, SetPeers, UnplacedRequest,
@@ -44,6 +46,7 @@
 
 use allowances::Allowances;
 use feed::RosterTransfer;
+use finalized::Confirmation;
 use instances::{Instances, location_in};
 use records::{RosterReads, RosterRecords};
 use requests::{LocalLoad, PlacedRequest};
@@ -100,6 +103,9 @@
     cluster_clock: ClusterClock,
     window_times: WindowTimes,
     starts: StartCounters,
+    /// Finalized windows that this instance or the other reader read from the store or wrote to it.
+    finalized: FinalizedWindows,
+    confirmations: Vec<Confirmation>,
     /// Store key of the request starts that this instance counts.
     starts_key: Arc<str>,
     /// Lease of this instance, as the lease task last reported it.
@@ -163,6 +169,8 @@
             cluster_clock: ClusterClock::new(clock.now_ms(), unix_ms()),
             window_times: config.window_times(),
             starts: StartCounters::default(),
+            finalized: FinalizedWindows::default(),
+            confirmations: Vec::new(),
             starts_key: Arc::from(request_starts_key(&holder_to_proto(&identity))),
             lease: None,
             stop: None,
@@ -241,7 +249,10 @@
                 send_reply(&reply, self.build_feed(&to, &link));
             }
             HubMessage::HandleFeed { feed, reply } => send_reply(&reply, self.handle_feed(*feed)),
-            HubMessage::ApplyFeed { from, feed } => self.apply_feed(&from, *feed),
+            HubMessage::ApplyFeed { from, feed, sent_finalized } => {
+                self.on_finalized_received(&from, sent_finalized);
+                self.apply_feed(&from, *feed);
+            }
             HubMessage::FeedFailed { peer } => self.on_feed_failed(&peer),
             HubMessage::SetLease { lease, reply } => {
                 self.metrics.is_holder.set(i64::from(lease.is_some()));
@@ -259,6 +270,18 @@
                 let known = self.starts.changed_since(0);
                 send_reply(&reply, known.map(|(key, windows)| (key.clone(), windows)).collect());
             }
+            HubMessage::WindowsFinalized { windows } => self.on_windows_finalized(windows),
+            HubMessage::FinalizedWindow { window, reply } => {
+                send_reply(&reply, self.finalized.get(window).cloned());
+            }
+            HubMessage::NewestFinalized { count, reply } => {
+                let newest = self.finalized.newest(count);
+                send_reply(
+                    &reply,
+                    newest.map(|(window, counts)| (window, counts.clone())).collect(),
+                );
+            }
+            HubMessage::ConfirmFinalized { reply } => self.confirm_finalized(reply),
             HubMessage::ClusterTime { reply } => send_reply(&reply, self.cluster_ms()),
             HubMessage::Ready { reply } => send_reply(&reply, self.is_ready()),
             HubMessage::Stop { schedule } => self.stop = Some(schedule),
--- a/crates/serve/src/run.rs
+++ b/crates/serve/src/run.rs
@@ -233,6 +233,7 @@
                 clock,
                 (*identity).clone(),
                 config.lease_times(),
+                config.window_times(),
                 lease_messages,
             )
             .boxed_local(),
--- a/crates/serve/src/tasks/duties.rs
+++ b/crates/serve/src/tasks/duties.rs
@@ -13,7 +13,7 @@
 use cowslip_usage::{ReportRetry, StartCounts, WindowTimes, merge_max, sum_window};
 
 use super::HubHandle;
-use super::lease::LeaseMessage;
+use super::lease::{Finalization, LeaseMessage};
 use super::store_availability::StoreAvailability;
 use super::store_client::StoreClient;
 use super::store_reads::{ReadMethod, read_list};
@@ -34,6 +34,8 @@
 /// Delay before a role is ordered again: longer than the change of the role and the engine's next
 /// entry take.
 const ROLE_REORDER_MS: u64 = 6_000;
+/// Longest wait for the other reader's confirmation that it knows the finalized windows.
+const CONFIRM_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time for which a role must be desired before it is ordered: entries of engines that start
 /// together arrive up to one write interval apart.
 const ROLE_SETTLE_MS: u64 = 1_500;
@@ -220,22 +222,43 @@
             return true;
         }
         let Some(counters) = self.read_counters(cluster_ms).await else { return false };
+        let mut finalized = Vec::new();
         for window in windows {
             let counts = sum_window(*window, counters.values());
-            if self.report_window(*window, counts).await.is_none() {
+            match self.finalize_window(*window, counts).await {
+                Some(Finalization::Final(counts)) => finalized.push((*window, counts)),
+                Some(Finalization::MaybeReported) => {
+                    event!(Event::WindowSkipped, window = window);
+                    self.reported.insert(*window);
+                }
+                None => break,
+            }
+        }
+        if !finalized.is_empty() {
+            let confirmed = self.hub.request(|reply| HubMessage::ConfirmFinalized { reply });
+            // Without a confirmation, a restore together with the loss of this instance may lose
+            // the counts.
+            let _ = compio::time::timeout(CONFIRM_TIMEOUT, confirmed).await;
+        }
+        for (window, counts) in finalized {
+            if self.report_window(window, &counts).await.is_none() {
                 return false;
             }
         }
         windows.iter().all(|window| self.reported.contains(window))
     }
 
-    /// Finalizes and reports a window; `None` if it was not finalized or the lease is lost.
-    async fn report_window(&mut self, window: u64, counts: StartCounts) -> Option<()> {
+    /// Finalizes a window; `None` if that failed.
+    async fn finalize_window(&self, window: u64, counts: StartCounts) -> Option<Finalization> {
         let (reply, finalized) = async_channel::bounded(1);
         self.lease.send(LeaseMessage::FinalizeWindow { window, counts, reply }).await.ok()?;
-        let counts = finalized.recv().await.ok().flatten()?;
+        finalized.recv().await.ok().flatten()
+    }
+
+    /// Reports a finalized window; `None` if the lease is lost.
+    async fn report_window(&mut self, window: u64, counts: &StartCounts) -> Option<()> {
         let credentials = self.credentials().await?;
-        let result = self.platform.report_usage(&credentials, window, &counts).await;
+        let result = self.platform.report_usage(&credentials, window, counts).await;
         event!(
             Event::WindowReported,
             window = window,
--- a/crates/serve/src/tasks/feed_codec.rs
+++ b/crates/serve/src/tasks/feed_codec.rs
@@ -82,6 +82,7 @@
         self.metrics.feeds.with_label_values(&["request", direction.label()]).inc();
         let fields = [
             ("starts", peer_message_bytes(&request.starts)),
+            ("finalized", peer_message_bytes(&request.finalized)),
             ("suspects", peer_message_bytes(&request.suspects)),
             ("roster_digests", peer_message_bytes(&request.roster_digests)),
             ("allowances", peer_message_bytes(&request.allowances)),
--- a/crates/serve/src/tasks/lease.rs
+++ b/crates/serve/src/tasks/lease.rs
@@ -1,6 +1,6 @@
 //! Acquires and renews the lease in the store, and finalizes usage windows under it.
 
-use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
@@ -15,7 +15,7 @@
 };
 use cowslip_era::StoreEra;
 use cowslip_proto as proto;
-use cowslip_usage::StartCounts;
+use cowslip_usage::{StartCounts, StartWindows, WindowStanding, WindowTimes, window_standing};
 use futures_util::FutureExt;
 
 use super::HubHandle;
@@ -23,7 +23,7 @@
 use super::store_client::StoreClient;
 use super::store_reads::{ReadMethod, read_list};
 use crate::events::{Event, event};
-use crate::hub::{HubMessage, ReadMode};
+use crate::hub::{HubMessage, KEPT_FINALIZED_WINDOWS, ReadMode};
 use crate::platform::{Page, Platform, StoreError, Topic};
 
 /// Interval between steps of the lease.
@@ -32,21 +32,30 @@
 const LEASE_KEY: &str = "lease";
 /// Prefix of the keys of finalized windows.
 const WINDOW_KEY_PREFIX: &str = "window/";
-/// Finalized windows that are kept for a new lease holder; older ones are removed.
-const KEPT_FINALIZED_WINDOWS: u64 = 24; // two minutes with windows of 5 s
+/// Finalized windows that are written again after a restore of the store; older ones are not reported
+/// any more.
+const REWRITTEN_WINDOWS: usize = 8;
 
 /// A message to the lease task.
 #[derive(Debug)]
 pub(crate) enum LeaseMessage {
-    /// Finalizes the starts of a window; the reply holds the finalized starts, which differ from
-    /// `counts` if the window was finalized before, or `None` if the window was not finalized.
-    FinalizeWindow { window: u64, counts: StartCounts, reply: Sender<Option<StartCounts>> },
+    /// Finalizes the starts of a window; the reply is `None` if that failed.
+    FinalizeWindow { window: u64, counts: StartCounts, reply: Sender<Option<Finalization>> },
     /// Reports that the platform has accepted a higher fencing token than this one.
     TokenSuperseded(u64),
     /// Releases the lease and ends the task. The reply follows the write, even if that failed.
     StepDown { reply: Sender<SteppedDown> },
 }
 
+/// Whether a window may be reported.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) enum Finalization {
+    /// With these counts, which differ from the given ones if it was finalized before.
+    Final(StartCounts),
+    /// It may have been reported with counts that a restore of the store has lost.
+    MaybeReported,
+}
+
 /// The reply to `LeaseMessage::StepDown`.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct SteppedDown;
@@ -56,7 +65,14 @@
     hub: HubHandle,
     clock: Clock,
     lease: CasLease,
-    finalized: BTreeMap<u64, StartCounts>,
+    identity: Holder,
+    window_times: WindowTimes,
+    /// Finalized windows in the store, in the known era.
+    stored_windows: BTreeSet<u64>,
+    /// Whether the store may lack finalized windows that instances know, after a restore.
+    lacks_windows: bool,
+    /// Cluster time since which every finalized window is known or in the store.
+    complete_since_ms: u64,
     /// State of the lease record as of the last read; `None` before the first read.
     view: Option<CasLeaseView>,
     is_holder: bool,
@@ -70,15 +86,27 @@
     clock: Clock,
     identity: Holder,
     times: LeaseTimes,
+    window_times: WindowTimes,
     messages: Receiver<LeaseMessage>,
 ) where
     P: Platform,
 {
-    let lease = CasLease::new(identity, times, clock.now_ms());
+    let lease = CasLease::new(identity.clone(), times, clock.now_ms());
     let store = StoreAvailability::new(Topic::Lease, "the lease");
-    let finalized = BTreeMap::new();
-    let mut task =
-        LeaseTask { client, hub, clock, lease, finalized, view: None, is_holder: false, store };
+    let mut task = LeaseTask {
+        client,
+        hub,
+        clock,
+        lease,
+        identity,
+        window_times,
+        stored_windows: BTreeSet::new(),
+        lacks_windows: false,
+        complete_since_ms: 0,
+        view: None,
+        is_holder: false,
+        store,
+    };
     loop {
         task.step(None).await;
         let message = compio::time::timeout(TICK, messages.recv().fuse()).await;
@@ -129,12 +157,20 @@
         self.publish().await;
     }
 
-    /// Drops the view if the store was restored since.
-    fn learn_era(&mut self, era: StoreEra) {
-        if era > self.lease.era() {
-            self.lease.on_era(self.clock.now_ms(), era);
-            self.view = None;
+    /// Drops the view if the store was restored since. A holder knows all windows that it finalized;
+    /// nobody else knows whether others were lost.
+    async fn learn_era(&mut self, era: StoreEra) {
+        if era <= self.lease.era() {
+            return;
         }
+        let now_ms = self.clock.now_ms();
+        if !self.lease.is_holder(now_ms) {
+            let cluster_ms = self.hub.request(|reply| HubMessage::ClusterTime { reply }).await;
+            self.complete_since_ms = cluster_ms.unwrap_or_default();
+        }
+        self.lease.on_era(now_ms, era);
+        self.view = None;
+        self.lacks_windows = true;
     }
 
     async fn is_store_reader(&self) -> bool {
@@ -152,12 +188,19 @@
         self.store.record(&result);
         match result {
             Ok(read) => {
-                self.learn_era(read.era);
+                self.learn_era(read.era).await;
                 // The offset that was read from is one of an earlier era.
                 if !is_list && self.view.is_none() {
                     return;
                 }
-                let view = self.apply_page(read.era, &read.value);
+                if is_list {
+                    self.stored_windows.clear();
+                }
+                let (view, windows) = self.apply_page(read.era, &read.value);
+                if !windows.is_empty() {
+                    self.stored_windows.extend(windows.keys());
+                    self.hub.send(HubMessage::WindowsFinalized { windows }).await;
+                }
                 self.view = Some(view.clone());
                 self.lease.on_view(self.clock.now_ms(), sent_at_ms, view);
             }
@@ -167,26 +210,33 @@
         }
     }
 
-    /// Applies a page of records and returns the view after them.
-    fn apply_page(&mut self, era: StoreEra, page: &Page) -> CasLeaseView {
+    /// Applies a page of records and returns the view after them, with the finalized windows.
+    fn apply_page(&mut self, era: StoreEra, page: &Page) -> (CasLeaseView, StartWindows) {
+        let mut windows = StartWindows::new();
         let mut newest = self.view.take().and_then(|view| view.newest);
         for record in page.records.iter().filter(|record| !record.value.is_empty()) {
             if let Some(number) = record.key.strip_prefix(WINDOW_KEY_PREFIX) {
                 let counts = from_json::<proto::RequestStartWindow>(&record.value)
                     .map(start_counts_from_proto);
                 if let (Ok(window), Ok(counts)) = (number.parse(), counts) {
-                    self.finalized.insert(window, counts);
+                    windows.insert(window, counts);
                 } else {
                     event!(Event::RecordMalformed, topic = "Lease", key = record.key);
                 }
             } else if &*record.key == LEASE_KEY {
                 match from_json::<proto::LeaseEntry>(&record.value) {
-                    Ok(entry) => newest = Some((record.offset, from_proto(&entry))),
+                    Ok(entry) => {
+                        let lease_record = from_proto(&entry);
+                        if lease_record.era == era && lease_record.holder != self.identity {
+                            self.complete_since_ms = entry.complete_since_ms.unwrap_or(0);
+                        }
+                        newest = Some((record.offset, lease_record));
+                    }
                     Err(error) => event!(Event::RecordMalformed, topic = "Lease", why = error),
                 }
             }
         }
-        CasLeaseView { era, end: page.next_offset, newest }
+        (CasLeaseView { era, end: page.next_offset, newest }, windows)
     }
 
     async fn write(
@@ -195,26 +245,33 @@
         record: CasLeaseRecord,
         window: Option<(u64, &StartCounts)>,
     ) {
-        let mut records = vec![(LEASE_KEY.to_owned(), Bytes::from(to_json(&to_proto(&record))))];
+        let entry = to_proto(&record, self.complete_since_ms);
+        let mut records = vec![(LEASE_KEY.to_owned(), Bytes::from(to_json(&entry)))];
+        let mut windows = self.lost_windows().await;
         if let Some((window, counts)) = window {
-            let entry = start_window_to_proto(window, counts);
-            records.push((format!("{WINDOW_KEY_PREFIX}{window}"), Bytes::from(to_json(&entry))));
+            windows.insert(window, counts.clone());
             if let Some(old) = window.checked_sub(KEPT_FINALIZED_WINDOWS) {
                 records.push((format!("{WINDOW_KEY_PREFIX}{old}"), Bytes::new()));
-                self.finalized = self.finalized.split_off(&old);
+                self.stored_windows = self.stored_windows.split_off(&old);
             }
         }
+        records.extend(windows.iter().map(|(window, counts)| {
+            let entry = start_window_to_proto(*window, counts);
+            (format!("{WINDOW_KEY_PREFIX}{window}"), Bytes::from(to_json(&entry)))
+        }));
         let result = self.client.append(Topic::Lease, Some(expected_end), &records).await;
         self.store.record(&result);
         let append_result = match result {
             // In another era than it was decided in, the record has no effect.
             Ok(appended) if appended.era != record.era => {
-                self.learn_era(appended.era);
+                self.learn_era(appended.era).await;
                 AppendResult::Unknown
             }
             Ok(appended) => {
-                if let Some((window, counts)) = window {
-                    self.finalized.insert(window, counts.clone());
+                self.lacks_windows = false;
+                self.stored_windows.extend(windows.keys());
+                if !windows.is_empty() {
+                    self.hub.send(HubMessage::WindowsFinalized { windows }).await;
                 }
                 let appended = appended.value;
                 AppendResult::Appended { offset: appended.first_offset, end: appended.next_offset }
@@ -228,15 +285,42 @@
         self.lease.on_written(self.clock.now_ms(), record, append_result);
     }
 
+    /// Returns the finalized windows that a restored store may lack.
+    async fn lost_windows(&self) -> StartWindows {
+        if !self.lacks_windows {
+            return StartWindows::new();
+        }
+        let count = REWRITTEN_WINDOWS;
+        let newest = self.hub.request(|reply| HubMessage::NewestFinalized { count, reply }).await;
+        let mut windows = newest.unwrap_or_default();
+        windows.retain(|window, _| !self.stored_windows.contains(window));
+        windows
+    }
+
+    async fn finalized_counts(&self, window: u64) -> Option<StartCounts> {
+        self.hub.request(|reply| HubMessage::FinalizedWindow { window, reply }).await.flatten()
+    }
+
     /// Finalizes a window by appending its starts together with a renewal of the lease. The first
     /// such record of a window is final.
-    async fn finalize_window(&mut self, window: u64, counts: StartCounts) -> Option<StartCounts> {
+    async fn finalize_window(&mut self, window: u64, counts: StartCounts) -> Option<Finalization> {
         self.lease.fence(self.clock.now_ms())?;
-        if !self.finalized.contains_key(&window) {
-            self.lease.renew_now();
-            self.step(Some((window, &counts))).await;
+        let counts = match self.finalized_counts(window).await {
+            Some(known) if self.stored_windows.contains(&window) => {
+                return Some(Finalization::Final(known));
+            }
+            Some(known) => known,
+            None => match window_standing(&self.window_times, window, self.complete_since_ms) {
+                WindowStanding::Open => counts,
+                WindowStanding::MaybeReported => return Some(Finalization::MaybeReported),
+            },
+        };
+        self.lease.renew_now();
+        self.step(Some((window, &counts))).await;
+        if !self.stored_windows.contains(&window) {
+            return None;
         }
-        self.finalized.get(&window).cloned()
+        self.finalized_counts(window).await.map(Finalization::Final)
     }
 
     async fn publish(&mut self) {
@@ -254,12 +338,13 @@
             }
         }
         let known = self.hub.request(|reply| HubMessage::SetLease { lease, reply }).await;
-        self.learn_era(known.unwrap_or_default());
+        self.learn_era(known.unwrap_or_default()).await;
     }
 }
 
-fn to_proto(record: &CasLeaseRecord) -> proto::LeaseEntry {
+fn to_proto(record: &CasLeaseRecord, complete_since_ms: u64) -> proto::LeaseEntry {
     proto::LeaseEntry {
+        complete_since_ms: Some(complete_since_ms).filter(|since_ms| *since_ms > 0),
         holder: holder_to_proto(&record.holder),
         nonce: record.nonce,
         era: Some(record.era.number()).filter(|number| *number > 0),
--- a/crates/serve/src/tasks/links.rs
+++ b/crates/serve/src/tasks/links.rs
@@ -152,9 +152,10 @@
             state = LinkState::default();
         }
         let lacks_roster = feed.roster_has_more;
+        let sent_finalized = state.sent_finalized;
         self.state = LinkState { received_cursor: Some(cursor), lacks_roster, ..state };
         let from = self.peer.name.clone();
-        self.hub.send(HubMessage::ApplyFeed { from, feed: Box::new(feed) }).await;
+        self.hub.send(HubMessage::ApplyFeed { from, feed: Box::new(feed), sent_finalized }).await;
         Ok(pace)
     }
 }
--- a/crates/usage/src/lib.rs
+++ b/crates/usage/src/lib.rs
@@ -5,6 +5,7 @@
 //! The crate only decides: it uses no clock, no socket and no encoding.
 
 mod cluster_clock;
+mod finalized;
 mod meter;
 mod report_retry;
 mod starts;
@@ -12,6 +13,7 @@
 mod usage_state;
 
 pub use cluster_clock::ClusterClock;
+pub use finalized::{FinalizedWindows, WindowStanding, window_standing};
 pub use meter::{Batch, Meter};
 pub use report_retry::ReportRetry;
 pub use starts::{StartCounters, StartCounts, StartWindows, WindowTimes, merge_max, sum_window};
