Write instances' records again after a restore

Cause: a restore loses entries of instances, request starts and the quarantine. An instance's entry was written again only within 40 s, starts that were written once never, and a list of the copy replaced the known instances. Change: in a new era an instance writes its entry again, spread over 2 s, all kept starts with the next write and the quarantine. The first list of an era keeps the known instances, and one that removed its entry is not taken back.

--- a/crates/serve/src/hub/era.rs
+++ b/crates/serve/src/hub/era.rs
@@ -49,7 +49,10 @@
         self.metrics.store_era.set(i64::try_from(era.number()).unwrap_or(i64::MAX));
     }
 
+    /// Has this instance write again what the copy may lack, and its readers read again.
     fn on_restore(&mut self, era: StoreEra) {
+        self.starts.rewrite();
+        self.stored_suspects = None;
         for watcher in &self.restore_watchers {
             // The receiver closes only when the process ends.
             let _ = watcher.try_send(era);
--- a/crates/serve/src/hub/instances.rs
+++ b/crates/serve/src/hub/instances.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use cowslip_era::StoreEra;
 use cowslip_fleet::Locality;
 use cowslip_membership::Location;
 use cowslip_name::Name;
@@ -12,11 +13,17 @@
 
 /// Age from which an instance's entry is ignored.
 const ENTRY_TTL_MS: u64 = 120_000; // three times the interval at which instances write their entries
+/// Most instances whose removal is remembered.
+const MAX_DEPARTED: usize = 4_096;
 
 /// The system's instances, read from their own entries or received from a feeder.
 #[derive(Debug, Default)]
 pub(super) struct Instances {
     entries: BTreeMap<Name, proto::InstanceEntry>,
+    /// Incarnation that removed its entry, by instance. An older copy of the store lists it again.
+    departed: BTreeMap<Name, u64>,
+    /// Era of the newest list of the store.
+    listed_era: StoreEra,
     /// Whether the store or a feeder has provided a list.
     is_known: bool,
     /// Number of all instances, if a feeder sent the list; `entries` then holds the feeders and the
@@ -29,14 +36,31 @@
 }
 
 impl Instances {
-    /// Starts a complete list, whose entries follow.
-    pub(super) fn on_list(&mut self) {
-        self.entries.clear();
+    /// Starts a complete list of the store, whose entries follow. Returns whether it is the first one
+    /// of an era: that may lack instances which have yet to write their entries again, so the known
+    /// ones are kept.
+    pub(super) fn on_list(&mut self, era: StoreEra) -> bool {
+        let is_copy = era > std::mem::replace(&mut self.listed_era, era);
+        if !is_copy {
+            self.entries.clear();
+        }
         self.fed_count = None;
         self.is_known = true;
+        is_copy
+    }
+
+    /// Applies an entry of the store. A copy says nothing newer about known instances, and may list
+    /// departed ones.
+    pub(super) fn on_stored_entry(&mut self, entry: proto::InstanceEntry, is_copy: bool) {
+        let name = &entry.holder.instance;
+        let is_departed = self.departed.get(name) == Some(&entry.holder.incarnation);
+        let is_known = is_copy && self.entries.contains_key(name);
+        if !is_departed && !is_known {
+            self.on_entry(entry);
+        }
     }
 
-    pub(super) fn on_entry(&mut self, entry: proto::InstanceEntry) {
+    fn on_entry(&mut self, entry: proto::InstanceEntry) {
         self.entries.insert(entry.holder.instance.clone(), entry);
     }
 
@@ -55,11 +79,20 @@
     }
 
     pub(super) fn on_removed(&mut self, key: &str) {
-        self.entries.retain(|name, _| name.as_str() != key);
+        let Some(name) = self.entries.keys().find(|name| name.as_str() == key).cloned() else {
+            return;
+        };
+        if self.departed.len() >= MAX_DEPARTED {
+            self.departed.clear();
+        }
+        if let Some(entry) = self.entries.remove(&name) {
+            self.departed.insert(name, entry.holder.incarnation);
+        }
     }
 
     fn apply_fed_list(&mut self, list: &proto::FeederList) {
-        self.on_list();
+        self.entries.clear();
+        self.is_known = true;
         self.fed_count = Some(list.count);
         list.feeders.iter().cloned().for_each(|entry| self.on_entry(entry));
     }
--- a/crates/serve/src/hub/records.rs
+++ b/crates/serve/src/hub/records.rs
@@ -135,7 +135,7 @@
                 }
             }
             Topic::Roster => self.on_roster(era, page, is_list),
-            Topic::Instances => self.on_instances(page.records, is_list),
+            Topic::Instances => self.on_instances(era, page.records, is_list),
             // The tasks that write these topics also read them.
             Topic::Lease | Topic::Starts => {}
         }
@@ -288,10 +288,8 @@
         }
     }
 
-    fn on_instances(&mut self, records: Vec<StoredRecord>, is_list: bool) {
-        if is_list {
-            self.instances.on_list();
-        }
+    fn on_instances(&mut self, era: StoreEra, records: Vec<StoredRecord>, is_list: bool) {
+        let is_copy = is_list && self.instances.on_list(era);
         for record in records {
             if &*record.key == QUARANTINE_KEY {
                 self.on_stored_quarantine(&record.value);
@@ -303,7 +301,7 @@
             }
             match from_json::<proto::InstanceEntry>(&record.value) {
                 Ok(entry) if entry.peer_address.parse::<SocketAddr>().is_ok() => {
-                    self.instances.on_entry(entry);
+                    self.instances.on_stored_entry(entry, is_copy);
                 }
                 Ok(entry) => {
                     let why = "its peer address is not an IP address and port";
--- a/crates/serve/src/run.rs
+++ b/crates/serve/src/run.rs
@@ -224,7 +224,14 @@
             run_links(hub.clone(), (*metrics).clone(), config.feed_every(), link_commands)
                 .boxed_local(),
             run_reservations(hub.clone(), reservation_calls).boxed_local(),
-            run_registration(client.clone(), hub.clone(), entry).boxed_local(),
+            {
+                let (client, hub) = (client.clone(), hub.clone());
+                async move {
+                    let restores = watch_restores(&hub).await;
+                    run_registration(client, hub, entry, restores).await;
+                }
+                .boxed_local()
+            },
             run_starts(client.clone(), hub.clone()).boxed_local(),
             run_quarantine(client.clone(), hub.clone()).boxed_local(),
             run_lease(
--- a/crates/serve/src/tasks/registration.rs
+++ b/crates/serve/src/tasks/registration.rs
@@ -1,10 +1,14 @@
 //! The entry of this instance in the store, by which peers find it.
 
+use std::pin::pin;
 use std::time::Duration;
 
+use async_channel::Receiver;
 use bytes::Bytes;
 use cowslip_codec::to_json;
+use cowslip_era::StoreEra;
 use cowslip_proto as proto;
+use futures_util::future::{Either, select};
 
 use super::HubHandle;
 use super::store_availability::StoreAvailability;
@@ -15,16 +19,21 @@
 
 /// Interval between writes of the entry; readers ignore an entry that is three times as old.
 const WRITE_EVERY: Duration = Duration::from_secs(40);
-/// Retry delay of the first write, until which no peer knows this instance.
+/// Retry delay of the first write, and of the first one after a restore of the store, until which
+/// peers may not know this instance.
 const FIRST_RETRY_DELAY: Duration = Duration::from_secs(1);
 /// Retry delay of later writes, during which the previous entry still counts.
 const RETRY_DELAY: Duration = Duration::from_secs(5);
 
-/// Writes the entry at intervals until the process ends.
+/// Time over which instances spread the writes that follow a restore of the store.
+const REWRITE_SPREAD_MS: u64 = 2_000;
+
+/// Writes the entry at intervals, and after each restore of the store, until the process ends.
 pub(crate) async fn run_registration<P>(
     client: StoreClient<P>,
     hub: HubHandle,
     mut entry: proto::InstanceEntry,
+    restores: Receiver<StoreEra>,
 ) where
     P: Platform,
 {
@@ -41,7 +50,17 @@
         if result.is_ok() {
             retry_delay = RETRY_DELAY;
         }
-        compio::time::sleep(if result.is_ok() { WRITE_EVERY } else { retry_delay }).await;
+        let next = compio::time::sleep(if result.is_ok() { WRITE_EVERY } else { retry_delay });
+        match select(pin!(next), pin!(restores.recv())).await {
+            Either::Left(_) => {}
+            Either::Right((Ok(_), _)) => {
+                // Once more, peers that start may not know this instance.
+                retry_delay = FIRST_RETRY_DELAY;
+                let spread = Duration::from_millis(fastrand::u64(..REWRITE_SPREAD_MS));
+                compio::time::sleep(spread).await;
+            }
+            Either::Right((Err(_), _)) => return,
+        }
     }
 }
 
--- a/crates/usage/src/starts.rs
+++ b/crates/usage/src/starts.rs
@@ -91,6 +91,13 @@
         }
     }
 
+    /// Makes all sums due to be written again, since earlier writes may be lost. That includes a write
+    /// whose result is not known yet.
+    pub fn rewrite(&mut self) {
+        self.written_version = 0;
+        self.taken_version = 0;
+    }
+
     /// Returns whether the newest write failed.
     #[must_use]
     pub fn has_failed(&self) -> bool {
--- a/crates/usage/tests/starts.rs
+++ b/crates/usage/tests/starts.rs
@@ -167,3 +167,29 @@
         assert_eq!(clock.now_ms(5_000), before.saturating_add_signed(correction_ms), "{name}");
     }
 }
+
+#[test]
+fn all_sums_are_written_again_after_a_restore() {
+    struct Case {
+        name: &'static str,
+        /// Whether a write was under way when the sums became due again.
+        is_writing: bool,
+    }
+    let cases = [
+        Case { name: "between two writes", is_writing: false },
+        Case { name: "during a write", is_writing: true },
+    ];
+    for case in cases {
+        let mut counter = StartCounters::default();
+        let [name, key]: [Arc<str>; 2] = [Arc::from("alpha"), Arc::from("one")];
+        counter.count(&key, 3, &name);
+        let all = counter.take_changed();
+        counter.on_write(true);
+        assert!(counter.take_changed().is_empty(), "{}", case.name);
+        counter.rewrite();
+        if case.is_writing {
+            counter.on_write(true);
+        }
+        assert_eq!(counter.take_changed(), all, "{}", case.name);
+    }
+}
