Wait before a claim on an empty topic of a restored store

Cause (found by review): a process that had not read the lease yet claimed an empty topic at once, also where the copy was from before the first claim and the holder of that time still acted. The walk left these steps out. Change: an empty topic is claimed at once in era 0 only. The wait runs from the first view of the era, so the time of learning the era is no longer kept; the walk skips nothing and its case of the empty store expects the wait.

--- a/crates/authority/src/cas_lease.rs
+++ b/crates/authority/src/cas_lease.rs
@@ -128,12 +128,10 @@
     next_nonce: u64,
     /// Highest era that this process knows.
     era: StoreEra,
-    /// Local time at which this process learned the era, `None` if the era has not risen since its
-    /// first view.
-    era_since_ms: Option<u64>,
     /// State of the store in the known era.
     view: Option<CasLeaseView>,
-    /// Local time at which the newest record was first read, or appended by this process.
+    /// Local time at which the newest record of the known era, or the lack of one, was first read, or
+    /// at which this process appended it.
     newest_seen_at_ms: u64,
     is_view_stale: bool,
     /// Whether a claim got no response and no read has succeeded since.
@@ -166,7 +164,6 @@
             times,
             next_nonce: 0,
             era: StoreEra::default(),
-            era_since_ms: None,
             view: None,
             newest_seen_at_ms: now_ms,
             is_view_stale: true,
@@ -206,13 +203,12 @@
             (NewestRecord::Missing | NewestRecord::Ineffective, Some(_)) => {
                 self.write_if(is_renewal_due, now_ms)
             }
-            (NewestRecord::Missing, None) => match self.era_since_ms {
-                Some(since_ms) => self.claim_after(since_ms, now_ms),
-                None => self.write(now_ms, false),
-            },
-            (NewestRecord::Ineffective, None) | (NewestRecord::Foreign, _) => {
-                self.claim_after(self.newest_seen_at_ms, now_ms)
+            // Only a store that was never restored is certain to be new.
+            (NewestRecord::Missing, None) if self.era == StoreEra::default() => {
+                self.write(now_ms, false)
             }
+            (NewestRecord::Missing | NewestRecord::Ineffective, None)
+            | (NewestRecord::Foreign, _) => self.claim_if_expired(now_ms),
         }
     }
 
@@ -220,11 +216,10 @@
         if is_due { self.write(now_ms, false) } else { CasLeaseStep::Wait }
     }
 
-    /// Claims the lease if the previous holder's lease, which was not renewed after `since_ms`, has
-    /// expired.
-    fn claim_after(&mut self, since_ms: u64, now_ms: u64) -> CasLeaseStep {
-        let has_waited =
-            now_ms.saturating_sub(since_ms) >= self.times.lease_ms + self.times.drift_margin_ms;
+    /// Claims the lease if that of the previous holder has expired.
+    fn claim_if_expired(&mut self, now_ms: u64) -> CasLeaseStep {
+        let elapsed_ms = now_ms.saturating_sub(self.newest_seen_at_ms);
+        let has_waited = elapsed_ms >= self.times.lease_ms + self.times.drift_margin_ms;
         if has_waited && now_ms >= self.no_claim_until_ms {
             return self.write(now_ms, false);
         }
@@ -266,14 +261,11 @@
     }
 
     /// Applies an era of the store, which has no effect unless it is higher than the known one.
-    pub fn on_era(&mut self, now_ms: u64, era: StoreEra) {
+    pub fn on_era(&mut self, era: StoreEra) {
         if era <= self.era {
             return;
         }
         self.era = era;
-        if self.view.is_some() || self.era_since_ms.is_some() {
-            self.era_since_ms = Some(now_ms);
-        }
         self.view = None;
         self.is_view_stale = true;
     }
@@ -282,7 +274,7 @@
     ///
     /// A view of a higher era than the known one raises it, and one of a lower era has no effect.
     pub fn on_view(&mut self, now_ms: u64, sent_at_ms: u64, view: CasLeaseView) {
-        self.on_era(now_ms, view.era);
+        self.on_era(view.era);
         if view.era < self.era {
             return;
         }
--- a/crates/authority/tests/cas_lease.rs
+++ b/crates/authority/tests/cas_lease.rs
@@ -218,7 +218,7 @@
         if let Some(told) = &mut self.told_eras[index] {
             *told = era.max(*told);
         }
-        self.processes[index].on_era(self.now_ms, era);
+        self.processes[index].on_era(era);
     }
 
     fn ignores_restores(&self, index: usize) -> bool {
@@ -318,18 +318,6 @@
         }
     }
 
-    /// Whether a process that has not read the store yet would find it empty after a restore. It
-    /// cannot tell that from a new store, and claims at once.
-    fn is_indistinguishable_from_a_new_store(&self, step: &Step) -> bool {
-        match *step {
-            Step::Restore(lost) => {
-                lost >= self.records.len() && self.told_eras.iter().any(Option::is_none)
-            }
-            Step::Restart(_) => self.records.is_empty() && self.era > StoreEra::default(),
-            _ => false,
-        }
-    }
-
     fn acting(&self, index: usize) -> Option<Position> {
         let process = &self.processes[index];
         let UsableLease { position, expires_at_ms } = process.usable(self.now_ms)?;
@@ -398,9 +386,6 @@
 fn run(fault: Fault, steps: &[Step]) -> Result<usize, &'static str> {
     let mut simulation = Simulation::new(fault);
     for step in steps {
-        if simulation.is_indistinguishable_from_a_new_store(step) {
-            continue;
-        }
         simulation.step(step);
         if let Some(violation) = simulation.violation() {
             return Err(violation);
@@ -828,7 +813,7 @@
             alive: &[2],
             want_process: 2,
             want_position: (1, 0),
-            want_idle_ms: 0,
+            want_idle_ms: wait_ms,
         },
     ];
     for case in cases {
@@ -861,7 +846,7 @@
     let want = UsableLease { position, expires_at_ms: TIMES.lease_ms };
     assert_eq!((process.era(), process.usable(now_ms)), (era(1), Some(want)));
     assert_eq!((process.fence(now_ms), process.is_holder(now_ms)), (None, true));
-    process.on_era(now_ms, era(0));
+    process.on_era(era(0));
     assert_eq!(process.era(), era(1));
     for step in [Step::Call(0), Step::Call(0)] {
         simulation.step(&step);
--- a/crates/serve/src/tasks/lease.rs
+++ b/crates/serve/src/tasks/lease.rs
@@ -168,7 +168,7 @@
             let cluster_ms = self.hub.request(|reply| HubMessage::ClusterTime { reply }).await;
             self.complete_since_ms = cluster_ms.unwrap_or_default();
         }
-        self.lease.on_era(now_ms, era);
+        self.lease.on_era(era);
         self.view = None;
         self.lacks_windows = true;
     }
