Take a call without a response for no statement of the era

Cause (found by review): a failed call counted as a response that states no era, so each instance that started while a restored store was away logged a false restore, registered twice, and could write an empty quarantine over the stored one. Change: only a response states an era, or none. The stored quarantine is only doubted after a restore if this instance refuses requests. Result: the five tests of restores pass; the false restore has no test of its own.

--- a/crates/serve/src/hub/era.rs
+++ b/crates/serve/src/hub/era.rs
@@ -52,7 +52,9 @@
     /// Has this instance write again what the copy may lack, and its readers read again.
     fn on_restore(&mut self, era: StoreEra) {
         self.starts.rewrite();
-        self.stored_suspects = None;
+        if !self.quarantine.refusals().is_empty() {
+            self.stored_suspects = None;
+        }
         for watcher in &self.restore_watchers {
             // The receiver closes only when the process ends.
             let _ = watcher.try_send(era);
--- a/crates/serve/src/platform.rs
+++ b/crates/serve/src/platform.rs
@@ -166,10 +166,10 @@
     Starts,
 }
 
-/// A response of the store, or the lack of one.
+/// The result of a call of the store.
 #[derive(Clone, Debug)]
 pub struct StoreResponse<T> {
-    /// What the response states about the store's era.
+    /// What the response states about the store's era; absent also without a response.
     pub era: EraStatement,
     /// Contents of the response.
     pub result: Result<T, StoreError>,
--- a/crates/serve/src/tasks/store_client.rs
+++ b/crates/serve/src/tasks/store_client.rs
@@ -1,7 +1,7 @@
 //! Calls of the store, whose responses count only in the newest era.
 
 use bytes::Bytes;
-use cowslip_era::StoreEra;
+use cowslip_era::{EraStatement, StoreEra};
 
 use super::HubHandle;
 use crate::hub::HubMessage;
@@ -67,6 +67,11 @@
     /// its era is invalid.
     async fn settle<T>(&self, response: StoreResponse<T>) -> Result<InEra<T>, StoreError> {
         let StoreResponse { era, result } = response;
+        let result = match (era, result) {
+            // A call without a response says nothing about the era.
+            (EraStatement::Absent, Err(error)) => return Err(error),
+            (_, result) => result,
+        };
         let settled = self.hub.request(|reply| HubMessage::EraStated { era, reply }).await;
         let era = settled.flatten().ok_or(StoreError::OtherEra)?;
         result.map(|value| InEra { era, value })
