Number the feed messages anew

Cause (found by review): requests, replies and records of the feeds have changed, but their path still named the version before. Change: the path names the next version, so that instances of the two versions get an error instead of messages that do not decode. Result: the five tests of restores pass.

--- a/crates/serve/src/tasks/peer_server.rs
+++ b/crates/serve/src/tasks/peer_server.rs
@@ -14,7 +14,7 @@
 use crate::metrics::Metrics;
 
 /// Path of feed requests; it names the version of the messages.
-pub(super) const FEED_PATH: &str = "/feed/v5";
+pub(super) const FEED_PATH: &str = "/feed/v6";
 
 /// Path of reservations at a broker of allowances.
 pub(super) const RESERVATION_PATH: &str = "/reservations/v1";
