Give upstreams and instances their time after any restore

Cause (found by review): an instance whose first own list is in the new era gave missing upstreams no time, the placeholder for a missing entry hid a first record at offset 0, a remembered drop did not count once its removal was forgotten, and a copy never replaced the entry of a known instance, also where it was newer. Change: the grace depends on rows of an earlier era, the placeholder stands before all offsets of the era, unknown rows may be copies, and entries of instances are compared by the time of their writing.

--- a/crates/serve/src/hub/instances.rs
+++ b/crates/serve/src/hub/instances.rs
@@ -49,13 +49,14 @@
         is_copy
     }
 
-    /// Applies an entry of the store. A copy says nothing newer about known instances, and may list
+    /// Applies an entry of the store. A copy may hold older entries of known instances, and those of
     /// departed ones.
     pub(super) fn on_stored_entry(&mut self, entry: proto::InstanceEntry, is_copy: bool) {
         let name = &entry.holder.instance;
         let is_departed = self.departed.get(name) == Some(&entry.holder.incarnation);
-        let is_known = is_copy && self.entries.contains_key(name);
-        if !is_departed && !is_known {
+        let is_newer = |known: &proto::InstanceEntry| known.written_at_ms >= entry.written_at_ms;
+        let is_older = is_copy && self.entries.get(name).is_some_and(is_newer);
+        if !is_departed && !is_older {
             self.on_entry(entry);
         }
     }
--- a/crates/serve/src/hub/records.rs
+++ b/crates/serve/src/hub/records.rs
@@ -62,14 +62,33 @@
     /// Returns how a record relates to the known one of its key.
     fn order_of(&self, record: &StoredRecord) -> EntryOrder {
         match self.log.get(&record.key) {
-            Some(known) if known.era < record.era => EntryOrder::MaybeCopy,
-            _ => EntryOrder::Newer,
+            Some(known) if known.era == record.era => EntryOrder::Newer,
+            // The registry may remember an upstream whose removal is no longer kept here.
+            _ => EntryOrder::MaybeCopy,
         }
     }
 
-    /// Records a list of the store. Returns whether it is the first one after a restore.
+    /// Records a list of the store. Returns whether it may lack entries that are known from an earlier
+    /// era.
     fn on_list(&mut self, era: StoreEra) -> bool {
-        self.listed_era.replace(era).is_some_and(|listed| listed < era)
+        match self.listed_era.replace(era) {
+            Some(listed) => listed < era,
+            None => {
+                self.log.present_keys().filter_map(|key| self.log.get(key)).any(|row| row.era < era)
+            }
+        }
+    }
+
+    /// Returns the removal of a key that a list lacks, as a record after the known one and before all
+    /// that follow the list.
+    fn removal_of(&self, key: Arc<str>, era: StoreEra, next_offset: u64) -> StoredRecord {
+        let value = bytes::Bytes::new();
+        match self.log.get(&key) {
+            Some(known) if known.era < era => {
+                StoredRecord { key, era: known.era, offset: u64::MAX, value }
+            }
+            _ => StoredRecord { key, era, offset: next_offset.saturating_sub(1), value },
+        }
     }
 
     /// Remembers a malformed record, so that it is logged once.
@@ -183,9 +202,8 @@
             }
             let missing: Vec<Arc<str>> = self.roster_records.missing(&page.records).collect();
             for key in missing {
-                let value = bytes::Bytes::new();
-                let offset = page.next_offset.saturating_sub(1);
-                self.on_upstream_missing(StoredRecord { key, era, offset, value });
+                let record = self.roster_records.removal_of(key, era, page.next_offset);
+                self.on_upstream_missing(record);
             }
             let listed = page.records.iter().map(|record| &*record.key);
             let changes = self.registry.on_list(now_ms, listed);
