Let counts in the store replace those that were never reported

Cause (found by review): the first counts that an instance knew of a window stayed. If a restore took away an append whose holder had no reply, the other reader kept its counts, though the holder finalized and reported others in the new era. Change: counts that are read from or written to the store replace known ones; the first ones stay only among those that peers send.

--- a/crates/serve/src/hub/finalized.rs
+++ b/crates/serve/src/hub/finalized.rs
@@ -5,7 +5,7 @@
 use cowslip_name::Name;
 use cowslip_proto as proto;
 use cowslip_task::send_reply;
-use cowslip_usage::StartCounts;
+use cowslip_usage::StartWindows;
 
 use super::message::ReplySender;
 use super::{Hub, LinkState};
@@ -25,14 +25,15 @@
 where
     P: Platform,
 {
-    /// Remembers windows that were finalized. The first counts of a window that arrive are kept.
-    pub(super) fn on_windows_finalized<W>(&mut self, windows: W)
-    where
-        W: IntoIterator<Item = (u64, StartCounts)>,
-    {
+    /// Remembers windows that are finalized in the store.
+    pub(super) fn on_windows_finalized(&mut self, windows: StartWindows) {
         for (window, counts) in windows {
-            self.finalized.insert(window, counts);
+            self.finalized.set_stored(window, counts);
         }
+        self.forget_finalized();
+    }
+
+    fn forget_finalized(&mut self) {
         let newest = self.window_times.window_of(self.cluster_ms());
         self.finalized.forget_before(newest.saturating_sub(KEPT_FINALIZED_WINDOWS));
     }
@@ -52,10 +53,10 @@
     }
 
     pub(super) fn on_finalized_of_peer(&mut self, windows: Vec<proto::RequestStartWindow>) {
-        if !windows.is_empty() {
-            let rows = windows.into_iter().map(|row| (row.window, start_counts_from_proto(row)));
-            self.on_windows_finalized(rows);
+        for window in windows {
+            self.finalized.insert(window.window, start_counts_from_proto(window));
         }
+        self.forget_finalized();
     }
 
     /// Replies once a peer that reads the store has all finalized windows, at once without such a
--- a/crates/usage/src/finalized.rs
+++ b/crates/usage/src/finalized.rs
@@ -11,15 +11,16 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 struct FinalizedWindow {
     counts: StartCounts,
-    /// Version at which the window was inserted.
-    inserted_at: u64,
+    /// Version at which the counts were inserted or replaced.
+    changed_at: u64,
 }
 
 /// Counts of finalized windows by window number, as several instances know them.
 ///
-/// A window is reported with its finalized counts, so the first counts that are inserted for a
-/// window stay until it is forgotten. Each insertion of a window increments a version; the version
-/// of the last message to a peer determines which windows the peer lacks.
+/// A window is reported with its finalized counts. Those that are in the store replace others, since
+/// a restore may have taken away counts that were never reported; of those that peers know, the first
+/// stay. Each change increments a version; the version of the last message to a peer determines
+/// which windows the peer lacks.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct FinalizedWindows {
     windows: BTreeMap<u64, FinalizedWindow>,
@@ -27,16 +28,12 @@
 }
 
 impl FinalizedWindows {
-    /// Inserts the counts of a window unless it has some, and returns the counts that it has now.
-    pub fn insert(&mut self, window: u64, counts: StartCounts) -> &StartCounts {
-        let finalized = match self.windows.entry(window) {
-            Entry::Occupied(known) => known.into_mut(),
-            Entry::Vacant(vacant) => {
-                self.version += 1;
-                vacant.insert(FinalizedWindow { counts, inserted_at: self.version })
-            }
-        };
-        &finalized.counts
+    /// Inserts the counts of a window that a peer knows, unless the window has some.
+    pub fn insert(&mut self, window: u64, counts: StartCounts) {
+        if let Entry::Vacant(vacant) = self.windows.entry(window) {
+            self.version += 1;
+            vacant.insert(FinalizedWindow { counts, changed_at: self.version });
+        }
     }
 
     /// Returns the counts of a window, `None` if it is not known to be finalized.
@@ -45,15 +42,23 @@
         self.windows.get(&window).map(|finalized| &finalized.counts)
     }
 
-    /// Returns the windows that were inserted after version `version`, in window order.
+    /// Sets the counts of a window that are in the store.
+    pub fn set_stored(&mut self, window: u64, counts: StartCounts) {
+        if self.get(window) != Some(&counts) {
+            self.version += 1;
+            self.windows.insert(window, FinalizedWindow { counts, changed_at: self.version });
+        }
+    }
+
+    /// Returns the windows that changed after version `version`, in window order.
     pub fn changed_since(&self, version: u64) -> impl Iterator<Item = (u64, &StartCounts)> {
         self.windows
             .iter()
-            .filter(move |(_, finalized)| finalized.inserted_at > version)
+            .filter(move |(_, finalized)| finalized.changed_at > version)
             .map(|(window, finalized)| (*window, &finalized.counts))
     }
 
-    /// Returns the version of the newest insertion, 0 before the first.
+    /// Returns the version of the newest change, 0 before the first.
     #[must_use]
     pub fn version(&self) -> u64 {
         self.version
--- a/crates/usage/tests/finalized.rs
+++ b/crates/usage/tests/finalized.rs
@@ -92,8 +92,9 @@
         let mut finalized = FinalizedWindows::default();
         for (window, starts) in inserted {
             let known = finalized.get(*window).cloned();
-            let returned = finalized.insert(*window, counts(*starts)).clone();
-            assert_eq!(returned, known.unwrap_or_else(|| counts(*starts)), "{name}");
+            finalized.insert(*window, counts(*starts));
+            let expected = known.unwrap_or_else(|| counts(*starts));
+            assert_eq!(finalized.get(*window), Some(&expected), "{name}");
         }
         finalized.forget_before(forgotten_before);
         assert_eq!(rows(finalized.changed_since(0)), kept, "{name}");
@@ -111,6 +112,32 @@
     }
 }
 
+#[test]
+fn counts_in_the_store_replace_those_of_peers() {
+    struct Case {
+        name: &'static str,
+        inserted: Windows,
+        stored: u64,
+        version: u64,
+    }
+    let cases = [
+        Case { name: "not known", inserted: &[], stored: 10, version: 1 },
+        Case { name: "equal", inserted: &[(3, 10)], stored: 10, version: 1 },
+        Case { name: "other counts", inserted: &[(3, 20)], stored: 10, version: 2 },
+    ];
+    for Case { name, inserted, stored, version } in cases {
+        let mut finalized = FinalizedWindows::default();
+        for (window, starts) in inserted {
+            finalized.insert(*window, counts(*starts));
+        }
+        finalized.set_stored(3, counts(stored));
+        finalized.insert(3, counts(30));
+        assert_eq!(finalized.get(3), Some(&counts(stored)), "{name}");
+        assert_eq!(rows(finalized.changed_since(version - 1)), [(3, stored)], "{name}");
+        assert_eq!(finalized.version(), version, "{name}");
+    }
+}
+
 #[test]
 fn windows_that_may_have_been_reported_are_not_open() {
     struct Case {
