Bind what is stored under the lease to its era

Cause (found by review): the lease record had new fields, which the version before rejects, so that during an upgrade over a restored store it would claim beside the holder. A window of an append that was executed late, after a restore, replaced one of the new era. The time since which windows are complete came from the first estimate of the cluster time, and only eight windows were written again. Change: the era has a key of its own beside the unchanged lease record; keys of windows name their era, and those of earlier eras are known counts that the next holder removes; the time is kept by the local clock and converted at each write; as many windows are written again as may be due. The upgrade and the late window have no tests of their own.

--- a/crates/gen/src/schema.rs
+++ b/crates/gen/src/schema.rs
@@ -14,8 +14,7 @@
 /// Treatment of missing and unknown fields in the messages of a schema folder.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum SchemaMode {
-    /// For messages of this project: every field is required, unless the schema lists those that are,
-    /// and unknown fields are rejected.
+    /// For messages of this project: every field is required and unknown fields are rejected.
     Strict,
     /// For messages of another system: only fields listed as required must be present, and unknown
     /// fields are ignored.
@@ -55,14 +54,13 @@
     Ok(())
 }
 
-/// Makes every property required where the schema does not list those that are, and forbids unknown
-/// ones, at all depths.
+/// Makes every property required and forbids unknown ones, at all depths.
 fn make_strict(value: &mut Value) {
     match value {
         Value::Object(object) => {
             if let Some(properties) = object.get("properties").and_then(Value::as_object) {
                 let names: Vec<Value> = properties.keys().cloned().map(Value::from).collect();
-                object.entry("required").or_insert_with(|| names.into());
+                object.insert("required".to_owned(), names.into());
                 object.insert("additionalProperties".to_owned(), false.into());
             }
             object.values_mut().for_each(make_strict);
--- a/crates/proto/src/generated.rs
+++ b/crates/proto/src/generated.rs
@@ -2294,16 +2294,6 @@
 ///    "released"
 ///  ],
 ///  "properties": {
-///    "complete_since_ms": {
-///      "description": "Cluster time, in Unix milliseconds, since which every finalized usage window is known to the holder or in the store; absent for 0, when no window may have been lost.",
-///      "type": "integer",
-///      "format": "uint64"
-///    },
-///    "era": {
-///      "description": "Era of the store in which the entry was decided, which is the only one in which it has an effect; absent for 0.",
-///      "type": "integer",
-///      "format": "uint64"
-///    },
 ///    "holder": {
 ///      "$ref": "#/definitions/Holder"
 ///    },
@@ -2324,18 +2314,61 @@
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct LeaseEntry {
-    ///Cluster time, in Unix milliseconds, since which every finalized usage window is known to the holder or in the store; absent for 0, when no window may have been lost.
-    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
-    pub complete_since_ms: ::std::option::Option<u64>,
-    ///Era of the store in which the entry was decided, which is the only one in which it has an effect; absent for 0.
-    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
-    pub era: ::std::option::Option<u64>,
     pub holder: Holder,
     ///Number chosen by the writer, by which it recognizes its own entry.
     pub nonce: u64,
     ///Whether the holder has released the lease.
     pub released: bool,
 }
+///Era of the lease entry that was appended with it, stored under a key of its own, since earlier versions reject unknown fields. A lease entry without it is of era 0.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "Era of the lease entry that was appended with it, stored under a key of its own, since earlier versions reject unknown fields. A lease entry without it is of era 0.",
+///  "type": "object",
+///  "required": [
+///    "complete_since_ms",
+///    "era",
+///    "holder",
+///    "nonce"
+///  ],
+///  "properties": {
+///    "complete_since_ms": {
+///      "description": "Cluster time, in Unix milliseconds, since which every finalized usage window is known to the holder or in the store; 0 if no window may have been lost.",
+///      "type": "integer",
+///      "format": "uint64"
+///    },
+///    "era": {
+///      "description": "Era of the store in which the lease entry was decided, the only one in which it has an effect.",
+///      "type": "integer",
+///      "format": "uint64"
+///    },
+///    "holder": {
+///      "$ref": "#/definitions/Holder"
+///    },
+///    "nonce": {
+///      "description": "Number of the lease entry.",
+///      "type": "integer",
+///      "format": "uint64"
+///    }
+///  },
+///  "additionalProperties": false
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct LeaseEraEntry {
+    ///Cluster time, in Unix milliseconds, since which every finalized usage window is known to the holder or in the store; 0 if no window may have been lost.
+    pub complete_since_ms: u64,
+    ///Era of the store in which the lease entry was decided, the only one in which it has an effect.
+    pub era: u64,
+    pub holder: Holder,
+    ///Number of the lease entry.
+    pub nonce: u64,
+}
 ///Release that ends a term before its lease expires.
 ///
 /// <details><summary>JSON schema</summary>
--- a/crates/serve/src/hub/finalized.rs
+++ b/crates/serve/src/hub/finalized.rs
@@ -12,7 +12,7 @@
 use crate::platform::Platform;
 
 /// Finalized windows that are kept.
-pub(crate) const KEPT_FINALIZED_WINDOWS: u64 = 24; // two minutes with windows of 5 s
+pub(crate) const KEPT_FINALIZED_WINDOWS: usize = 24; // two minutes with windows of 5 s
 
 /// A task that waits until the other reader has received all windows up to a version.
 #[derive(Debug)]
@@ -33,9 +33,18 @@
         self.forget_finalized();
     }
 
+    /// Remembers windows that peers know or that were finalized in earlier eras.
+    pub(super) fn on_known_windows(&mut self, windows: StartWindows) {
+        for (window, counts) in windows {
+            self.finalized.insert(window, counts);
+        }
+        self.forget_finalized();
+    }
+
     fn forget_finalized(&mut self) {
         let newest = self.window_times.window_of(self.cluster_ms());
-        self.finalized.forget_before(newest.saturating_sub(KEPT_FINALIZED_WINDOWS));
+        let kept = u64::try_from(KEPT_FINALIZED_WINDOWS).unwrap_or(u64::MAX);
+        self.finalized.forget_before(newest.saturating_sub(kept));
     }
 
     /// Returns the windows that a peer lacks, and the version up to which it then has all.
@@ -53,10 +62,8 @@
     }
 
     pub(super) fn on_finalized_of_peer(&mut self, windows: Vec<proto::RequestStartWindow>) {
-        for window in windows {
-            self.finalized.insert(window.window, start_counts_from_proto(window));
-        }
-        self.forget_finalized();
+        let windows = windows.into_iter().map(|row| (row.window, start_counts_from_proto(row)));
+        self.on_known_windows(windows.collect());
     }
 
     /// Replies once a peer that reads the store has all finalized windows, at once without such a
--- a/crates/serve/src/hub/message.rs
+++ b/crates/serve/src/hub/message.rs
@@ -104,8 +104,10 @@
     QuarantineNotWritten,
     /// Asks for all request starts that this instance knows, by the key of their records.
     KnownStarts { reply: ReplySender<BTreeMap<Arc<str>, StartWindows>> },
-    /// Remembers windows that were finalized in the store.
+    /// Remembers windows that are finalized in the store.
     WindowsFinalized { windows: StartWindows },
+    /// Remembers windows that were finalized in earlier eras of the store.
+    EarlierWindowsFinalized { windows: StartWindows },
     /// Asks for the finalized counts of a window; the reply is `None` if they are not known.
     FinalizedWindow { window: u64, reply: ReplySender<Option<StartCounts>> },
     /// Asks for the newest finalized windows, at most `count`.
--- a/crates/serve/src/hub/mod.rs
+++ b/crates/serve/src/hub/mod.rs
@@ -16,6 +16,7 @@
 
 use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
+use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
 use cowslip_authority::{Holder, UsableLease};
@@ -222,15 +223,7 @@
                 self.on_request_ended(id);
             }
             HubMessage::SendEnded { upstream, outcome, keep_alive } => {
-                self.health.on_outcome(self.clock.now_ms(), &upstream, outcome);
-                if outcome == SendOutcome::Refused
-                    && let Some(upstream) = self.registry.get(&upstream)
-                {
-                    self.hedging.on_refusal(self.clock.now_ms(), &upstream.service);
-                }
-                if let Some(keep_alive) = keep_alive {
-                    self.on_connection_pooled(upstream, keep_alive);
-                }
+                self.on_send_ended(upstream, outcome, keep_alive);
             }
             HubMessage::UpstreamLost { id, upstream, started_at_ms } => {
                 self.on_upstream_lost(id, &upstream, started_at_ms);
@@ -271,6 +264,9 @@
                 send_reply(&reply, known.map(|(key, windows)| (key.clone(), windows)).collect());
             }
             HubMessage::WindowsFinalized { windows } => self.on_windows_finalized(windows),
+            HubMessage::EarlierWindowsFinalized { windows } => {
+                self.on_known_windows(windows);
+            }
             HubMessage::FinalizedWindow { window, reply } => {
                 send_reply(&reply, self.finalized.get(window).cloned());
             }
@@ -288,6 +284,23 @@
         }
     }
 
+    fn on_send_ended(
+        &mut self,
+        upstream: Arc<str>,
+        outcome: SendOutcome,
+        keep_alive: Option<Duration>,
+    ) {
+        self.health.on_outcome(self.clock.now_ms(), &upstream, outcome);
+        if outcome == SendOutcome::Refused
+            && let Some(upstream) = self.registry.get(&upstream)
+        {
+            self.hedging.on_refusal(self.clock.now_ms(), &upstream.service);
+        }
+        if let Some(keep_alive) = keep_alive {
+            self.on_connection_pooled(upstream, keep_alive);
+        }
+    }
+
     fn on_tick(&mut self) {
         let now_ms = self.clock.now_ms();
         let changes = self.registry.on_tick(now_ms);
--- a/crates/serve/src/tasks/lease.rs
+++ b/crates/serve/src/tasks/lease.rs
@@ -1,6 +1,7 @@
 //! Acquires and renews the lease in the store, and finalizes usage windows under it.
 
 use std::collections::BTreeSet;
+use std::sync::Arc;
 use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
@@ -30,11 +31,11 @@
 const TICK: Duration = Duration::from_millis(100);
 /// Key of the lease record.
 const LEASE_KEY: &str = "lease";
-/// Prefix of the keys of finalized windows.
+/// Key of the lease record's era, in eras above 0.
+const LEASE_ERA_KEY: &str = "lease/era";
+/// Prefix of the keys of finalized windows: `window/WINDOW` in era 0, then `window/ERA/WINDOW`, so that
+/// a late write of an earlier era does not replace one.
 const WINDOW_KEY_PREFIX: &str = "window/";
-/// Finalized windows that are written again after a restore of the store; older ones are not reported
-/// any more.
-const REWRITTEN_WINDOWS: usize = 8;
 
 /// A message to the lease task.
 #[derive(Debug)]
@@ -60,6 +61,26 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct SteppedDown;
 
+/// Since when every finalized window is known to this instance or in the store.
+#[derive(Clone, Copy, Debug)]
+enum CompleteSince {
+    Always,
+    /// The time at which this instance learned the era of the store, in milliseconds of the local
+    /// clock: early estimates of the cluster time may be far off.
+    LocalMs(u64),
+    /// The cluster time in the lease record of another holder, in milliseconds.
+    ClusterMs(u64),
+}
+
+/// Records of the lease's topic, decoded.
+struct LeasePage {
+    view: CasLeaseView,
+    /// Windows that were finalized in the era of the page.
+    windows: StartWindows,
+    /// Windows that were finalized in earlier eras.
+    earlier_windows: StartWindows,
+}
+
 struct LeaseTask<P> {
     client: StoreClient<P>,
     hub: HubHandle,
@@ -71,8 +92,9 @@
     stored_windows: BTreeSet<u64>,
     /// Whether the store may lack finalized windows that instances know, after a restore.
     lacks_windows: bool,
-    /// Cluster time since which every finalized window is known or in the store.
-    complete_since_ms: u64,
+    /// Keys of finalized windows of earlier eras in the store.
+    earlier_window_keys: Vec<Arc<str>>,
+    complete_since: CompleteSince,
     /// State of the lease record as of the last read; `None` before the first read.
     view: Option<CasLeaseView>,
     is_holder: bool,
@@ -102,7 +124,8 @@
         window_times,
         stored_windows: BTreeSet::new(),
         lacks_windows: false,
-        complete_since_ms: 0,
+        earlier_window_keys: Vec::new(),
+        complete_since: CompleteSince::Always,
         view: None,
         is_holder: false,
         store,
@@ -159,14 +182,13 @@
 
     /// Drops the view if the store was restored since. A holder knows all windows that it finalized;
     /// nobody else knows whether others were lost.
-    async fn learn_era(&mut self, era: StoreEra) {
+    fn learn_era(&mut self, era: StoreEra) {
         if era <= self.lease.era() {
             return;
         }
         let now_ms = self.clock.now_ms();
         if !self.lease.is_holder(now_ms) {
-            let cluster_ms = self.hub.request(|reply| HubMessage::ClusterTime { reply }).await;
-            self.complete_since_ms = cluster_ms.unwrap_or_default();
+            self.complete_since = CompleteSince::LocalMs(now_ms);
         }
         self.lease.on_era(era);
         self.view = None;
@@ -188,19 +210,22 @@
         self.store.record(&result);
         match result {
             Ok(read) => {
-                self.learn_era(read.era).await;
+                self.learn_era(read.era);
                 // The offset that was read from is one of an earlier era.
                 if !is_list && self.view.is_none() {
                     return;
                 }
                 if is_list {
                     self.stored_windows.clear();
+                    self.earlier_window_keys.clear();
                 }
-                let (view, windows) = self.apply_page(read.era, &read.value);
-                if !windows.is_empty() {
-                    self.stored_windows.extend(windows.keys());
-                    self.hub.send(HubMessage::WindowsFinalized { windows }).await;
+                let LeasePage { view, windows, earlier_windows } =
+                    self.apply_page(read.era, &read.value);
+                if !earlier_windows.is_empty() {
+                    let windows = earlier_windows;
+                    self.hub.send(HubMessage::EarlierWindowsFinalized { windows }).await;
                 }
+                self.on_windows_stored(windows).await;
                 self.view = Some(view.clone());
                 self.lease.on_view(self.clock.now_ms(), sent_at_ms, view);
             }
@@ -210,33 +235,80 @@
         }
     }
 
-    /// Applies a page of records and returns the view after them, with the finalized windows.
-    fn apply_page(&mut self, era: StoreEra, page: &Page) -> (CasLeaseView, StartWindows) {
+    async fn on_windows_stored(&mut self, windows: StartWindows) {
+        self.stored_windows.extend(windows.keys());
+        while self.stored_windows.len() > KEPT_FINALIZED_WINDOWS {
+            self.stored_windows.pop_first();
+        }
+        if !windows.is_empty() {
+            self.hub.send(HubMessage::WindowsFinalized { windows }).await;
+        }
+    }
+
+    /// Applies a page of records.
+    fn apply_page(&mut self, era: StoreEra, page: &Page) -> LeasePage {
         let mut windows = StartWindows::new();
+        let mut earlier_windows = StartWindows::new();
         let mut newest = self.view.take().and_then(|view| view.newest);
         for record in page.records.iter().filter(|record| !record.value.is_empty()) {
-            if let Some(number) = record.key.strip_prefix(WINDOW_KEY_PREFIX) {
+            if record.key.starts_with(WINDOW_KEY_PREFIX) {
                 let counts = from_json::<proto::RequestStartWindow>(&record.value)
                     .map(start_counts_from_proto);
-                if let (Ok(window), Ok(counts)) = (number.parse(), counts) {
-                    windows.insert(window, counts);
-                } else {
-                    event!(Event::RecordMalformed, topic = "Lease", key = record.key);
+                match (parse_window_key(&record.key), counts) {
+                    (Some((written_in, window)), Ok(counts)) if written_in == era => {
+                        windows.insert(window, counts);
+                    }
+                    (Some((_, window)), Ok(counts)) => {
+                        self.earlier_window_keys.push(record.key.clone());
+                        earlier_windows.insert(window, counts);
+                    }
+                    _ => event!(Event::RecordMalformed, topic = "Lease", key = record.key),
                 }
             } else if &*record.key == LEASE_KEY {
                 match from_json::<proto::LeaseEntry>(&record.value) {
-                    Ok(entry) => {
-                        let lease_record = from_proto(&entry);
-                        if lease_record.era == era && lease_record.holder != self.identity {
-                            self.complete_since_ms = entry.complete_since_ms.unwrap_or(0);
-                        }
-                        newest = Some((record.offset, lease_record));
-                    }
+                    Ok(entry) => newest = Some((record.offset, from_proto(&entry))),
+                    Err(error) => event!(Event::RecordMalformed, topic = "Lease", why = error),
+                }
+            } else if &*record.key == LEASE_ERA_KEY {
+                match from_json::<proto::LeaseEraEntry>(&record.value) {
+                    Ok(entry) => self.apply_era_entry(era, &entry, newest.as_mut()),
                     Err(error) => event!(Event::RecordMalformed, topic = "Lease", why = error),
                 }
             }
         }
-        (CasLeaseView { era, end: page.next_offset, newest }, windows)
+        let view = CasLeaseView { era, end: page.next_offset, newest };
+        LeasePage { view, windows, earlier_windows }
+    }
+
+    /// Applies the era of a lease record if that is the newest one.
+    fn apply_era_entry(
+        &mut self,
+        era: StoreEra,
+        entry: &proto::LeaseEraEntry,
+        newest: Option<&mut (u64, CasLeaseRecord)>,
+    ) {
+        let holder = holder_from_proto(&entry.holder);
+        let Some((_, record)) =
+            newest.filter(|(_, newest)| newest.holder == holder && newest.nonce == entry.nonce)
+        else {
+            return;
+        };
+        record.era = StoreEra::new(entry.era).unwrap_or_default();
+        if record.era == era && holder != self.identity {
+            self.complete_since = CompleteSince::ClusterMs(entry.complete_since_ms);
+        }
+    }
+
+    async fn complete_since_ms(&self) -> u64 {
+        match self.complete_since {
+            CompleteSince::Always => 0,
+            CompleteSince::ClusterMs(since_ms) => since_ms,
+            CompleteSince::LocalMs(since_ms) => {
+                let elapsed_ms = self.clock.now_ms().saturating_sub(since_ms);
+                let cluster_ms = self.hub.request(|reply| HubMessage::ClusterTime { reply }).await;
+                cluster_ms.unwrap_or_default().saturating_sub(elapsed_ms)
+            }
+        }
     }
 
     async fn write(
@@ -245,34 +317,38 @@
         record: CasLeaseRecord,
         window: Option<(u64, &StartCounts)>,
     ) {
-        let entry = to_proto(&record, self.complete_since_ms);
-        let mut records = vec![(LEASE_KEY.to_owned(), Bytes::from(to_json(&entry)))];
+        let mut records = vec![(LEASE_KEY.to_owned(), Bytes::from(to_json(&to_proto(&record))))];
+        if record.era > StoreEra::default() {
+            let entry = era_to_proto(&record, self.complete_since_ms().await);
+            records.push((LEASE_ERA_KEY.to_owned(), Bytes::from(to_json(&entry))));
+        }
         let mut windows = self.lost_windows().await;
         if let Some((window, counts)) = window {
             windows.insert(window, counts.clone());
-            if let Some(old) = window.checked_sub(KEPT_FINALIZED_WINDOWS) {
-                records.push((format!("{WINDOW_KEY_PREFIX}{old}"), Bytes::new()));
-                self.stored_windows = self.stored_windows.split_off(&old);
+            let kept = u64::try_from(KEPT_FINALIZED_WINDOWS).unwrap_or(u64::MAX);
+            if let Some(old) = window.checked_sub(kept) {
+                records.push((window_key(record.era, old), Bytes::new()));
             }
         }
         records.extend(windows.iter().map(|(window, counts)| {
             let entry = start_window_to_proto(*window, counts);
-            (format!("{WINDOW_KEY_PREFIX}{window}"), Bytes::from(to_json(&entry)))
+            (window_key(record.era, *window), Bytes::from(to_json(&entry)))
         }));
+        let removed = self.earlier_window_keys.len();
+        let earlier_keys = self.earlier_window_keys.iter();
+        records.extend(earlier_keys.map(|key| (key.to_string(), Bytes::new())));
         let result = self.client.append(Topic::Lease, Some(expected_end), &records).await;
         self.store.record(&result);
         let append_result = match result {
             // In another era than it was decided in, the record has no effect.
             Ok(appended) if appended.era != record.era => {
-                self.learn_era(appended.era).await;
+                self.learn_era(appended.era);
                 AppendResult::Unknown
             }
             Ok(appended) => {
                 self.lacks_windows = false;
-                self.stored_windows.extend(windows.keys());
-                if !windows.is_empty() {
-                    self.hub.send(HubMessage::WindowsFinalized { windows }).await;
-                }
+                self.earlier_window_keys.drain(..removed);
+                self.on_windows_stored(windows).await;
                 let appended = appended.value;
                 AppendResult::Appended { offset: appended.first_offset, end: appended.next_offset }
             }
@@ -290,7 +366,9 @@
         if !self.lacks_windows {
             return StartWindows::new();
         }
-        let count = REWRITTEN_WINDOWS;
+        // Windows that may still be due, and one that is about to be.
+        let due = self.window_times.late_ms / self.window_times.window_ms.max(1) + 2;
+        let count = usize::try_from(due).unwrap_or(usize::MAX);
         let newest = self.hub.request(|reply| HubMessage::NewestFinalized { count, reply }).await;
         let mut windows = newest.unwrap_or_default();
         windows.retain(|window, _| !self.stored_windows.contains(window));
@@ -305,12 +383,13 @@
     /// such record of a window is final.
     async fn finalize_window(&mut self, window: u64, counts: StartCounts) -> Option<Finalization> {
         self.lease.fence(self.clock.now_ms())?;
+        let complete_since_ms = self.complete_since_ms().await;
         let counts = match self.finalized_counts(window).await {
             Some(known) if self.stored_windows.contains(&window) => {
                 return Some(Finalization::Final(known));
             }
             Some(known) => known,
-            None => match window_standing(&self.window_times, window, self.complete_since_ms) {
+            None => match window_standing(&self.window_times, window, complete_since_ms) {
                 WindowStanding::Open => counts,
                 WindowStanding::MaybeReported => return Some(Finalization::MaybeReported),
             },
@@ -338,25 +417,48 @@
             }
         }
         let known = self.hub.request(|reply| HubMessage::SetLease { lease, reply }).await;
-        self.learn_era(known.unwrap_or_default()).await;
+        self.learn_era(known.unwrap_or_default());
+    }
+}
+
+fn window_key(era: StoreEra, window: u64) -> String {
+    if era == StoreEra::default() {
+        format!("{WINDOW_KEY_PREFIX}{window}")
+    } else {
+        format!("{WINDOW_KEY_PREFIX}{era}/{window}")
     }
 }
 
-fn to_proto(record: &CasLeaseRecord, complete_since_ms: u64) -> proto::LeaseEntry {
+/// Returns the era in which a window was finalized, and its number.
+fn parse_window_key(key: &str) -> Option<(StoreEra, u64)> {
+    let name = key.strip_prefix(WINDOW_KEY_PREFIX)?;
+    let (era, window) = name.split_once('/').unwrap_or(("0", name));
+    Some((StoreEra::new(era.parse().ok()?)?, window.parse().ok()?))
+}
+
+fn to_proto(record: &CasLeaseRecord) -> proto::LeaseEntry {
     proto::LeaseEntry {
-        complete_since_ms: Some(complete_since_ms).filter(|since_ms| *since_ms > 0),
         holder: holder_to_proto(&record.holder),
         nonce: record.nonce,
-        era: Some(record.era.number()).filter(|number| *number > 0),
         released: record.is_released,
     }
 }
 
+fn era_to_proto(record: &CasLeaseRecord, complete_since_ms: u64) -> proto::LeaseEraEntry {
+    proto::LeaseEraEntry {
+        holder: holder_to_proto(&record.holder),
+        nonce: record.nonce,
+        era: record.era.number(),
+        complete_since_ms,
+    }
+}
+
+/// Converts a lease record, which is of era 0 unless the record of its era follows.
 fn from_proto(entry: &proto::LeaseEntry) -> CasLeaseRecord {
     CasLeaseRecord {
         holder: holder_from_proto(&entry.holder),
         nonce: entry.nonce,
-        era: entry.era.and_then(StoreEra::new).unwrap_or_default(),
+        era: StoreEra::default(),
         is_released: entry.released,
     }
 }
