Send how often a removed upstream wrote its entry

Cause (found by review): feeds leave out heartbeats, so a fed instance knew an old seq of a removed upstream and took an entry of the copy, as a feeder that lists it or from a reader that had restarted, for a live one. Change: a removal in a feed states the last known seq, which the receiver remembers with the drop. Result: the tests of cowslip-fleet pass, with a case that fails without the raise by reading; no process test loses a reader at a restore yet.

--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -283,6 +283,20 @@
         vec![UpstreamChange::Left(upstream.id.clone(), LeaveReason::Gone)]
     }
 
+    /// Returns how often an upstream that was dropped is known to have written its entry, 0 if
+    /// unknown.
+    #[must_use]
+    pub fn dropped_seq(&self, id: &str) -> u64 {
+        self.dropped.get(id).map_or(0, |dropped| dropped.seq)
+    }
+
+    /// Applies that a peer, which drops this upstream, knows of more entries of it.
+    pub fn raise_seq(&mut self, id: &str, seq: u64) {
+        if let Some(registration) = self.registrations.get_mut(id) {
+            registration.seq = registration.seq.max(seq);
+        }
+    }
+
     /// Returns the upstream with this id, draining or not.
     #[must_use]
     pub fn get(&self, id: &str) -> Option<&Arc<Upstream>> {
--- a/crates/fleet/tests/registry.rs
+++ b/crates/fleet/tests/registry.rs
@@ -41,6 +41,8 @@
     Remove,
     Missing,
     Restored,
+    /// A peer knows of more entries.
+    Raised(u64),
     List(&'static [&'static str]),
     StoreRecovered,
     RoleMismatch,
@@ -60,7 +62,7 @@
 
 use EngineRole::{Decode, Prefill};
 use Step::{
-    Copied, Entry, Hold, Leaving, List, Missing, Numbered, Remove, Restored, RoleMismatch,
+    Copied, Entry, Hold, Leaving, List, Missing, Numbered, Raised, Remove, Restored, RoleMismatch,
     StoreRecovered, Tick,
 };
 
@@ -244,6 +246,17 @@
         at_ms: 6,
         is_eligible: false,
     },
+    Case {
+        name: "a copy of an entry that only a peer has read",
+        steps: &[
+            (0, Numbered(1, 3, false)),
+            (5, Raised(40)),
+            (5, Remove),
+            (6, Copied(1, 30, false)),
+        ],
+        at_ms: 6,
+        is_eligible: false,
+    },
     Case {
         name: "a copy of an entry that was missing from a list",
         steps: &[(0, Numbered(1, 3, false)), (5, Missing), (6, Copied(1, 2, false))],
@@ -419,6 +432,7 @@
                     let entry = entry(*started_at_ms, *seq, *is_draining);
                     registry.on_entry(entry, EntryOrder::MaybeCopy);
                 }
+                Raised(seq) => registry.raise_seq("up", *seq),
                 Remove => drop(registry.on_removed(*now_ms, "up")),
                 Missing => drop(registry.on_missing(*now_ms, "up")),
                 Restored => registry.on_restored(*now_ms),
--- a/crates/proto/src/generated.rs
+++ b/crates/proto/src/generated.rs
@@ -5178,6 +5178,7 @@
 ///    "era",
 ///    "key",
 ///    "offset",
+///    "removed_seq",
 ///    "value"
 ///  ],
 ///  "properties": {
@@ -5195,6 +5196,11 @@
 ///      "type": "integer",
 ///      "format": "uint64"
 ///    },
+///    "removed_seq": {
+///      "description": "For the removal of an upstream's entry, how often the upstream is known to have written it; otherwise 0. Feeds leave out entries of which only this number has changed.",
+///      "type": "integer",
+///      "format": "uint64"
+///    },
 ///    "value": {
 ///      "description": "Value in bytes; empty for a removed key.",
 ///      "type": "array",
@@ -5217,6 +5223,8 @@
     pub key: ::std::string::String,
     ///Offset of the record in its topic, within its era.
     pub offset: u64,
+    ///For the removal of an upstream's entry, how often the upstream is known to have written it; otherwise 0. Feeds leave out entries of which only this number has changed.
+    pub removed_seq: u64,
     ///Value in bytes; empty for a removed key.
     pub value: ::std::vec::Vec<u8>,
 }
--- a/crates/serve/src/hub/feed.rs
+++ b/crates/serve/src/hub/feed.rs
@@ -176,8 +176,9 @@
             store_era: self.era_for_peers(),
             declaration,
             roster_has_more: roster_version < log.version(),
-            roster: roster
-                .map_or_else(Vec::new, |batch| batch.rows.into_iter().map(to_proto).collect()),
+            roster: roster.map_or_else(Vec::new, |batch| {
+                batch.rows.into_iter().map(|record| self.roster_to_proto(record)).collect()
+            }),
             instances: self.instances.changed_since(cursor.instances).filter(|_| sends_instances),
             true_ms: self.cluster_ms(),
             suspects,
@@ -195,6 +196,12 @@
         }
     }
 
+    fn roster_to_proto(&self, record: &StoredRecord) -> proto::StoredRecord {
+        let is_removal = record.value.is_empty();
+        let removed_seq = if is_removal { self.registry.dropped_seq(&record.key) } else { 0 };
+        proto::StoredRecord { removed_seq, ..to_proto(record) }
+    }
+
     pub(super) fn apply_feed(&mut self, from: &Name, feed: proto::FeedReply) {
         let now_ms = self.clock.now_ms();
         self.cluster_clock.on_estimate(now_ms, feed.true_ms);
@@ -209,6 +216,7 @@
         }
         self.is_roster_known |= !feed.roster_has_more && feed.place.roster > 0;
         for record in feed.roster {
+            self.registry.raise_seq(&record.key, record.removed_seq);
             self.on_upstream(from_proto(record), "instance");
         }
         if let Some(list) = feed.instances {
@@ -259,6 +267,7 @@
         era: record.era.number(),
         offset: record.offset,
         value: record.value.to_vec(),
+        removed_seq: 0,
     }
 }
 
