--- a/crates/serve/src/tasks/registration.rs
+++ b/crates/serve/src/tasks/registration.rs
@@ -24,7 +24,6 @@
 const FIRST_RETRY_DELAY: Duration = Duration::from_secs(1);
 /// Retry delay of later writes, during which the previous entry still counts.
 const RETRY_DELAY: Duration = Duration::from_secs(5);
-
 /// Time over which instances spread the writes that follow a restore of the store.
 const REWRITE_SPREAD_MS: u64 = 2_000;
 
