Take statements of a restarted upstream for those of its new incarnation

Cause: a statement in a response counted for the incarnation in the entry that was known when the request was sent. An upstream that restarts responds before its new entry is read, so the next incarnation had made it, and its entry ended it. The same held for leaving (DRAIN), for refusals and for refused roles, and for responses that arrive after the new entry.

A time to wait now belongs to the upstream, restarted or not. Other statements belong to the process that accepted the connection: the known incarnation, or a later one at that address that had started when the connection was opened. They are kept in one place, which placement, hedging, the choice after a prefill and the time told to callers read.

--- a/crates/fleet/src/health.rs
+++ b/crates/fleet/src/health.rs
@@ -7,9 +7,6 @@
 const INITIAL_BACKOFF_MS: u64 = 500; // twice the longest round trip between regions, plus a margin
 /// Longest backoff after consecutive connection failures.
 const MAX_BACKOFF_MS: u64 = 4_000; // a crashed upstream restarts within some seconds
-/// Backoff after a refusal, since an engine that is full or changes its role refuses more than one
-/// request. A role change takes three seconds, a full engine accepts requests again sooner.
-const REFUSAL_BACKOFF_MS: u64 = 1_000;
 /// Weight of the newest outcome in the exponential moving average of failures, 0 to 1.
 const NEWEST_WEIGHT: f64 = 0.15;
 
@@ -41,13 +38,13 @@
 }
 
 impl UpstreamHealth {
-    /// Records the outcome of a send.
+    /// Records the outcome of a send. A refusal is a statement of the upstream, which the registry
+    /// keeps, and changes nothing here.
     pub fn on_outcome(&mut self, now_ms: u64, id: &Arc<str>, outcome: SendOutcome) {
-        let health = self.upstreams.entry(id.clone()).or_default();
         if outcome == SendOutcome::Refused {
-            health.backoff_until_ms = health.backoff_until_ms.max(now_ms + REFUSAL_BACKOFF_MS);
             return;
         }
+        let health = self.upstreams.entry(id.clone()).or_default();
         let newest = if outcome == SendOutcome::Responded { 0.0 } else { 1.0 };
         health.failure_rate += NEWEST_WEIGHT * (newest - health.failure_rate);
         match outcome {
@@ -66,7 +63,7 @@
         self.upstreams.remove(id);
     }
 
-    /// Whether the upstream gets no requests at `now_ms` because of recent refusals or failures.
+    /// Whether the upstream gets no requests at `now_ms` because of recent failures.
     #[must_use]
     pub fn is_backing_off(&self, now_ms: u64, id: &str) -> bool {
         self.upstreams.get(id).is_some_and(|health| now_ms < health.backoff_until_ms)
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -12,6 +12,7 @@
 mod response_end;
 mod retry_budget;
 mod standing;
+mod statements;
 mod stop;
 
 pub use declared_config::{
@@ -28,4 +29,5 @@
 pub use response_end::{Failure, Framing, Interruption, Progress, ResponseKind, check_end};
 pub use retry_budget::{RetryBudget, RetryBudgetLimits};
 pub use standing::Standing;
+pub use statements::ResponseOrigin;
 pub use stop::StopSchedule;
--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -5,15 +5,11 @@
 use std::sync::Arc;
 
 use crate::dropped::{DroppedUpstream, DroppedUpstreams};
+use crate::statements::{ResponseOrigin, Statements};
 
 /// Time after an outage or a restore of the store within which missing entries may reappear before
 /// their upstreams are dropped: upstreams write them again in about two seconds.
 pub const STORE_RECOVERY_GRACE_MS: u64 = 2_000;
-/// Longest quarantine of an upstream whose entry seems to be outdated: a role change takes three
-/// seconds, and the next entry comes more than one second later.
-const ROLE_MISMATCH_QUARANTINE_MS: u64 = 4_500;
-/// Number of remembered announcements from which on those of unregistered upstreams are dropped.
-const MAX_ANNOUNCEMENTS: usize = 4_096;
 
 /// Phase of a request that an engine runs.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
@@ -97,17 +93,6 @@
     Role(Arc<str>, Option<EngineRole>),
 }
 
-/// What an incarnation of an upstream has stated in its responses.
-#[derive(Clone, Copy, Debug, Default)]
-struct Announcement {
-    /// Start of the incarnation in Unix milliseconds.
-    started_at_ms: u64,
-    /// Whether the incarnation is leaving.
-    is_leaving: bool,
-    /// Time until which the incarnation wants no requests from this instance.
-    held_until_ms: u64,
-}
-
 #[derive(Clone, Debug)]
 struct Registration {
     upstream: Arc<Upstream>,
@@ -119,8 +104,6 @@
     /// The same for an entry whose removal was read. A list that lacks the entry does not extend
     /// this time.
     removed_until_ms: Option<u64>,
-    /// End of the quarantine after the upstream refused work for the role in its entry.
-    quarantined_until_ms: u64,
 }
 
 impl Registration {
@@ -136,9 +119,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct UpstreamRegistry {
     registrations: BTreeMap<Arc<str>, Registration>,
-    /// Statements of upstreams by id. They outlive the registration, since an entry that expires
-    /// may reappear.
-    announcements: BTreeMap<Arc<str>, Announcement>,
+    statements: Statements,
     /// Upstreams whose entries a restored store may list again. An upstream that is registered again
     /// stays in it.
     dropped: DroppedUpstreams,
@@ -176,7 +157,6 @@
         let UpstreamEntry { upstream, seq } = entry;
         let id = upstream.id.clone();
         let mut changes = Vec::new();
-        let mut quarantined_until_ms = 0;
         match self.registrations.get(&id) {
             Some(known) if known.upstream.started_at_ms > upstream.started_at_ms => {
                 return EntryResult::Stale;
@@ -189,9 +169,7 @@
                 if upstream.is_draining && !was_draining {
                     changes.push(UpstreamChange::Left(id.clone(), LeaveReason::Draining));
                 }
-                if known.upstream.role == upstream.role {
-                    quarantined_until_ms = known.quarantined_until_ms;
-                } else {
+                if known.upstream.role != upstream.role {
                     changes.push(UpstreamChange::Role(id.clone(), upstream.role));
                 }
             }
@@ -201,12 +179,16 @@
             }
             None => changes.push(UpstreamChange::Joined(id.clone())),
         }
+        // The new incarnation may have responded before its entry was read.
+        let has_joined = changes.iter().any(|change| matches!(change, UpstreamChange::Joined(_)));
+        if has_joined && self.statements.is_leaving(&upstream) {
+            changes.push(UpstreamChange::Left(id.clone(), LeaveReason::Announced));
+        }
         let registration = Registration {
             upstream: Arc::new(upstream),
             seq,
             missing_until_ms: None,
             removed_until_ms: None,
-            quarantined_until_ms,
         };
         self.registrations.insert(id, registration);
         EntryResult::Applied(changes)
@@ -223,7 +205,7 @@
         }
         self.dropped.get(&upstream.id).is_some_and(|dropped| {
             // A late response may announce the leave after the upstream was dropped.
-            let has_left = dropped.has_left || self.announcement(upstream).is_leaving;
+            let has_left = dropped.has_left || self.statements.is_leaving(upstream);
             DroppedUpstream { has_left, ..*dropped }.covers(upstream.started_at_ms, *seq)
         })
     }
@@ -277,7 +259,7 @@
         let Some(Registration { upstream, seq, .. }) = self.registrations.remove(id) else {
             return Vec::new();
         };
-        let has_left = upstream.is_draining || self.announcement(&upstream).is_leaving;
+        let has_left = upstream.is_draining || self.statements.is_leaving(&upstream);
         let dropped = DroppedUpstream { started_at_ms: upstream.started_at_ms, seq, has_left };
         self.dropped.insert(upstream.id.clone(), dropped);
         vec![UpstreamChange::Left(upstream.id.clone(), LeaveReason::Gone)]
@@ -309,76 +291,68 @@
         self.registrations.values().map(|registration| &registration.upstream)
     }
 
-    /// Quarantines an upstream that refused work for the role in its entry.
-    pub fn on_role_mismatch(&mut self, now_ms: u64, id: &str) {
-        if let Some(registration) = self.registrations.get_mut(id) {
-            registration.quarantined_until_ms = now_ms + ROLE_MISMATCH_QUARANTINE_MS;
-        }
-    }
-
-    /// Records that an incarnation stated that it is leaving; it takes no work from now on.
-    pub fn on_leaving(&mut self, id: &Arc<str>, started_at_ms: u64) -> Vec<UpstreamChange> {
-        let Some(announcement) = self.announcement_mut(id, started_at_ms) else {
-            return Vec::new();
-        };
-        if std::mem::replace(&mut announcement.is_leaving, true) {
+    /// Records that an upstream stated that it is leaving; that incarnation takes no work from now on.
+    pub fn on_leaving(&mut self, id: &Arc<str>, origin: ResponseOrigin) -> Vec<UpstreamChange> {
+        let was_leaving = self.is_leaving(id);
+        self.statements_mut().on_leaving(id, origin);
+        if was_leaving || !self.is_leaving(id) {
             return Vec::new();
         }
         vec![UpstreamChange::Left(id.clone(), LeaveReason::Announced)]
     }
 
-    /// Records that an incarnation wants no requests from this instance until `until_ms`.
-    pub fn on_hold(&mut self, id: &Arc<str>, started_at_ms: u64, until_ms: u64) {
-        if let Some(announcement) = self.announcement_mut(id, started_at_ms) {
-            announcement.held_until_ms = announcement.held_until_ms.max(until_ms);
-        }
+    /// Records that an upstream wants no requests from this instance until `until_ms`, restarted or
+    /// not.
+    pub fn on_hold(&mut self, id: &Arc<str>, until_ms: u64) {
+        self.statements_mut().on_hold(id, until_ms);
     }
 
-    /// Returns the statements of an incarnation; `None` if a later one has made some.
-    fn announcement_mut(&mut self, id: &Arc<str>, started_at_ms: u64) -> Option<&mut Announcement> {
-        if self.announcements.len() >= MAX_ANNOUNCEMENTS {
-            let registrations = &self.registrations;
-            self.announcements.retain(|id, _| registrations.contains_key(id));
-        }
-        let announcement = self.announcements.entry(id.clone()).or_default();
-        if announcement.started_at_ms < started_at_ms {
-            *announcement = Announcement { started_at_ms, ..Announcement::default() };
-        }
-        (announcement.started_at_ms == started_at_ms).then_some(announcement)
+    /// Records that an upstream refused a request.
+    pub fn on_refusal(&mut self, now_ms: u64, id: &Arc<str>, origin: ResponseOrigin) {
+        self.statements_mut().on_refusal(now_ms, id, origin);
     }
 
-    fn announcement(&self, upstream: &Upstream) -> Announcement {
-        let found = self.announcements.get(&upstream.id).copied();
-        found.filter(|known| known.started_at_ms == upstream.started_at_ms).unwrap_or_default()
+    /// Quarantines an upstream that refused work for this role, while its entry has the role.
+    pub fn on_role_mismatch(
+        &mut self,
+        now_ms: u64,
+        id: &Arc<str>,
+        role: Option<EngineRole>,
+        origin: ResponseOrigin,
+    ) {
+        self.statements_mut().on_role_mismatch(now_ms, id, role, origin);
     }
 
-    /// Iterates over the upstreams of a service that are neither draining nor leaving.
-    fn staying(&self, service: &str) -> impl Iterator<Item = &Registration> {
-        self.registrations.values().filter(move |registration| {
-            let upstream = &registration.upstream;
-            !upstream.is_draining
-                && *upstream.service == *service
-                && !self.announcement(upstream).is_leaving
-        })
+    fn statements_mut(&mut self) -> &mut Statements {
+        let registrations = &self.registrations;
+        self.statements.make_room(|id| registrations.contains_key(id));
+        &mut self.statements
+    }
+
+    fn is_leaving(&self, id: &str) -> bool {
+        self.get(id).is_some_and(|upstream| self.statements.is_leaving(upstream))
+    }
+
+    /// Returns whether the upstream refused a request a short time ago.
+    #[must_use]
+    pub fn is_refusing(&self, now_ms: u64, upstream: &Upstream) -> bool {
+        self.statements.is_refusing(now_ms, upstream)
     }
 
     /// Iterates over the upstreams of a service that take new work from this instance and are not
     /// quarantined.
     pub fn eligible(&self, now_ms: u64, service: &str) -> impl Iterator<Item = &Arc<Upstream>> {
-        self.staying(service)
-            .filter(move |registration| {
-                registration.quarantined_until_ms <= now_ms
-                    && self.announcement(&registration.upstream).held_until_ms <= now_ms
-            })
-            .map(|registration| &registration.upstream)
+        self.not_draining(service)
+            .filter(move |upstream| self.statements.takes_requests(now_ms, upstream))
     }
 
     /// Returns the time at which the first upstream of the service takes requests again that now
     /// wants none; `None` if there is no such upstream.
     #[must_use]
     pub fn first_hold_end_ms(&self, now_ms: u64, service: &str) -> Option<u64> {
-        self.staying(service)
-            .map(|registration| self.announcement(&registration.upstream).held_until_ms)
+        self.not_draining(service)
+            .filter(|upstream| !self.statements.is_leaving(upstream))
+            .map(|upstream| self.statements.held_until_ms(&upstream.id))
             .filter(|until_ms| now_ms < *until_ms)
             .min()
     }
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -108,6 +108,7 @@
 pub struct Connection {
     sender: SendRequest<RequestBody>,
     progress: Rc<SendProgress>,
+    connected_at: Instant,
 }
 
 impl Client {
@@ -127,6 +128,7 @@
             .await
             .map_err(|_| TimedOutSnafu { after }.build())?
             .context(ConnectSnafu { address })?;
+        let connected_at = Instant::now();
         let _ = tcp.set_nodelay(true);
         SockRef::from(&tcp)
             .set_tcp_user_timeout(Some(self.options.user_timeout))
@@ -144,7 +146,7 @@
             let _ = connection.await;
         })
         .detach();
-        Ok(Connection { sender, progress })
+        Ok(Connection { sender, progress, connected_at })
     }
 
     /// Sends a request over a pooled or new connection and waits for the head of the response.
@@ -253,6 +255,12 @@
 }
 
 impl Connection {
+    /// Returns the time since the server accepted the connection.
+    #[must_use]
+    pub fn age(&self) -> Duration {
+        self.connected_at.elapsed()
+    }
+
     /// Sends a request and waits for the head of the response.
     ///
     /// # Errors
--- a/crates/serve/src/caller/buffered.rs
+++ b/crates/serve/src/caller/buffered.rs
@@ -111,7 +111,7 @@
 
 async fn send<P>(
     request: &InFlightRequest<P>,
-    upstream: &Upstream,
+    upstream: &Arc<Upstream>,
 ) -> Result<BufferedResponse, Failure>
 where
     P: Platform,
--- a/crates/serve/src/caller/exchange.rs
+++ b/crates/serve/src/caller/exchange.rs
@@ -1,5 +1,6 @@
 //! One exchange of a request and a response with an upstream.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -10,11 +11,10 @@
 
 use super::shared::Shared;
 use crate::events::{Event, event};
-use crate::hub::HubMessage;
+use crate::hub::{HubMessage, UpstreamRefusal, UpstreamStatement};
 use crate::platform::{
     CallerRequest, ExecutionStatus, Operation, Platform, ResponseHead, UpstreamRequest,
 };
-use crate::tasks::HubHandle;
 
 /// Keep-alive time of connections whose upstream states none.
 const DEFAULT_KEEP_ALIVE_MS: u64 = 2_000;
@@ -102,7 +102,9 @@
     })?;
     let (parts, body) = response.into_parts();
     let head = platform.decode_response_head(&parts);
-    announce(&shared.hub, caller_request, upstream, &head).await;
+    if let Some(statement) = statement(caller_request, upstream, &connection, &head) {
+        shared.hub.send(HubMessage::Stated(statement)).await;
+    }
     let checked = check_response(caller_request, upstream_request.operation, &head);
     if let Err((interruption, why)) = checked {
         let failure = failed(true, interruption, why);
@@ -118,26 +120,32 @@
     Ok(UpstreamResponse { parts, body, framing, connection })
 }
 
-/// Reports to the hub what the upstream states about further requests. A response that is not from
-/// this upstream, or not to this request, states nothing about it.
-async fn announce(
-    hub: &HubHandle,
+/// Returns what a response states about the upstream; `None` if it states nothing or belongs to
+/// another request. One that is from another upstream only shows that the entry is outdated.
+fn statement(
     caller_request: &CallerRequest,
-    upstream: &Upstream,
+    upstream: &Arc<Upstream>,
+    connection: &Connection,
     head: &ResponseHead,
-) {
-    let has_statement = head.is_leaving || head.hold_ms.is_some();
-    let is_other_upstream = head.execution == ExecutionStatus::Misdirected;
-    if !has_statement || is_other_upstream || !is_for_attempt(caller_request, head) {
-        return;
-    }
-    hub.send(HubMessage::Announced {
-        upstream: upstream.id.clone(),
-        started_at_ms: upstream.started_at_ms,
-        is_leaving: head.is_leaving,
-        hold_ms: head.hold_ms,
+) -> Option<UpstreamStatement> {
+    let refusal = match head.execution {
+        ExecutionStatus::NotRun => Some(UpstreamRefusal::NotRun),
+        ExecutionStatus::Misdirected if !caller_request.head.has_condition => {
+            Some(UpstreamRefusal::Misdirected)
+        }
+        _ => None,
+    };
+    let is_from_upstream = head.execution != ExecutionStatus::Misdirected;
+    let is_leaving = is_from_upstream && head.is_leaving;
+    let hold_ms = head.hold_ms.filter(|_| is_from_upstream);
+    let has_statement = is_leaving || hold_ms.is_some() || refusal.is_some();
+    (has_statement && is_for_attempt(caller_request, head)).then(|| UpstreamStatement {
+        upstream: upstream.clone(),
+        connection_age: connection.age(),
+        is_leaving,
+        hold_ms,
+        refusal,
     })
-    .await;
 }
 
 fn is_for_attempt(caller_request: &CallerRequest, head: &ResponseHead) -> bool {
--- a/crates/serve/src/caller/in_flight_request.rs
+++ b/crates/serve/src/caller/in_flight_request.rs
@@ -72,7 +72,7 @@
     /// Returns the parameters of a send to an upstream that starts now.
     pub(super) fn upstream_request<'a>(
         &'a self,
-        upstream: &'a Upstream,
+        upstream: &'a Arc<Upstream>,
         operation: Operation<'a>,
     ) -> UpstreamRequest<'a> {
         UpstreamRequest {
@@ -105,14 +105,13 @@
 
     /// Reports a failed send to the hub, which counts it for the upstream's health.
     pub(super) async fn report_failure(&self, upstream: &Upstream, failure: Failure) {
-        let id = upstream.id.clone();
         if failure.is_loss() {
-            let started_at_ms = upstream.started_at_ms;
-            let lost =
-                HubMessage::UpstreamLost { id: self.assignment.id(), upstream: id, started_at_ms };
+            let lost = HubMessage::UpstreamLost {
+                id: self.assignment.id(),
+                upstream: upstream.id.clone(),
+                started_at_ms: upstream.started_at_ms,
+            };
             self.send(lost).await;
-        } else if failure == Failure::Misdirected {
-            self.send(HubMessage::Misdirected { upstream: id }).await;
         }
         if let Some(outcome) = failure.outcome() {
             self.report_outcome(upstream, outcome, None).await;
--- a/crates/serve/src/hub/message.rs
+++ b/crates/serve/src/hub/message.rs
@@ -60,10 +60,8 @@
     SendEnded { upstream: Arc<str>, outcome: SendOutcome, keep_alive: Option<Duration> },
     /// Reports that the connection to an upstream broke while it may have run the request.
     UpstreamLost { id: u64, upstream: Arc<str>, started_at_ms: u64 },
-    /// Reports what an upstream stated about further requests in a response.
-    Announced { upstream: Arc<str>, started_at_ms: u64, is_leaving: bool, hold_ms: Option<u64> },
-    /// Reports that an upstream's identity or role differs from its entry.
-    Misdirected { upstream: Arc<str> },
+    /// Reports what an upstream stated about itself in a response.
+    Stated(UpstreamStatement),
     /// Reports what a response of the store states about its era. The reply is the highest known era,
     /// or `None` if the response is to be dropped.
     EraStated { era: EraStatement, reply: ReplySender<Option<StoreEra>> },
@@ -215,6 +213,29 @@
     pub(crate) hedge_after_ms: Option<u64>,
 }
 
+/// What a response states about its upstream.
+#[derive(Clone, Debug)]
+pub(crate) struct UpstreamStatement {
+    /// Upstream that the request was sent to, as its entry was known.
+    pub(crate) upstream: Arc<Upstream>,
+    /// Time since the connection was opened.
+    pub(crate) connection_age: Duration,
+    /// Whether the upstream is leaving.
+    pub(crate) is_leaving: bool,
+    /// Time for which the upstream wants no further requests, in milliseconds.
+    pub(crate) hold_ms: Option<u64>,
+    pub(crate) refusal: Option<UpstreamRefusal>,
+}
+
+/// Why an upstream did not run a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum UpstreamRefusal {
+    /// It takes no work at present.
+    NotRun,
+    /// Its identity or role differs from its entry.
+    Misdirected,
+}
+
 /// Why a request needs another upstream.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum RetryReason {
--- a/crates/serve/src/hub/mod.rs
+++ b/crates/serve/src/hub/mod.rs
@@ -41,7 +41,8 @@
 pub(crate) use finalized::KEPT_FINALIZED_WINDOWS;
 pub(crate) use message::{
     Assignment, AuthorizedRequest, HubMessage, LinkState, Peer, PlannedOrders, ReadMode, Rejection,
-    ReservationCall, RetryReason, RouteQuery, SetPeers, UnplacedRequest,
+    ReservationCall, RetryReason, RouteQuery, SetPeers, UnplacedRequest, UpstreamRefusal,
+    UpstreamStatement,
 };
 pub(crate) use quarantine::QUARANTINE_KEY;
 
@@ -203,12 +204,7 @@
                 send_reply(&reply, result);
             }
             HubMessage::AcquireRetry { id, reply } => send_reply(&reply, self.acquire_retry(id)),
-            HubMessage::Announced { upstream, started_at_ms, is_leaving, hold_ms } => {
-                self.on_announced(&upstream, started_at_ms, is_leaving, hold_ms);
-            }
-            HubMessage::Misdirected { upstream } => {
-                self.registry.on_role_mismatch(self.clock.now_ms(), &upstream);
-            }
+            HubMessage::Stated(statement) => self.on_stated(&statement),
             HubMessage::Hedge { id, reply } => send_reply(&reply, self.hedge(id)),
             HubMessage::HedgedSendFailed { id, is_second, failure } => {
                 self.on_hedged_send_failed(id, is_second, failure);
--- a/crates/serve/src/hub/quarantine.rs
+++ b/crates/serve/src/hub/quarantine.rs
@@ -67,7 +67,9 @@
         let was_lost = self.quarantine.lost_upstreams(digest).any(|lost| {
             lost.name.as_str() == &*upstream.id && lost.started_at_ms == upstream.started_at_ms
         });
-        Standing::of(self.health.is_backing_off(now_ms, &upstream.id), was_lost)
+        let is_backing_off = self.health.is_backing_off(now_ms, &upstream.id)
+            || self.registry.is_refusing(now_ms, upstream);
+        Standing::of(is_backing_off, was_lost)
     }
 
     /// Returns whether a quarantined request may be sent as a probe. Only the lease holder probes.
--- a/crates/serve/src/hub/records.rs
+++ b/crates/serve/src/hub/records.rs
@@ -264,7 +264,13 @@
         for change in changes {
             match change {
                 UpstreamChange::Joined(id) => {
-                    event!(Event::UpstreamJoined, upstream = id, source = source);
+                    let started_at_ms = self.registry.get(id).map_or(0, |up| up.started_at_ms);
+                    event!(
+                        Event::UpstreamJoined,
+                        upstream = id,
+                        started_at_ms = started_at_ms,
+                        source = source
+                    );
                 }
                 UpstreamChange::Left(id, why) => {
                     event!(
--- a/crates/serve/src/platform.rs
+++ b/crates/serve/src/platform.rs
@@ -279,7 +279,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct UpstreamRequest<'a> {
     /// Upstream that receives the request.
-    pub upstream: &'a Upstream,
+    pub upstream: &'a Arc<Upstream>,
     /// Workspace of the caller's API key.
     pub workspace: Option<&'a str>,
     /// Priority, 0 for the most urgent.
