Count the millisecond in which a wait ends as part of it

Cause: times of the clock are truncated to milliseconds, so a wait was recorded up to a millisecond before it began, and ended as much early; a request takes less than that to the upstream.

--- a/crates/fleet/src/statements.rs
+++ b/crates/fleet/src/statements.rs
@@ -107,9 +107,10 @@
         statements.leaving = statements.leaving.max(Some(origin));
     }
 
+    /// Records a hold. Times are truncated to milliseconds, so the one in which it ends belongs to it.
     pub(crate) fn on_hold(&mut self, id: &Arc<str>, until_ms: u64) {
         let statements = self.of_mut(id);
-        statements.held_until_ms = statements.held_until_ms.max(until_ms);
+        statements.held_until_ms = statements.held_until_ms.max(until_ms + 1);
     }
 
     pub(crate) fn on_refusal(&mut self, now_ms: u64, id: &Arc<str>, origin: ResponseOrigin) {
