Allow for the error of clocks in the origin of a response

An upstream's start, by its own clock, is compared with the time at which a connection was opened, by the cluster time, and instances let that differ by 150 ms. With an upstream's clock a little ahead, a leave that it stated right after its start ended with its entry (rule DRAIN), until its next response.

--- a/crates/fleet/src/statements.rs
+++ b/crates/fleet/src/statements.rs
@@ -13,6 +13,9 @@
 /// Longest time for which an upstream is not used because it refused work for the role in its entry:
 /// a role change takes three seconds, and the next entry comes more than one second later.
 const ROLE_MISMATCH_QUARANTINE_MS: u64 = 4_500;
+/// Largest difference of an upstream's clock from the cluster time: instances do not correct smaller
+/// ones of their own.
+const MAX_CLOCK_ERROR_MS: u64 = 150;
 /// Number of upstreams with remembered statements from which on those of unregistered ones are
 /// dropped.
 const MAX_UPSTREAMS: usize = 4_096;
@@ -34,13 +37,13 @@
 
 impl ResponseOrigin {
     /// Returns whether the response comes from this incarnation: the known one, or a later one that
-    /// had started when the connection was opened to its address.
+    /// may have started when the connection was opened to its address.
     #[must_use]
     pub fn is_from(&self, upstream: &Upstream) -> bool {
-        let known_ms = self.known_started_at_ms;
-        upstream.started_at_ms == known_ms
+        let may_have_started = self.known_started_at_ms..=self.connected_at_ms + MAX_CLOCK_ERROR_MS;
+        upstream.started_at_ms == self.known_started_at_ms
             || (upstream.address == self.address
-                && (known_ms..=self.connected_at_ms).contains(&upstream.started_at_ms))
+                && may_have_started.contains(&upstream.started_at_ms))
     }
 }
 
