Send no role orders to engines that asked for time or are leaving

engines_that_want_no_calls_get_no_role_orders fails in its second case without the filter, and passes with it.

--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -102,9 +102,14 @@
 /// Returns the role changes that bring each failure domain to its target number of prefill engines.
 ///
 /// Ordinary and reclaimable engines are balanced separately, so that the engines that remain after
-/// a reclaim need no change.
+/// a reclaim need no change. Engines that stated that they are leaving or want no requests at
+/// `now_ms` get no orders.
 #[must_use]
-pub fn plan_roles(config: &DeclaredConfig, registry: &UpstreamRegistry) -> Vec<RoleOrder> {
+pub fn plan_roles(
+    now_ms: u64,
+    config: &DeclaredConfig,
+    registry: &UpstreamRegistry,
+) -> Vec<RoleOrder> {
     let mut orders = Vec::new();
     for (service, spec) in &config.services {
         if !spec.is_engine {
@@ -115,13 +120,17 @@
             let group = (&upstream.failure_domain, upstream.is_reclaimable);
             groups.entry(group).or_default().push(upstream);
         }
-        orders.extend(groups.values().flat_map(|engines| balance_roles(engines)));
+        let takes_orders = |up: &Upstream| registry.wants_calls(now_ms, up);
+        orders.extend(groups.values().flat_map(|engines| balance_roles(engines, takes_orders)));
     }
     orders
 }
 
-/// Returns the role changes within one group of engines.
-fn balance_roles(engines: &[&Arc<Upstream>]) -> Vec<RoleOrder> {
+/// Returns the role changes within one group of engines, of those that take orders.
+fn balance_roles<F>(engines: &[&Arc<Upstream>], takes_orders: F) -> Vec<RoleOrder>
+where
+    F: Fn(&Upstream) -> bool,
+{
     let of_role = |role| engines.iter().filter(move |up| up.role == Some(role));
     let prefill_engines = of_role(EngineRole::Prefill).count();
     let target = prefill_target(engines.len());
@@ -131,6 +140,7 @@
         (EngineRole::Prefill, EngineRole::Decode)
     };
     of_role(from)
+        .filter(|up| takes_orders(up))
         .take(prefill_engines.abs_diff(target))
         .map(|up| RoleOrder { upstream: Arc::clone(up), role })
         .collect()
--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -346,6 +346,14 @@
             .filter(move |upstream| self.statements.takes_requests(now_ms, upstream))
     }
 
+    /// Returns whether an upstream has stated neither that it is leaving nor that it wants no
+    /// requests from this instance.
+    #[must_use]
+    pub fn wants_calls(&self, now_ms: u64, upstream: &Upstream) -> bool {
+        !self.statements.is_leaving(upstream)
+            && self.statements.held_until_ms(&upstream.id) <= now_ms
+    }
+
     /// Returns the time at which the first upstream of the service takes requests again that now
     /// wants none; `None` if there is no such upstream.
     #[must_use]
--- a/crates/fleet/tests/plan.rs
+++ b/crates/fleet/tests/plan.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 
 use cowslip_fleet::{
-    CapacityLimits, DeclaredConfig, EngineRole, EntryOrder, Service, Upstream, UpstreamEntry,
-    UpstreamRegistry, plan_capacity, plan_roles,
+    CapacityLimits, DeclaredConfig, EngineRole, EntryOrder, ResponseOrigin, Service, Upstream,
+    UpstreamEntry, UpstreamRegistry, plan_capacity, plan_roles,
 };
 
 use EngineRole::{Decode, Prefill};
@@ -235,9 +235,43 @@
         Case { name: "no engines", engines: &[], expected: &[] },
     ];
     for Case { name, engines, expected } in cases {
-        let orders = plan_roles(&config(None), &registry(engines));
+        let orders = plan_roles(0, &config(None), &registry(engines));
         let found: Vec<(&str, EngineRole)> =
             orders.iter().map(|order| (&*order.upstream.id, order.role)).collect();
         assert_eq!(found, expected, "{name}");
     }
 }
+
+/// Guards against role orders to engines whose responses had asked for time or announced their leave.
+#[test]
+fn engines_that_want_no_calls_get_no_role_orders() {
+    struct Case {
+        name: &'static str,
+        /// Incarnation of `engine-0` that is leaving.
+        leaving: Option<u64>,
+        /// End of the hold of `engine-0`.
+        held_until_ms: Option<u64>,
+        expected: &'static str,
+    }
+    let cases = [
+        Case { name: "none", leaving: None, held_until_ms: None, expected: "engine-0" },
+        Case { name: "leaving", leaving: Some(1), held_until_ms: None, expected: "engine-1" },
+        Case { name: "on hold", leaving: None, held_until_ms: Some(60), expected: "engine-1" },
+        Case { name: "after a hold", leaving: None, held_until_ms: Some(40), expected: "engine-0" },
+    ];
+    for Case { name, leaving, held_until_ms, expected } in cases {
+        const D: Engine = engine("d0", Decode, false);
+        let mut registry = registry(&[D, D, D]);
+        let id = Arc::from("engine-0");
+        if let Some(known_started_at_ms) = leaving {
+            let address = "10.0.0.1:80".parse().expect("valid address");
+            let origin = ResponseOrigin { known_started_at_ms, connected_at_ms: 2, address };
+            registry.on_leaving(&id, origin);
+        }
+        if let Some(until_ms) = held_until_ms {
+            registry.on_hold(&id, until_ms);
+        }
+        let orders = plan_roles(50, &config(None), &registry);
+        assert_eq!(&*orders[0].upstream.id, expected, "{name}");
+    }
+}
--- a/crates/serve/src/hub/mod.rs
+++ b/crates/serve/src/hub/mod.rs
@@ -334,7 +334,7 @@
         match &self.declared_config {
             Some(config) if self.is_roster_known => PlannedOrders {
                 capacity: plan_capacity(config, &self.registry),
-                roles: plan_roles(config, &self.registry),
+                roles: plan_roles(self.clock.now_ms(), config, &self.registry),
             },
             _ => PlannedOrders::default(),
         }
