Blame the deadly segment when upstreams are lost close together and again

Cause: a segment is refused once its losses lie half a second apart, and only the first loss of an incarnation counted. Three engines lost within that time and then lost again left the deadly segment unrefused for ever. Popular segments whose first loss a success in the same millisecond cancels took a later loss as their first, so theirs lay far enough apart.

The first and the newest loss of an incarnation count now, and a segment that never succeeded accounts for its losses against those that have, also before it is refused.

--- a/crates/poison/src/ledger.rs
+++ b/crates/poison/src/ledger.rs
@@ -3,7 +3,8 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use crate::suspect::{
-    LocalMs, LostUpstream, Suspect, SuspectKey, SuspectLimits, SuspectReport, age_ms, local_ms,
+    LocalMs, LossTimes, LostUpstream, Suspect, SuspectKey, SuspectLimits, SuspectReport, age_ms,
+    local_ms,
 };
 
 /// Number of remembered successes from which on those older than [`SUCCESS_TTL_MS`] are dropped.
@@ -74,15 +75,26 @@
         self.successes.contains_key(key)
     }
 
+    /// Records a loss that this instance has observed.
     pub(crate) fn insert_loss(&mut self, key: SuspectKey, upstream: &LostUpstream, at_ms: LocalMs) {
-        if self.successes.get(&key).is_some_and(|success_ms| *success_ms >= at_ms) {
+        let known = self.suspects.get(&key).and_then(|suspect| suspect.losses.get(upstream));
+        let times = known.map_or(LossTimes::once(at_ms), |known| LossTimes {
+            span_ms: u64::try_from(at_ms.saturating_sub(known.first_ms)).unwrap_or(0),
+            ..*known
+        });
+        self.insert_losses(key, upstream, times);
+    }
+
+    fn insert_losses(&mut self, key: SuspectKey, upstream: &LostUpstream, times: LossTimes) {
+        let success_ms = self.successes.get(&key).copied().unwrap_or(LocalMs::MIN);
+        let Some(times) = times.after(success_ms) else {
             // Tells the peer that reported the loss.
             self.version += 1;
             self.cleared.insert(key, self.version);
             return;
-        }
+        };
         let suspect = self.suspects.entry(key).or_default();
-        if !suspect.add_loss(upstream, at_ms) {
+        if !suspect.add_losses(upstream, times) {
             return;
         }
         self.version += 1;
@@ -118,9 +130,13 @@
             self.prune_successes(now_ms);
         }
         let Some(suspect) = self.suspects.get_mut(&key) else { return false };
-        let loss_count = suspect.losses.len();
-        suspect.losses.retain(|_, loss_ms| *loss_ms > at_ms);
-        if suspect.losses.len() == loss_count {
+        let is_contradicted = suspect.losses.values().any(|times| times.first_ms <= at_ms);
+        suspect.losses.retain(|_, times| {
+            let left = times.after(at_ms);
+            *times = left.unwrap_or(*times);
+            left.is_some()
+        });
+        if !is_contradicted {
             if known_ms.is_none() {
                 // That it has succeeded before counts when segments are compared.
                 self.version += 1;
@@ -150,8 +166,16 @@
 
     /// Applies a peer's report.
     pub(crate) fn insert_report(&mut self, now_ms: u64, report: &SuspectReport) {
+        let mut ages_ms: BTreeMap<&LostUpstream, (u64, u64)> = BTreeMap::new();
         for (upstream, age_ms) in &report.losses {
-            self.insert_loss(report.key, upstream, local_ms(now_ms, *age_ms));
+            let (oldest_ms, newest_ms) = ages_ms.entry(upstream).or_insert((*age_ms, *age_ms));
+            *oldest_ms = (*oldest_ms).max(*age_ms);
+            *newest_ms = (*newest_ms).min(*age_ms);
+        }
+        for (upstream, (oldest_ms, newest_ms)) in ages_ms {
+            let first_ms = local_ms(now_ms, oldest_ms);
+            let times = LossTimes { first_ms, span_ms: oldest_ms - newest_ms };
+            self.insert_losses(report.key, upstream, times);
         }
         if let Some(age_ms) = report.success_age_ms {
             self.insert_success(now_ms, report.key, local_ms(now_ms, age_ms));
@@ -160,10 +184,14 @@
 
     pub(crate) fn report(&self, now_ms: u64, key: SuspectKey) -> Option<SuspectReport> {
         let suspect = self.suspects.get(&key)?;
-        let losses = suspect.losses.iter();
+        let losses = suspect.losses.iter().flat_map(|(upstream, times)| {
+            let first = Some((upstream.clone(), age_ms(now_ms, times.first_ms)));
+            let newest = (upstream.clone(), age_ms(now_ms, times.newest_ms()));
+            first.into_iter().chain(Some(newest).filter(|_| times.span_ms > 0))
+        });
         Some(SuspectReport {
             key,
-            losses: losses.map(|(up, at_ms)| (up.clone(), age_ms(now_ms, *at_ms))).collect(),
+            losses: losses.collect(),
             success_age_ms: self.successes.get(&key).map(|at_ms| age_ms(now_ms, *at_ms)),
         })
     }
--- a/crates/poison/src/quarantine.rs
+++ b/crates/poison/src/quarantine.rs
@@ -5,7 +5,7 @@
 
 use crate::ledger::{Ledger, SuspectChanges};
 use crate::suspect::{
-    Accused, LocalMs, LostUpstream, RequestDigest, SegmentId, Suspect, SuspectKey, SuspectLimits,
+    Accused, LossTimes, LostUpstream, RequestDigest, SegmentId, Suspect, SuspectKey, SuspectLimits,
     SuspectReport, age_ms, local_ms, span_ms,
 };
 
@@ -101,7 +101,7 @@
             let has_succeeded = self.ledger.has_succeeded(&key);
             match key {
                 SuspectKey::Request(digest) => {
-                    if !has_succeeded || self.is_spread(suspect.losses.values().copied()) {
+                    if !has_succeeded || self.is_spread(suspect.losses.values()) {
                         refusals.insert(Refusal::Request(digest));
                     }
                 }
@@ -112,13 +112,22 @@
             (*has_succeeded, Reverse(suspect.losses.len()), *id)
         });
         let mut accounted: BTreeSet<&LostUpstream> = BTreeSet::new();
+        // Losses that a segment without any success may yet account for.
+        let mut reserved: BTreeSet<&LostUpstream> = BTreeSet::new();
         for (_, suspect, has_succeeded) in &segments {
             let open = suspect
                 .losses
                 .iter()
                 .filter(|(upstream, _)| !accounted.contains(upstream))
-                .map(|(_, at_ms)| *at_ms);
-            if open.clone().count() < self.limits.losses || !self.is_spread(open) {
+                .filter(|(upstream, _)| !(*has_succeeded && reserved.contains(upstream)))
+                .map(|(_, times)| times);
+            if open.clone().count() < self.limits.losses {
+                continue;
+            }
+            if !self.is_spread(open) {
+                if !has_succeeded {
+                    reserved.extend(suspect.losses.keys());
+                }
                 continue;
             }
             let has_same_evidence = |(_, other, has_other_succeeded): &&(_, &Suspect, bool)| {
@@ -133,11 +142,11 @@
     }
 
     /// Returns whether the losses are too far apart for a common cause other than a request.
-    fn is_spread<I>(&self, losses_ms: I) -> bool
+    fn is_spread<'a, I>(&self, losses: I) -> bool
     where
-        I: Iterator<Item = LocalMs> + Clone,
+        I: Iterator<Item = &'a LossTimes> + Clone,
     {
-        span_ms(losses_ms) >= self.limits.min_span_ms
+        span_ms(losses) >= self.limits.min_span_ms
     }
 
     /// Returns the refusal that applies to a request, so that no upstream may run it.
--- a/crates/poison/src/suspect.rs
+++ b/crates/poison/src/suspect.rs
@@ -65,7 +65,8 @@
 pub struct SuspectReport {
     /// The suspect.
     pub key: SuspectKey,
-    /// Upstreams lost since the last success, each with the age of its loss in milliseconds.
+    /// Upstreams lost since the last success, each with the age of its loss in milliseconds. One that
+    /// was lost again has a second entry with the age of its newest loss.
     pub losses: Vec<(LostUpstream, u64)>,
     /// Age of the newest known success in milliseconds.
     pub success_age_ms: Option<u64>,
@@ -88,11 +89,40 @@
 /// Most probes that double the time to the next one.
 const MAX_PROBE_DOUBLINGS: u32 = 5;
 
+/// First and newest loss of an upstream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct LossTimes {
+    pub(crate) first_ms: LocalMs,
+    /// Time from the first to the newest loss. A report states it exactly, while its time of arrival
+    /// adds to all ages.
+    pub(crate) span_ms: u64,
+}
+
+impl LossTimes {
+    pub(crate) fn once(at_ms: LocalMs) -> Self {
+        Self { first_ms: at_ms, span_ms: 0 }
+    }
+
+    pub(crate) fn newest_ms(&self) -> LocalMs {
+        self.first_ms.saturating_add_unsigned(self.span_ms)
+    }
+
+    /// Returns the losses after a time.
+    pub(crate) fn after(self, time_ms: LocalMs) -> Option<Self> {
+        if self.first_ms > time_ms {
+            Some(self)
+        } else if self.newest_ms() > time_ms {
+            Some(Self::once(self.newest_ms()))
+        } else {
+            None
+        }
+    }
+}
+
 /// The losses that accuse a key since its last success.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Suspect {
-    /// Time of each loss.
-    pub(crate) losses: BTreeMap<LostUpstream, LocalMs>,
+    pub(crate) losses: BTreeMap<LostUpstream, LossTimes>,
     /// Version of the newest change.
     pub(crate) changed_at: u64,
     /// Number of probes by this instance.
@@ -102,14 +132,15 @@
 }
 
 impl Suspect {
-    /// Adds a loss; returns whether it was unknown.
-    pub(crate) fn add_loss(&mut self, upstream: &LostUpstream, at_ms: LocalMs) -> bool {
-        if self.losses.contains_key(upstream) {
-            return false;
+    /// Adds losses of an upstream; returns whether that changed anything.
+    pub(crate) fn add_losses(&mut self, upstream: &LostUpstream, times: LossTimes) -> bool {
+        if let Some(known) = self.losses.get_mut(upstream) {
+            let span_ms = known.span_ms.max(times.span_ms);
+            return std::mem::replace(&mut known.span_ms, span_ms) != span_ms;
         }
-        self.losses.insert(upstream.clone(), at_ms);
+        self.losses.insert(upstream.clone(), times);
         if self.losses.len() > MAX_LOSSES {
-            let oldest = self.losses.iter().min_by_key(|(_, at_ms)| **at_ms);
+            let oldest = self.losses.iter().min_by_key(|(_, times)| times.newest_ms());
             if let Some(oldest) = oldest.map(|(upstream, _)| upstream.clone()) {
                 self.losses.remove(&oldest);
             }
@@ -118,7 +149,7 @@
     }
 
     pub(crate) fn newest_ms(&self) -> LocalMs {
-        self.losses.values().copied().max().unwrap_or(LocalMs::MIN)
+        self.losses.values().map(LossTimes::newest_ms).max().unwrap_or(LocalMs::MIN)
     }
 
     pub(crate) fn is_probe_due(&self, now_ms: u64, probe_after_ms: u64) -> bool {
@@ -133,10 +164,11 @@
 }
 
 /// Returns the time between the first and the last of some losses, in milliseconds.
-pub(crate) fn span_ms<I>(losses_ms: I) -> u64
+pub(crate) fn span_ms<'a, I>(losses: I) -> u64
 where
-    I: Iterator<Item = LocalMs> + Clone,
+    I: Iterator<Item = &'a LossTimes> + Clone,
 {
-    let first_and_last = losses_ms.clone().min().zip(losses_ms.max());
+    let first_ms = losses.clone().map(|times| times.first_ms).min();
+    let first_and_last = first_ms.zip(losses.map(LossTimes::newest_ms).max());
     first_and_last.map_or(0, |(first, last)| last.abs_diff(first))
 }
--- a/crates/poison/tests/quarantine.rs
+++ b/crates/poison/tests/quarantine.rs
@@ -103,6 +103,44 @@
         now_ms: 1_000,
         refused: &[],
     },
+    // Guards against refusals of sound requests (rule LOST): the deadly part seemed to be lost at one
+    // moment only, and popular parts were blamed whose first loss a success contradicts.
+    Case {
+        name: "upstreams are lost at once and again, the first time just after a success",
+        steps: &[
+            Success(100, &[COMMON, RARE, LAST]),
+            Lost(100, 1, &[&[COMMON, DEADLY, LAST]]),
+            Lost(300, 2, &[&[COMMON, DEADLY, LAST]]),
+            Lost(500, 3, &[&[COMMON, DEADLY, LAST]]),
+            Lost(700, 2, &[&[COMMON, DEADLY, LAST]]),
+            Lost(900, 1, &[&[COMMON, DEADLY, LAST]]),
+        ],
+        now_ms: 1_000,
+        refused: &[WITH_DEADLY, &[COMMON, DEADLY, LAST], &[DEADLY]],
+    },
+    Case {
+        name: "losses at once of a part that never succeeded explain those of one that has",
+        steps: &[
+            Success(0, WITH_RARE),
+            Lost(100, 1, &[WITH_DEADLY]),
+            Lost(110, 2, &[WITH_DEADLY]),
+            Lost(120, 3, &[WITH_DEADLY]),
+            Lost(800, 4, &[WITH_RARE]),
+        ],
+        now_ms: 900,
+        refused: &[],
+    },
+    Case {
+        name: "three losses at once, and one of them again",
+        steps: &[
+            Lost(0, 1, &[&[DEADLY]]),
+            Lost(10, 2, &[&[DEADLY]]),
+            Lost(20, 3, &[&[DEADLY]]),
+            Lost(500, 3, &[&[DEADLY]]),
+        ],
+        now_ms: 1_000,
+        refused: &[WITH_DEADLY, &[COMMON, DEADLY, LAST], &[DEADLY]],
+    },
     Case {
         name: "one upstream lost three times in one incarnation",
         steps: &[
