--- a/crates/serve/src/caller/server.rs
+++ b/crates/serve/src/caller/server.rs
@@ -157,6 +157,7 @@
             shared_segments: prompt
                 .map(|prompt| prompt.shared_segment_ids().collect())
                 .unwrap_or_default(),
+            malformed_segments: caller_request.head.malformed_segments,
             request_digest: request_digest(&caller_request, authorized.workspace.as_deref()),
             deadline_ms,
         };
--- a/crates/serve/src/events.rs
+++ b/crates/serve/src/events.rs
@@ -46,6 +46,7 @@
     RequestReleased = 513, Info, "a request is no longer refused";
     RequestOverAllowance = 514, Info, "a request exceeds the allowance of its workspace";
     CallerClosed = 515, Warn, "a caller's connection, body or response was closed, others needed its room or it was not read";
+    SegmentsMalformed = 516, Warn, "a workspace sends malformed prompt segments, which are told apart by their text";
     RequestHedged = 520, Info, "a slow request was sent to a second upstream";
     PeerUnreachable = 600, Warn, "a peer is unreachable";
     PeerReachable = 601, Info, "a peer is reachable again";
--- a/crates/serve/src/hub/message.rs
+++ b/crates/serve/src/hub/message.rs
@@ -197,6 +197,7 @@
     pub(crate) stated_tokens: Option<u64>,
     /// Ids of the prompt segments that other requests may share.
     pub(crate) shared_segments: Arc<[SegmentId]>,
+    pub(crate) malformed_segments: usize,
     pub(crate) request_digest: RequestDigest,
     /// Local clock time at which the request times out, in milliseconds.
     pub(crate) deadline_ms: u64,
--- a/crates/serve/src/hub/mod.rs
+++ b/crates/serve/src/hub/mod.rs
@@ -94,6 +94,8 @@
     quarantine: Quarantine,
     /// Refusals of the quarantine as last logged.
     logged_refusals: BTreeSet<Refusal>,
+    /// Workspaces whose malformed prompt segments were logged.
+    logged_malformed: BTreeSet<Arc<str>>,
     /// Suspects in the store's copy of the quarantine; `None` if that is not known.
     stored_suspects: Option<BTreeSet<SuspectKey>>,
     allowances: Allowances,
@@ -162,6 +164,7 @@
             hedging: Hedging::new(config.hedging_limits),
             quarantine: Quarantine::new(quarantine::limits(poison_limit)),
             logged_refusals: BTreeSet::new(),
+            logged_malformed: BTreeSet::new(),
             stored_suspects: Some(BTreeSet::new()),
             allowances: Allowances::new(&config, reservations),
             instances: Instances::default(),
--- a/crates/serve/src/hub/quarantine.rs
+++ b/crates/serve/src/hub/quarantine.rs
@@ -1,6 +1,7 @@
 //! Requests that may crash upstreams: their quarantine, and what instances exchange about them.
 
 use std::collections::BTreeSet;
+use std::sync::Arc;
 
 use cowslip_codec::{
     encode_hex, from_json, suspect_from_proto, suspect_key_from_proto, suspect_key_to_proto,
@@ -10,7 +11,7 @@
 use cowslip_poison::{Accused, Refusal, RequestDigest, SegmentId, SuspectKey, SuspectLimits};
 use cowslip_proto as proto;
 
-use super::Hub;
+use super::{Hub, UnplacedRequest};
 use crate::events::{Event, event};
 use crate::platform::Platform;
 
@@ -28,6 +29,9 @@
 /// Most suspects in the store.
 const MAX_STORED_SUSPECTS: usize = 512;
 
+/// Most workspaces whose malformed prompt segments are logged once.
+const MAX_LOGGED_WORKSPACES: usize = 4_096;
+
 /// Key of the quarantine among the entries of instances. No instance has this name.
 pub(crate) const QUARANTINE_KEY: &str = "quarantine/suspects";
 
@@ -57,6 +61,27 @@
         self.quarantine.refusal(self.clock.now_ms(), accused).is_some()
     }
 
+    /// Counts malformed prompt segments, and logs the first ones of each workspace.
+    pub(super) fn count_malformed_segments(&mut self, unplaced: &UnplacedRequest) {
+        let count = unplaced.malformed_segments;
+        if count == 0 {
+            return;
+        }
+        self.metrics.malformed_segments.inc_by(count as u64);
+        let workspace = unplaced.authorized.workspace.clone().unwrap_or_else(|| Arc::from(""));
+        if self.logged_malformed.len() >= MAX_LOGGED_WORKSPACES {
+            self.logged_malformed.clear();
+        }
+        if self.logged_malformed.insert(workspace.clone()) {
+            event!(
+                Event::SegmentsMalformed,
+                request = unplaced.attempt_id,
+                workspace = workspace,
+                count = count
+            );
+        }
+    }
+
     /// Returns how an upstream stands with the request that has this digest.
     pub(super) fn standing(
         &self,
--- a/crates/serve/src/hub/requests.rs
+++ b/crates/serve/src/hub/requests.rs
@@ -90,6 +90,7 @@
     /// Checks a request before its allowance is charged. Returns whether it is a probe of the
     /// quarantine.
     pub(super) fn check(&mut self, unplaced: &UnplacedRequest) -> Result<bool, Rejection> {
+        self.count_malformed_segments(unplaced);
         let now_ms = self.clock.now_ms();
         if self.is_stopping_for(now_ms, unplaced) {
             return Err(Rejection::Stopping);
--- a/crates/serve/src/metrics.rs
+++ b/crates/serve/src/metrics.rs
@@ -84,6 +84,8 @@
     pub(crate) quarantined_requests: IntGauge,
     /// Combinations of prompt segments whose requests are refused.
     pub(crate) quarantined_segments: IntGauge,
+    /// Prompt segments that are malformed.
+    pub(crate) malformed_segments: IntCounter,
     /// Feed messages, by kind (`request`, `reply`) and direction (`sent`, `received`).
     pub(crate) feeds: IntCounterVec,
     /// Bytes of feed messages before compression, by field and direction; the field `compressed`
@@ -139,6 +141,11 @@
             "Responses of the store that were dropped for their era",
         )?;
         registry.register(Box::new(other_era_responses.clone()))?;
+        let malformed_segments = IntCounter::new(
+            "cowslip_malformed_segments_total",
+            "Prompt segments that are malformed",
+        )?;
+        registry.register(Box::new(malformed_segments.clone()))?;
         Ok(Self {
             requests: counter_by("cowslip_requests_total", "Requests by how they ended", "end")?,
             sends: counter_by("cowslip_sends_total", "Sends to upstreams by outcome", "outcome")?,
@@ -169,6 +176,7 @@
                 "cowslip_quarantined_segments",
                 "Combinations of prompt segments whose requests are refused",
             )?,
+            malformed_segments,
             feeds: counter_by_all(
                 "cowslip_feeds_total",
                 "Feed messages by kind and direction",
--- a/crates/serve/src/platform.rs
+++ b/crates/serve/src/platform.rs
@@ -254,6 +254,9 @@
     pub api_key: Option<String>,
     /// Size and segments of the prompt, if the caller states them.
     pub prompt: Option<Prompt>,
+    /// Number of the prompt's segments that are malformed; each counts as one that no prompt shares
+    /// unless it has the same text.
+    pub malformed_segments: usize,
     /// Whether the caller expects a property of the upstream, which may refuse the request for it.
     pub has_condition: bool,
 }
