Do not pass on responses with invalid heads

Cause: heads were taken as hyper accepts them. The client of net now checks each head for the status of a final response and a transfer coding that is absent or chunked alone; anything else is an invalid response for every reader. Errors of connections name the causes that hyper leaves out.

--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -20,6 +20,7 @@
 use crate::body::Body;
 use crate::error::{ConnectSnafu, Error, HttpSnafu, TimedOutSnafu};
 use crate::fair_stream::{FairStream, Observer};
+use crate::response_head::check_head;
 use crate::response_reader::ResponseReader;
 use crate::sending::{RequestBody, SendProgress};
 
@@ -277,9 +278,12 @@
         request: Request<Body>,
     ) -> Result<Response<Incoming>, (Option<Request<Body>>, Error)> {
         let request = request.map(|body| RequestBody::new(body, self.progress.clone()));
-        self.sender.try_send_request(request).await.map_err(|mut error| {
+        let response = self.sender.try_send_request(request).await.map_err(|mut error| {
             let unsent = error.take_message().map(|request| request.map(RequestBody::into_inner));
             (unsent, Error::Http { source: error.into_error() })
-        })
+        })?;
+        let (head, body) = response.into_parts();
+        check_head(&head).map_err(|error| (None, error))?;
+        Ok(Response::from_parts(head, body))
     }
 }
--- a/crates/net/src/error.rs
+++ b/crates/net/src/error.rs
@@ -1,5 +1,6 @@
 //! Errors of the network layer.
 
+use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -26,11 +27,17 @@
         source: std::io::Error,
     },
     /// An HTTP/1.1 connection or request failed.
-    #[snafu(display("http: {source}"))]
+    #[snafu(display("http: {}", WithCauses(source)))]
     Http {
         /// Error of `hyper`.
         source: hyper::Error,
     },
+    /// The head of a response is invalid.
+    #[snafu(display("the head of the response is invalid: {why}"))]
+    InvalidHead {
+        /// What is wrong with it.
+        why: &'static str,
+    },
     /// An HTTP/2 connection or stream failed.
     #[snafu(display("h2: {source}"))]
     H2 {
@@ -75,6 +82,7 @@
             Self::Connect { .. } => true,
             Self::Http { source } => !source.is_parse() && !has_invalid_bytes(source),
             Self::Listen { .. }
+            | Self::InvalidHead { .. }
             | Self::H2 { .. }
             | Self::BuildRequest { .. }
             | Self::TooLarge { .. }
@@ -85,14 +93,23 @@
     }
 }
 
+/// Displays an error of `hyper` with the errors that caused it, which it leaves out.
+struct WithCauses<'a>(&'a hyper::Error);
+
+impl fmt::Display for WithCauses<'_> {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}", self.0)?;
+        causes(self.0).try_for_each(|cause| write!(formatter, ": {cause}"))
+    }
+}
+
+fn causes(error: &hyper::Error) -> impl Iterator<Item = &(dyn std::error::Error + 'static)> {
+    std::iter::successors(std::error::Error::source(error), |error| error.source())
+}
+
 /// Returns whether the cause of the error is a body with invalid framing.
 fn has_invalid_bytes(error: &hyper::Error) -> bool {
-    std::iter::successors(std::error::Error::source(error), |error| error.source())
-        .filter_map(|error| error.downcast_ref::<std::io::Error>())
-        .any(|error| {
-            matches!(
-                error.kind(),
-                std::io::ErrorKind::InvalidInput | std::io::ErrorKind::InvalidData
-            )
-        })
+    causes(error).filter_map(|error| error.downcast_ref::<std::io::Error>()).any(|error| {
+        matches!(error.kind(), std::io::ErrorKind::InvalidInput | std::io::ErrorKind::InvalidData)
+    })
 }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -10,6 +10,7 @@
 mod fair_stream;
 mod memory;
 mod peer;
+mod response_head;
 mod response_reader;
 mod sending;
 mod server;
