Settle the end of an unframed stream by what its upstream does next

Cause: the end of the connection between two events counted as a success of the request and cleared the suspicion. A crash ends a stream in the same way.

The quarantine now waits for evidence: an upstream that refuses connections or has restarted was lost with the stream, one that has accepted a connection since had completed it, and so has one of which nothing is known for three seconds. Callers get what they got before.

--- a/crates/net/src/error.rs
+++ b/crates/net/src/error.rs
@@ -74,6 +74,13 @@
 }
 
 impl Error {
+    /// Returns whether nothing listened on the server's address.
+    #[must_use]
+    pub fn is_refused(&self) -> bool {
+        matches!(self, Self::Connect { source, .. }
+            if source.kind() == std::io::ErrorKind::ConnectionRefused)
+    }
+
     /// Returns whether the connection could not be opened, or was closed or reset; otherwise it
     /// carried bytes that are no valid message or exceed a limit, or took too long.
     #[must_use]
--- a/crates/poison/src/lib.rs
+++ b/crates/poison/src/lib.rs
@@ -6,9 +6,11 @@
 mod ledger;
 mod quarantine;
 mod suspect;
+mod unproven;
 
 pub use ledger::SuspectChanges;
 pub use quarantine::{Quarantine, Refusal};
 pub use suspect::{
     Accused, LostUpstream, RequestDigest, SegmentId, SuspectKey, SuspectLimits, SuspectReport,
 };
+pub use unproven::{SettledEnd, UnprovenEnd, UnprovenEnds};
--- a/crates/serve/src/caller/buffered.rs
+++ b/crates/serve/src/caller/buffered.rs
@@ -96,7 +96,8 @@
         .await
         .map_err(|failure| FailedAttempt { failure, response: None })?;
     let id = request.assignment_id();
-    request.send(HubMessage::RequestStarted { id, upstream: upstream.id.clone() }).await;
+    let started = upstream.id.clone();
+    request.send(HubMessage::RequestStarted { id, upstream: started, connection_age: None }).await;
     let is_failure = parts.status.is_server_error();
     let outcome = if is_failure { SendOutcome::Failed } else { SendOutcome::Responded };
     request.report_outcome(&upstream, outcome, keep_alive).await;
--- a/crates/serve/src/caller/exchange.rs
+++ b/crates/serve/src/caller/exchange.rs
@@ -55,6 +55,11 @@
 }
 
 impl UpstreamConnection {
+    /// Returns the time since the upstream accepted the connection.
+    pub(super) fn age(&self) -> Duration {
+        self.connection.age()
+    }
+
     /// Puts the connection into the pool once its response was read to the end. Returns the time
     /// for which the pool keeps it.
     pub(super) fn return_to_pool(self, client: &Client) -> Option<Duration> {
@@ -93,6 +98,10 @@
         .upstream_request(caller_request, upstream_request)
         .map_err(|error| failed(false, Interruption::Malformed, &error.to_string()))?;
     let sent = client.send_on_connection(upstream.address, request).await;
+    if matches!(&sent, Err(SendError::NotSent(error)) if error.is_refused()) {
+        let upstream = upstream.id.clone();
+        shared.hub.send(HubMessage::UpstreamRefused { upstream }).await;
+    }
     let (response, connection) = sent.map_err(|error| {
         let (is_sent, error) = match error {
             SendError::NotSent(error) => (false, error),
--- a/crates/serve/src/caller/relay.rs
+++ b/crates/serve/src/caller/relay.rs
@@ -3,9 +3,10 @@
 
 use std::pin::pin;
 use std::sync::Arc;
+use std::time::Duration;
 
 use cowslip_fleet::{
-    Failure, Interruption, Progress, ResponseKind, SendOutcome, Upstream, check_end,
+    Failure, Framing, Interruption, Progress, ResponseKind, SendOutcome, Upstream, check_end,
 };
 use cowslip_net::{ChunkSender, Error};
 use cowslip_task::Expiry;
@@ -132,7 +133,7 @@
                 }
             };
             if let Some(events) = self.events.push(&chunk) {
-                self.record_first_event().await;
+                self.record_first_event(connection.age()).await;
                 if !self.sender.send(events).await {
                     return StreamEnd::CallerDisconnected;
                 }
@@ -156,21 +157,29 @@
         }
         let keep_alive = connection.return_to_pool(&self.request.shared.client);
         self.request.report_outcome(&self.upstream, SendOutcome::Responded, keep_alive).await;
-        if progress == Progress::BetweenEvents {
-            let id = self.request.assignment_id();
-            self.request.send(HubMessage::RequestSucceeded { id }).await;
+        let id = self.request.assignment_id();
+        match (progress, framing) {
+            (Progress::BetweenEvents, Framing::ConnectionEnd) => {
+                let upstream = self.upstream.clone();
+                self.request.send(HubMessage::StreamEndUnproven { id, upstream }).await;
+            }
+            (Progress::BetweenEvents, Framing::Length | Framing::Chunked) => {
+                self.request.send(HubMessage::RequestSucceeded { id }).await;
+            }
+            (Progress::Empty | Progress::Inside, _) => {}
         }
         StreamEnd::Complete
     }
 
     /// Reports the start of the request and its latency, once.
-    async fn record_first_event(&mut self) {
+    async fn record_first_event(&mut self, connection_age: Duration) {
         if std::mem::replace(&mut self.has_started, true) {
             return;
         }
         let request = &self.request;
         let (id, upstream) = (request.assignment_id(), self.upstream.id.clone());
-        request.send(HubMessage::RequestStarted { id, upstream }).await;
+        let connection_age = Some(connection_age);
+        request.send(HubMessage::RequestStarted { id, upstream, connection_age }).await;
         let elapsed_ms = request.shared.clock.now_ms().saturating_sub(request.started_ms);
         request.shared.metrics.first_event_s.observe(elapsed_ms as f64 / 1_000.0);
         event!(
--- a/crates/serve/src/hub/message.rs
+++ b/crates/serve/src/hub/message.rs
@@ -50,10 +50,15 @@
         has_succeeded: bool,
         reply: ReplySender<Result<Arc<Upstream>, Rejection>>,
     },
-    /// Reports that this upstream runs the request.
-    RequestStarted { id: u64, upstream: Arc<str> },
+    /// Reports that this upstream runs the request, and for how long the connection of a stream has
+    /// been open.
+    RequestStarted { id: u64, upstream: Arc<str>, connection_age: Option<Duration> },
     /// Reports that an upstream sent a complete, successful response.
     RequestSucceeded { id: u64 },
+    /// Reports that the connection of a stream ended between two events, which a crash does too.
+    StreamEndUnproven { id: u64, upstream: Arc<Upstream> },
+    /// Reports that nothing listens on an upstream's address.
+    UpstreamRefused { upstream: Arc<str> },
     /// Ends the assignment, whatever its result.
     RequestEnded { id: u64 },
     /// Reports the outcome of one send, and how long its connection stays in the pool, if it does.
--- a/crates/serve/src/hub/mod.rs
+++ b/crates/serve/src/hub/mod.rs
@@ -13,6 +13,7 @@
 mod records;
 mod requests;
 mod reservations;
+mod unproven_ends;
 
 use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
@@ -29,7 +30,7 @@
 };
 use cowslip_hedging::Hedging;
 use cowslip_membership::{FeedRole, FeedTopology, StoreEvidence};
-use cowslip_poison::{Quarantine, Refusal, SuspectKey};
+use cowslip_poison::{Quarantine, Refusal, SuspectKey, UnprovenEnds};
 use cowslip_task::send_reply;
 use cowslip_usage::{ClusterClock, FinalizedWindows, StartCounters, StartWindows, WindowTimes};
 
@@ -94,6 +95,7 @@
     quarantine: Quarantine,
     /// Refusals of the quarantine as last logged.
     logged_refusals: BTreeSet<Refusal>,
+    unproven_ends: UnprovenEnds,
     /// Workspaces whose malformed prompt segments were logged.
     logged_malformed: BTreeSet<Arc<str>>,
     /// Suspects in the store's copy of the quarantine; `None` if that is not known.
@@ -164,6 +166,7 @@
             hedging: Hedging::new(config.hedging_limits),
             quarantine: Quarantine::new(quarantine::limits(poison_limit)),
             logged_refusals: BTreeSet::new(),
+            unproven_ends: UnprovenEnds::default(),
             logged_malformed: BTreeSet::new(),
             stored_suspects: Some(BTreeSet::new()),
             allowances: Allowances::new(&config, reservations),
@@ -215,8 +218,18 @@
             HubMessage::PrefillEnded { id, has_succeeded, reply } => {
                 send_reply(&reply, self.on_prefill_ended(id, has_succeeded));
             }
-            HubMessage::RequestStarted { id, upstream } => self.on_request_started(id, &upstream),
+            HubMessage::RequestStarted { id, upstream, connection_age } => {
+                self.on_request_started(id, &upstream);
+                self.on_accepted(&upstream, connection_age);
+            }
             HubMessage::RequestSucceeded { id } => self.on_request_succeeded(id),
+            HubMessage::StreamEndUnproven { id, upstream } => {
+                self.on_stream_end_unproven(id, &upstream);
+            }
+            HubMessage::UpstreamRefused { upstream } => {
+                let settled = self.unproven_ends.on_refused(&upstream);
+                self.on_settled_ends(settled);
+            }
             HubMessage::RequestEnded { id } => {
                 self.forget_reservation(id);
                 self.on_request_ended(id);
@@ -309,6 +322,8 @@
             }
         }
         self.on_upstream_changes(&changes, "store");
+        let settled = self.unproven_ends.on_tick(now_ms);
+        self.on_settled_ends(settled);
         self.update_store_reader(now_ms);
         self.update_links();
         self.update_allowances(now_ms);
--- a/crates/serve/src/hub/records.rs
+++ b/crates/serve/src/hub/records.rs
@@ -281,6 +281,7 @@
                     );
                     if *why == LeaveReason::Gone {
                         self.health.forget(id);
+                        self.settle_ends_of_predecessor(id);
                     }
                 }
                 UpstreamChange::Role(id, role) => {
