Keep the hub's handling of statements in a file of its own

hub/requests.rs had grown over 400 lines, and the allowed error of clocks stood in two crates. No behaviour changes; the tests of fleet, poison and serve pass.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -29,5 +29,5 @@
 pub use response_end::{Failure, Framing, Interruption, Progress, ResponseKind, check_end};
 pub use retry_budget::{RetryBudget, RetryBudgetLimits};
 pub use standing::Standing;
-pub use statements::ResponseOrigin;
+pub use statements::{MAX_CLOCK_ERROR_MS, ResponseOrigin};
 pub use stop::StopSchedule;
--- a/crates/fleet/src/statements.rs
+++ b/crates/fleet/src/statements.rs
@@ -13,9 +13,9 @@
 /// Longest time for which an upstream is not used because it refused work for the role in its entry:
 /// a role change takes three seconds, and the next entry comes more than one second later.
 const ROLE_MISMATCH_QUARANTINE_MS: u64 = 4_500;
-/// Largest difference of an upstream's clock from the cluster time: instances do not correct smaller
-/// ones of their own.
-const MAX_CLOCK_ERROR_MS: u64 = 150;
+/// Largest difference of an upstream's clock from the cluster time, in milliseconds: instances do not
+/// correct smaller ones of their own.
+pub const MAX_CLOCK_ERROR_MS: u64 = 150;
 /// Number of upstreams with remembered statements from which on those of unregistered ones are
 /// dropped.
 const MAX_UPSTREAMS: usize = 4_096;
--- a/crates/serve/src/hub/mod.rs
+++ b/crates/serve/src/hub/mod.rs
@@ -13,6 +13,7 @@
 mod records;
 mod requests;
 mod reservations;
+mod statements;
 mod unproven_ends;
 
 use std::collections::{BTreeSet, HashMap};
--- a/crates/serve/src/hub/unproven_ends.rs
+++ b/crates/serve/src/hub/unproven_ends.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cowslip_fleet::Upstream;
+use cowslip_fleet::{MAX_CLOCK_ERROR_MS, Upstream};
 use cowslip_name::Name;
 use cowslip_poison::{Accused, LostUpstream, SettledEnd, UnprovenEnd};
 
@@ -12,9 +12,6 @@
 use crate::events::{Event, event};
 use crate::platform::Platform;
 
-/// Largest error of clocks for which a connection may have been opened after a restart.
-const MAX_CLOCK_ERROR_MS: u64 = 150;
-
 impl<P> Hub<P>
 where
     P: Platform,
