--- a/crates/net/src/response_head.rs
+++ b/crates/net/src/response_head.rs
@@ -1,6 +1,6 @@
 //! Which heads of responses are valid, for every reader of responses.
 
-use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use http::header::TRANSFER_ENCODING;
 use http::response::Parts;
 
 use crate::error::Error;
@@ -8,8 +8,8 @@
 /// Statuses of final responses.
 const FINAL_STATUSES: std::ops::Range<u16> = 200..600;
 
-/// Checks a head beyond what `hyper` checks: whether it is one of a final response whose end can be
-/// told and whose body has no coding of the transfer but chunks.
+/// Checks a head beyond what `hyper` checks: whether it is one of a final response, and its body has no
+/// transfer coding but chunks. A length beside chunks is not seen here, since `hyper` removes it.
 ///
 /// # Errors
 /// Returns [`Error::InvalidHead`] with the reason.
@@ -23,8 +23,5 @@
     if codings.next().is_some() || !coding.as_bytes().eq_ignore_ascii_case(b"chunked") {
         return invalid("its transfer coding is not chunked alone");
     }
-    if head.headers.contains_key(CONTENT_LENGTH) {
-        return invalid("it has both a length and a transfer coding");
-    }
     Ok(())
 }
