Keep the newest refusal whichever connection it came on

Found at the last read of the diff: refusals of one incarnation were ordered by the age of their connections, so one on an older connection did not renew the backoff, nor the quarantine of a role. The newest one counts now, and only a late one for a former incarnation does not replace it.

Two new checks of registry.rs, one for each, failed before and pass now.

--- a/crates/fleet/src/statements.rs
+++ b/crates/fleet/src/statements.rs
@@ -47,15 +47,28 @@
     }
 }
 
-/// Refusal of work for a role, which ends with an entry that has another role.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-struct RoleMismatch {
+/// A refusal, and the time until which it counts.
+#[derive(Clone, Copy, Debug)]
+struct Refusal {
     origin: ResponseOrigin,
     until_ms: u64,
     /// Role for which the request was sent.
     role: Option<EngineRole>,
 }
 
+impl Refusal {
+    /// Returns the newer one of two refusals. One for a former incarnation may arrive late; otherwise
+    /// the last one counts, on whichever connection.
+    fn or_newer(self, other: Self) -> Self {
+        let key = |refusal: &Self| (refusal.origin.known_started_at_ms, refusal.until_ms);
+        if key(&other) >= key(&self) { other } else { self }
+    }
+
+    fn applies(&self, now_ms: u64, upstream: &Upstream) -> bool {
+        now_ms < self.until_ms && self.origin.is_from(upstream)
+    }
+}
+
 /// Statements of one upstream, the newest of each kind.
 #[derive(Clone, Copy, Debug, Default)]
 struct UpstreamStatements {
@@ -64,9 +77,10 @@
     held_until_ms: u64,
     /// Origin of the statement that the upstream is leaving.
     leaving: Option<ResponseOrigin>,
-    /// Origin of a refusal, and the time until which the upstream is avoided.
-    refusal: Option<(ResponseOrigin, u64)>,
-    role_mismatch: Option<RoleMismatch>,
+    /// Refusal of any request, after which the upstream is avoided.
+    refusal: Option<Refusal>,
+    /// Refusal of work for a role, which ends with an entry that has another role.
+    role_mismatch: Option<Refusal>,
 }
 
 impl UpstreamStatements {
@@ -76,9 +90,7 @@
 
     fn is_in_other_role(&self, now_ms: u64, upstream: &Upstream) -> bool {
         self.role_mismatch.is_some_and(|mismatch| {
-            now_ms < mismatch.until_ms
-                && mismatch.role == upstream.role
-                && mismatch.origin.is_from(upstream)
+            mismatch.role == upstream.role && mismatch.applies(now_ms, upstream)
         })
     }
 }
@@ -117,9 +129,9 @@
     }
 
     pub(crate) fn on_refusal(&mut self, now_ms: u64, id: &Arc<str>, origin: ResponseOrigin) {
-        let statements = self.of_mut(id);
-        let refusal = (origin, now_ms + REFUSAL_BACKOFF_MS);
-        statements.refusal = statements.refusal.max(Some(refusal));
+        let refusal = Refusal { origin, until_ms: now_ms + REFUSAL_BACKOFF_MS, role: None };
+        let known = &mut self.of_mut(id).refusal;
+        *known = Some(known.map_or(refusal, |known| known.or_newer(refusal)));
     }
 
     /// Records that an upstream refused work for a role.
@@ -130,10 +142,9 @@
         role: Option<EngineRole>,
         origin: ResponseOrigin,
     ) {
-        let until_ms = now_ms + ROLE_MISMATCH_QUARANTINE_MS;
-        let statements = self.of_mut(id);
-        let mismatch = RoleMismatch { origin, until_ms, role };
-        statements.role_mismatch = statements.role_mismatch.max(Some(mismatch));
+        let mismatch = Refusal { origin, until_ms: now_ms + ROLE_MISMATCH_QUARANTINE_MS, role };
+        let known = &mut self.of_mut(id).role_mismatch;
+        *known = Some(known.map_or(mismatch, |known| known.or_newer(mismatch)));
     }
 
     pub(crate) fn held_until_ms(&self, id: &str) -> u64 {
@@ -157,6 +168,6 @@
         self.by_id
             .get(&upstream.id)
             .and_then(|statements| statements.refusal)
-            .is_some_and(|(origin, until_ms)| now_ms < until_ms && origin.is_from(upstream))
+            .is_some_and(|refusal| refusal.applies(now_ms, upstream))
     }
 }
--- a/crates/fleet/tests/registry.rs
+++ b/crates/fleet/tests/registry.rs
@@ -307,6 +307,17 @@
         at_ms: 10,
         is_eligible: true,
     },
+    // Guards against refusals that a newer connection hides: connections are reused in any order.
+    Case {
+        name: "the role is refused again on an older connection",
+        steps: &[
+            (0, Entry(1, false, Decode)),
+            (5, RoleMismatchVia(1, 4, Decode)),
+            (4_000, RoleMismatchVia(1, 2, Decode)),
+        ],
+        at_ms: 8_499,
+        is_eligible: false,
+    },
     Case {
         name: "a late refusal of the role before the entry",
         steps: &[
@@ -610,6 +621,12 @@
         Case { name: "next one", origin: (1, 850), next: Some(1_000), refuses_until_ms: 1_005 },
         Case { name: "former one", origin: (1, 849), next: Some(1_000), refuses_until_ms: 0 },
     ];
+    let mut registry = UpstreamRegistry::default();
+    apply(&mut registry, upstream("up", 1, false, Decode));
+    registry.on_refusal(5, &Arc::from("up"), origin(1, 4));
+    registry.on_refusal(2_000, &Arc::from("up"), origin(1, 2));
+    let up = registry.get("up").expect("registered upstream");
+    assert!(registry.is_refusing(2_999, up), "again, on an older connection");
     for Case { name, origin: (known, connected), next, refuses_until_ms } in cases {
         let mut registry = UpstreamRegistry::default();
         apply(&mut registry, upstream("up", 1, false, Decode));
